--- /dev/null
+++ b/burn/report.go
@@ -0,0 +1,176 @@
+package burn
+
+import (
+	"sort"
+	"time"
+)
+
+// KeepFor is the longest window that is reported.
+const KeepFor = 72 * time.Hour
+
+// Windows over which burn is reported.
+var _windows = []time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour, KeepFor}
+
+// Windows returns the windows over which burn is reported, shortest first.
+func Windows() []time.Duration { return append([]time.Duration(nil), _windows...) }
+
+// Burn rates that raise a verdict: the budget of 30 days is spent in about
+// two days (fast) or five days (slow). Both need a long and a short window.
+const (
+	FastBurn = 14.4
+	SlowBurn = 6.0
+)
+
+// Verdict says how urgent the burn is.
+type Verdict uint8
+
+const (
+	// Quiet means that the budget lasts.
+	Quiet Verdict = iota + 1
+	// SlowVerdict means that the budget will be spent within days.
+	SlowVerdict
+	// FastVerdict means that the budget will be spent within hours.
+	FastVerdict
+)
+
+// String returns the verdict's name in reports.
+func (v Verdict) String() string {
+	switch v {
+	case Quiet:
+		return "ok"
+	case SlowVerdict:
+		return "slow_burn"
+	case FastVerdict:
+		return "fast_burn"
+	}
+	return "unknown"
+}
+
+// Window is the burn over one span of time.
+type Window struct {
+	Span  time.Duration
+	Total uint64
+	Bad   uint64
+	Rate  float64 // 1 spends the budget just as fast as the objective allows
+	P50   time.Duration
+	P99   time.Duration
+}
+
+// Report is the burn of one entry.
+type Report struct {
+	Entry      string
+	Ratio      float64 // objective
+	Latency    time.Duration
+	Windows    []Window
+	BudgetLeft float64 // share of the longest window's budget; below 0 when overspent
+	Verdict    Verdict
+	Counts     Count // sum over the longest window
+}
+
+// Ledger holds the counts of all entries. The zero value is empty and ready.
+// It is not safe for concurrent use.
+type Ledger struct {
+	entries map[string]map[int64]*Count
+}
+
+// Record adds counts.
+func (l *Ledger) Record(c Count) {
+	if l.entries == nil {
+		l.entries = make(map[string]map[int64]*Count)
+	}
+	minutes := l.entries[c.Entry]
+	if minutes == nil {
+		minutes = make(map[int64]*Count)
+		l.entries[c.Entry] = minutes
+	}
+	if old, ok := minutes[c.Minute]; ok {
+		old.Merge(&c)
+		return
+	}
+	minutes[c.Minute] = &c
+}
+
+// Forget drops counts that are older than the longest window.
+func (l *Ledger) Forget(now time.Time) {
+	oldest := minuteOf(now.Add(-KeepFor))
+	for name, minutes := range l.entries {
+		for m := range minutes {
+			if m < oldest {
+				delete(minutes, m)
+			}
+		}
+		if len(minutes) == 0 {
+			delete(l.entries, name)
+		}
+	}
+}
+
+// Counts returns all counts by entry and minute.
+func (l *Ledger) Counts() []Count {
+	var out []Count
+	for _, minutes := range l.entries {
+		for _, c := range minutes {
+			out = append(out, *c)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Entry != out[j].Entry {
+			return out[i].Entry < out[j].Entry
+		}
+		return out[i].Minute < out[j].Minute
+	})
+	return out
+}
+
+func minuteOf(t time.Time) int64 { return t.Unix() / 60 }
+
+// Report returns the burn of one entry at now.
+func (l *Ledger) Report(entry string, ratio float64, latency time.Duration, now time.Time) Report {
+	r := Report{Entry: entry, Ratio: ratio, Latency: latency, BudgetLeft: 1, Verdict: Quiet}
+	for _, span := range _windows {
+		sum := l.sum(entry, span, now)
+		r.Windows = append(r.Windows, window(sum, span, ratio))
+		r.Counts = sum
+	}
+	longest := r.Windows[len(r.Windows)-1]
+	if longest.Total > 0 {
+		r.BudgetLeft = 1 - longest.Rate
+	}
+	r.Verdict = verdict(r.Windows)
+	return r
+}
+
+func (l *Ledger) sum(entry string, span time.Duration, now time.Time) Count {
+	sum := Count{Entry: entry, Minute: minuteOf(now)}
+	first := minuteOf(now.Add(-span))
+	for m, c := range l.entries[entry] {
+		if m > first && m <= minuteOf(now) {
+			sum.Merge(c)
+		}
+	}
+	return sum
+}
+
+func window(sum Count, span time.Duration, ratio float64) Window {
+	w := Window{
+		Span:  span,
+		Total: sum.Total(),
+		Bad:   sum.Bad(),
+		P50:   sum.Quantile(0.50),
+		P99:   sum.Quantile(0.99),
+	}
+	if w.Total > 0 {
+		w.Rate = float64(w.Bad) / float64(w.Total) / (1 - ratio)
+	}
+	return w
+}
+
+func verdict(w []Window) Verdict {
+	switch {
+	case w[0].Rate >= FastBurn && w[1].Rate >= FastBurn:
+		return FastVerdict
+	case w[1].Rate >= SlowBurn && w[2].Rate >= SlowBurn:
+		return SlowVerdict
+	}
+	return Quiet
+}
--- /dev/null
+++ b/internal/agent/gate.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/gentianrail/gentianrail/admission"
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+)
+
+// _expireInterval is how often the gate looks for work past its deadline.
+const _expireInterval = 10 * time.Millisecond
+
+type offer struct {
+	ticket admission.Ticket
+	reply  chan error // size one; nil means admitted
+}
+
+// gate is the task that owns the admission of the target.
+type gate struct {
+	state     *admission.Gate
+	offers    chan offer
+	releases  chan uint64
+	withdraws chan uint64
+	closing   chan bool // true to close, false to open again
+	waiting   map[uint64]chan error
+	nextID    atomic.Uint64
+	stopped   chan struct{}
+
+	slots, connections, queued, in atomic.Int32 // as of the latest change
+}
+
+func newGate(slots, connections int) *gate {
+	return &gate{
+		state:     admission.NewGate(slots, connections),
+		offers:    make(chan offer),
+		releases:  make(chan uint64),
+		withdraws: make(chan uint64),
+		closing:   make(chan bool),
+		waiting:   make(map[uint64]chan error),
+		stopped:   make(chan struct{}),
+	}
+}
+
+func (g *gate) run(ctx context.Context) {
+	defer close(g.stopped)
+	tick := time.NewTicker(_expireInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-g.offers:
+			g.offer(o)
+		case id := <-g.releases:
+			g.admitAll(g.state.Release(time.Now(), id))
+		case id := <-g.withdraws:
+			g.withdraw(id)
+		case closing := <-g.closing:
+			g.setClosed(closing)
+		case <-tick.C:
+			g.expire(time.Now())
+		}
+		g.publish()
+	}
+}
+
+func (g *gate) publish() {
+	slots, connections, queued := g.state.Used()
+	g.slots.Store(int32(slots))
+	g.connections.Store(int32(connections))
+	g.queued.Store(int32(queued))
+	g.in.Store(int32(g.state.In()))
+}
+
+func (g *gate) load() *pb.Load {
+	return &pb.Load{SlotsUsed: g.slots.Load(), ConnectionsUsed: g.connections.Load(), Queued: g.queued.Load()}
+}
+
+func (g *gate) offer(o offer) {
+	verdict, err := g.state.Offer(time.Now(), o.ticket)
+	switch verdict {
+	case admission.Admitted:
+		o.reply <- nil
+	case admission.Refused:
+		o.reply <- err
+	case admission.Queued:
+		g.waiting[o.ticket.ID] = o.reply
+	}
+}
+
+func (g *gate) admitAll(ids []uint64) {
+	for _, id := range ids {
+		g.waiting[id] <- nil
+		delete(g.waiting, id)
+	}
+}
+
+func (g *gate) refuseAll(ids []uint64, err error) {
+	for _, id := range ids {
+		g.waiting[id] <- err
+		delete(g.waiting, id)
+	}
+}
+
+// withdraw takes a ticket out wherever it is.
+func (g *gate) withdraw(id uint64) {
+	if g.state.Withdraw(id) {
+		delete(g.waiting, id)
+		return
+	}
+	g.admitAll(g.state.Release(time.Now(), id))
+}
+
+func (g *gate) setClosed(closing bool) {
+	if !closing {
+		g.state.Open()
+		return
+	}
+	g.state.Close()
+}
+
+func (g *gate) expire(now time.Time) {
+	g.refuseAll(g.state.Expire(now), fault.New(fault.QueueTimeout, "no slot became free before the deadline"))
+	g.admitAll(g.state.Next(now))
+}
+
+// enter waits until the ticket is let in or refused. The caller must call
+// leave after it was let in.
+func (g *gate) enter(ctx context.Context, t admission.Ticket) (uint64, error) {
+	t.ID = g.nextID.Add(1)
+	o := offer{ticket: t, reply: make(chan error, 1)}
+	select {
+	case g.offers <- o:
+	case <-g.stopped:
+		return 0, fault.New(fault.Draining, "the agent has stopped")
+	}
+	select {
+	case err := <-o.reply:
+		return t.ID, err
+	case <-ctx.Done():
+		g.tell(g.withdraws, t.ID)
+		return 0, fault.New(fault.CallerGone, "the caller has gone").WithRan(fault.RanNo)
+	}
+}
+
+// leave gives back what a ticket held.
+func (g *gate) leave(id uint64) { g.tell(g.releases, id) }
+
+func (g *gate) tell(ch chan<- uint64, id uint64) {
+	select {
+	case ch <- id:
+	case <-g.stopped:
+	}
+}
+
+// setClosing refuses or takes new work.
+func (g *gate) setClosing(closing bool) {
+	select {
+	case g.closing <- closing:
+	case <-g.stopped:
+	}
+}
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gentianrail/gentianrail/catalogue"
+	"github.com/gentianrail/gentianrail/internal/link"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/worker"
+)
+
+// BookmarkInterval is how often a controller sends its revision on a view's
+// stream when nothing changes. A stream that is silent for SilentAfter is
+// given up.
+const (
+	BookmarkInterval = 500 * time.Millisecond
+	SilentAfter      = 3 * time.Second
+)
+
+// View is a holder's read-only copy of the catalogue and the workers. Its
+// revision never falls. It is safe for concurrent use.
+type View struct {
+	mu        sync.RWMutex
+	revision  uint64
+	loaded    bool
+	catalogue catalogue.Catalogue
+	workers   worker.Pool
+	heard     time.Time // last update, bookmarks included
+}
+
+// Entry returns a catalogue entry.
+func (v *View) Entry(name string) (catalogue.Entry, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.catalogue.Entry(name)
+}
+
+// Workers returns the workers that serve a target, by identifier.
+func (v *View) Workers(target string) []worker.Worker {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var out []worker.Worker
+	for _, w := range v.workers.Workers() {
+		if w.Serves(target) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// Revision returns the revision in force; 0 before the first update.
+func (v *View) Revision() uint64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.revision
+}
+
+// Loaded reports whether the view has ever been filled.
+func (v *View) Loaded() bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.loaded
+}
+
+// Heard returns when the latest update or bookmark came.
+func (v *View) Heard() time.Time {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.heard
+}
+
+// Apply takes in an update unless it is older than what is in force.
+func (v *View) Apply(u *pb.ViewUpdate, now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if u.GetRevision() < v.revision {
+		return false
+	}
+	if u.GetSnapshot() {
+		v.catalogue = catalogue.Catalogue{}
+		v.workers = worker.Pool{}
+	}
+	for _, e := range u.GetEntries() {
+		v.catalogue.Put(wire.DecodeEntry(e))
+	}
+	for _, name := range u.GetDeletedEntries() {
+		v.catalogue.Remove(name)
+	}
+	for _, w := range u.GetWorkers() {
+		v.workers.Put(wire.DecodeWorker(w))
+	}
+	for _, id := range u.GetGoneWorkers() {
+		v.workers.Remove(id)
+	}
+	v.revision = u.GetRevision()
+	v.loaded = true
+	v.heard = now
+	return true
+}
+
+// Follow keeps the view up to date until the context ends. lost is called
+// with the cause each time a stream breaks.
+func (c *Client) Follow(ctx context.Context, holder string, v *View, changed func(), lost func(error)) {
+	pause := _firstPause
+	for ctx.Err() == nil {
+		before := v.Heard()
+		err := c.followOnce(ctx, holder, v, changed)
+		if ctx.Err() != nil {
+			return
+		}
+		lost(err)
+		if v.Heard().After(before) {
+			pause = _firstPause
+		}
+		sleep(ctx, pause)
+		pause = min(2*pause, _longestPause)
+	}
+}
+
+func (c *Client) followOnce(ctx context.Context, holder string, v *View, changed func()) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	conn, err := link.Dial(ctx, c.Any())
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	silence := time.AfterFunc(SilentAfter, func() { _ = conn.Close() })
+	defer silence.Stop()
+	stream, err := pb.NewDRPCControllerClient(conn).Watch(ctx, &pb.WatchRequest{Revision: v.Revision(), Holder: holder})
+	if err != nil {
+		return err
+	}
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		silence.Reset(SilentAfter)
+		if v.Apply(u, time.Now()) {
+			changed()
+		}
+	}
+}
+
+// Knows reports whether the view has the worker.
+func (v *View) Knows(id string) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	_, ok := v.workers.Worker(id)
+	return ok
+}
--- /dev/null
+++ b/internal/controller/core.go
@@ -0,0 +1,423 @@
+// Package controller is the role that holds the shared state: the replicated
+// log, the state machine above it, and the leases of running tasks.
+//
+// One task, the core, owns the replica, the disk and the state machine. All
+// others talk to it by messages on unbuffered channels; each round of the
+// core takes in all messages that wait, so that they share one disk sync.
+package controller
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/disk"
+	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/replica"
+	"github.com/gentianrail/gentianrail/state"
+)
+
+// Intervals and bounds of the core.
+const (
+	_tick          = 10 * time.Millisecond // between looks at timers
+	_mostRound     = 512                   // messages taken in before the disk is synced
+	_keepEntries   = 2000                  // log entries kept behind a snapshot for followers
+	_proposalLimit = 3 * time.Second       // until a proposal's fate is called unknown
+)
+
+// result is the fate of a proposal.
+type result struct {
+	outcome state.Outcome
+	err     error // NoLeader: not applied; MaybeApplied: unknown
+}
+
+type proposal struct {
+	cmd   state.Command
+	reply chan result // size one
+}
+
+type pending struct {
+	term  uint64
+	since time.Time
+	reply chan result // nil for the core's own proposals
+}
+
+// query runs a function inside the core.
+type query struct {
+	run  func(*Core, time.Time)
+	done chan struct{}
+}
+
+// Core is the task that owns a controller's state.
+type Core struct {
+	log      event.Log
+	replica  *replica.Replica
+	store    *disk.Store
+	machine  *state.Machine
+	feed     *feed
+	send     func([]replica.Message)
+	messages chan replica.Message
+	propose  chan proposal
+	queries  chan query
+	stopped  chan struct{}
+
+	snapshotEntries int
+	waiting         map[uint64]pending // by log index
+	hardState       replica.HardState
+	lastApplied     replica.Entry
+	snapshotIndex   uint64
+	role            replica.Role
+	sched           scheduler
+	holders         map[string]Holder
+	failed          error // disk failure; the core refuses everything after it
+}
+
+// Holder is what a holder of the view reported.
+type Holder struct {
+	Name     string
+	Role     string
+	Revision uint64
+	Seen     time.Time
+}
+
+// CoreConfig is what a Core is made from.
+type CoreConfig struct {
+	Replica         replica.Config
+	Files           disk.Files
+	Log             event.Log
+	Send            func([]replica.Message)
+	SnapshotEntries int
+	Lease           time.Duration
+}
+
+// NewCore reads the disk back and returns a core that is not running yet.
+func NewCore(cfg CoreConfig, now time.Time) (*Core, error) {
+	store, restored, cut, err := disk.Open(cfg.Files)
+	if err != nil {
+		return nil, err
+	}
+	if cut > 0 {
+		cfg.Log.Emit(event.LogEndCut, event.Fields{"bytes": cut}, "cut a torn record off the end of the log")
+	}
+	c := &Core{
+		log:             cfg.Log,
+		store:           store,
+		send:            cfg.Send,
+		messages:        make(chan replica.Message),
+		propose:         make(chan proposal),
+		queries:         make(chan query),
+		stopped:         make(chan struct{}),
+		snapshotEntries: cfg.SnapshotEntries,
+		waiting:         make(map[uint64]pending),
+		hardState:       restored.State,
+		holders:         make(map[string]Holder),
+		role:            replica.Follower,
+	}
+	if err := c.loadSnapshot(restored.Snapshot); err != nil {
+		return nil, err
+	}
+	c.sched.lease = cfg.Lease
+	c.replica = replica.New(cfg.Replica, restored, store.Snapshot, now)
+	c.feed = newFeed(c.machine.Revision())
+	return c, nil
+}
+
+func (c *Core) loadSnapshot(s replica.Snapshot) error {
+	c.machine = &state.Machine{}
+	c.snapshotIndex = s.Index
+	if s.Index == 0 {
+		return nil
+	}
+	contents, err := wire.UnmarshalState(s.Data)
+	if err != nil {
+		return err
+	}
+	c.machine = state.Restore(contents)
+	c.lastApplied = replica.Entry{Index: s.Index, Term: s.Term}
+	return nil
+}
+
+// Run carries the core until the context ends.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.stopped)
+	tick := time.NewTicker(_tick)
+	defer tick.Stop()
+	for {
+		if !c.takeRound(ctx, tick.C) {
+			break
+		}
+		c.carryOut()
+		c.schedule(time.Now())
+		c.carryOut()
+	}
+	c.stop()
+}
+
+// takeRound waits for a message and takes in all others that wait.
+func (c *Core) takeRound(ctx context.Context, tick <-chan time.Time) bool {
+	var proposals []proposal
+	select {
+	case <-ctx.Done():
+		return false
+	case m := <-c.messages:
+		c.replica.Step(time.Now(), m)
+	case p := <-c.propose:
+		proposals = append(proposals, p)
+	case q := <-c.queries:
+		c.answer(q)
+	case <-tick:
+		c.tick(time.Now())
+	}
+	for n := 0; n < _mostRound; n++ {
+		select {
+		case m := <-c.messages:
+			c.replica.Step(time.Now(), m)
+			continue
+		case p := <-c.propose:
+			proposals = append(proposals, p)
+			continue
+		case q := <-c.queries:
+			c.answer(q)
+			continue
+		default:
+		}
+		break
+	}
+	c.proposeAll(time.Now(), proposals)
+	return true
+}
+
+func (c *Core) answer(q query) {
+	q.run(c, time.Now())
+	close(q.done)
+}
+
+func (c *Core) tick(now time.Time) {
+	c.replica.Tick(now)
+	c.feed.setInTouch(c.failed == nil && c.replica.InTouch(now))
+	for index, p := range c.waiting {
+		if now.Sub(p.since) >= _proposalLimit {
+			delete(c.waiting, index)
+			p.settle(result{err: fault.New(fault.MaybeApplied, "the change was not confirmed in %s", _proposalLimit)})
+		}
+	}
+}
+
+func (p pending) settle(r result) {
+	if p.reply != nil {
+		p.reply <- r
+	}
+}
+
+func notLeader() result {
+	return result{err: fault.New(fault.NoLeader, "this controller does not lead")}
+}
+
+func (c *Core) proposeAll(now time.Time, proposals []proposal) {
+	if len(proposals) == 0 {
+		return
+	}
+	data := make([][]byte, 0, len(proposals))
+	kept := proposals[:0]
+	for _, p := range proposals {
+		d, err := wire.MarshalCommand(p.cmd)
+		if err != nil {
+			p.reply <- result{err: fault.Wrap(fault.Internal, err, "encode a command")}
+			continue
+		}
+		data = append(data, d)
+		kept = append(kept, p)
+	}
+	if c.failed != nil {
+		for _, p := range kept {
+			p.reply <- notLeader()
+		}
+		return
+	}
+	first, err := c.replica.Propose(now, data)
+	for i, p := range kept {
+		if err != nil {
+			p.reply <- notLeader()
+			continue
+		}
+		c.waiting[first+uint64(i)] = pending{term: c.replica.Term(), since: now, reply: p.reply}
+	}
+}
+
+// carryOut does what the replica asks until it asks for nothing.
+func (c *Core) carryOut() {
+	for c.failed == nil {
+		ready := c.replica.Ready()
+		if ready.Empty() {
+			break
+		}
+		c.send(ready.Early)
+		if err := c.persist(&ready); err != nil {
+			c.fail(err)
+			return
+		}
+		c.send(ready.Late)
+		if n := len(ready.Entries); n > 0 {
+			c.replica.Persisted(time.Now(), ready.Entries[n-1].Index)
+		}
+		for _, e := range ready.Committed {
+			c.apply(e)
+		}
+	}
+	c.noteRole()
+	c.maybeSnapshot()
+}
+
+func (c *Core) persist(ready *replica.Ready) error {
+	if ready.State != nil {
+		c.hardState = *ready.State
+	}
+	if ready.Snapshot == nil {
+		return c.store.Save(ready.State, ready.Entries)
+	}
+	if err := c.store.SaveSnapshot(*ready.Snapshot, c.hardState, ready.Entries); err != nil {
+		return err
+	}
+	if err := c.loadSnapshot(*ready.Snapshot); err != nil {
+		return err
+	}
+	c.feed.reset(c.machine.Revision())
+	c.sched.reset()
+	c.log.Emit(event.SnapshotLoaded, event.Fields{"index": ready.Snapshot.Index}, "took over the leader's snapshot")
+	return nil
+}
+
+// fail stops the replica: it neither votes nor answers any more, so that
+// nothing is acknowledged that is not on its disk.
+func (c *Core) fail(err error) {
+	c.failed = err
+	c.log.Emit(event.DiskFailed, event.Fields{"error": err.Error()}, "the data folder failed; this controller takes no further part")
+	for index, p := range c.waiting {
+		delete(c.waiting, index)
+		p.settle(result{err: fault.New(fault.MaybeApplied, "the disk failed before the change was confirmed")})
+	}
+}
+
+func (c *Core) apply(e replica.Entry) {
+	c.lastApplied = e
+	var r state.Result
+	if e.Kind == replica.KindCommand {
+		cmd, err := wire.UnmarshalCommand(e.Data)
+		if err != nil {
+			// All replicas hold the same bytes, so all refuse the same entry.
+			r.Outcome.Err = err
+		} else {
+			r = c.machine.Apply(e.Index, e.Time, cmd)
+			c.sched.applied(c.machine, cmd, r)
+		}
+		c.feed.advance(e.Index, r.Events)
+	}
+	p, ok := c.waiting[e.Index]
+	if !ok {
+		return
+	}
+	delete(c.waiting, e.Index)
+	if p.term != e.Term {
+		p.settle(notLeader())
+		return
+	}
+	p.settle(result{outcome: r.Outcome})
+}
+
+func (c *Core) noteRole() {
+	role := c.replica.Role()
+	if role == c.role {
+		return
+	}
+	c.log.Emit(event.RoleChanged, event.Fields{
+		"from": c.role.String(), "to": role.String(), "term": c.replica.Term(), "leader": string(c.replica.Leader()),
+	}, "the controller's role changed")
+	if role == replica.Leader {
+		c.sched.lead(time.Now(), c.machine)
+	}
+	if c.role == replica.Leader {
+		c.sched.reset()
+		c.holders = make(map[string]Holder)
+	}
+	c.role = role
+}
+
+func (c *Core) maybeSnapshot() {
+	if c.failed != nil || int(c.lastApplied.Index-c.snapshotIndex) < c.snapshotEntries {
+		return
+	}
+	data, err := wire.MarshalState(c.machine.Contents())
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	snap := replica.Snapshot{Index: c.lastApplied.Index, Term: c.lastApplied.Term, Data: data}
+	tail := c.replica.After(snap.Index)
+	if err := c.store.SaveSnapshot(snap, c.hardState, tail); err != nil {
+		c.fail(err)
+		return
+	}
+	c.snapshotIndex = snap.Index
+	if snap.Index > _keepEntries {
+		c.replica.Compact(snap.Index - _keepEntries)
+	}
+	c.log.Emit(event.SnapshotSaved, event.Fields{"index": snap.Index, "bytes": len(data)}, "saved a snapshot")
+}
+
+func (c *Core) stop() {
+	for _, p := range c.waiting {
+		p.settle(result{err: fault.New(fault.MaybeApplied, "the controller stopped before the change was confirmed")})
+	}
+	c.sched.reset()
+	if err := c.store.Close(); err != nil {
+		c.log.Emit(event.DiskFailed, event.Fields{"error": err.Error()}, "the log could not be closed")
+	}
+}
+
+var errStopped = errors.New("the controller has stopped")
+
+// Do runs a function inside the core, which owns all state it may touch.
+func (c *Core) Do(ctx context.Context, run func(*Core, time.Time)) error {
+	q := query{run: run, done: make(chan struct{})}
+	select {
+	case c.queries <- q:
+	case <-c.stopped:
+		return errStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	<-q.done
+	return nil
+}
+
+// Propose has a command applied if this controller leads.
+func (c *Core) Propose(ctx context.Context, cmd state.Command) (state.Outcome, error) {
+	p := proposal{cmd: cmd, reply: make(chan result, 1)}
+	select {
+	case c.propose <- p:
+	case <-c.stopped:
+		return state.Outcome{}, fault.New(fault.NoLeader, "the controller has stopped")
+	case <-ctx.Done():
+		return state.Outcome{}, fault.Wrap(fault.NoLeader, ctx.Err(), "the controller is busy")
+	}
+	select {
+	case r := <-p.reply:
+		return r.outcome, r.err
+	case <-ctx.Done():
+		return state.Outcome{}, fault.Wrap(fault.MaybeApplied, ctx.Err(), "the change was not confirmed")
+	}
+}
+
+// Deliver takes in a message of another replica.
+func (c *Core) Deliver(ctx context.Context, m replica.Message) error {
+	select {
+	case c.messages <- m:
+		return nil
+	case <-c.stopped:
+		return errStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/controller/operator.go
@@ -0,0 +1,624 @@
+package controller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/gentianrail/gentianrail/burn"
+	"github.com/gentianrail/gentianrail/catalogue"
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/declaration"
+	"github.com/gentianrail/gentianrail/internal/jobsapi"
+	"github.com/gentianrail/gentianrail/internal/web"
+	"github.com/gentianrail/gentianrail/placement"
+	"github.com/gentianrail/gentianrail/state"
+	"github.com/gentianrail/gentianrail/worker"
+)
+
+// Headers of the operator API.
+const (
+	HeaderChange   = "Gentianrail-Change-Id" // identifies a change over resends
+	HeaderRevision = "Gentianrail-Revision"  // revision that an answer shows
+)
+
+const (
+	_operatorDeadline = 10 * time.Second
+	_mostEntryPage    = 1000
+	_barrierPoll      = 2 * time.Millisecond
+)
+
+// operator serves the operator API of one controller.
+type operator struct {
+	id      string
+	core    *Core
+	client  *control.Client
+	members map[string]string
+	metrics metrics.Registry
+}
+
+func (o *operator) routes() []rest.Route {
+	routes := []rest.Route{
+		{Method: http.MethodGet, Path: "/v1/catalogue/entries", Handler: o.listEntries},
+		{Method: http.MethodGet, Path: "/v1/catalogue/entries/{name}", Handler: o.getEntry},
+		{Method: http.MethodPut, Path: "/v1/catalogue/entries/{name}", Handler: o.putEntry},
+		{Method: http.MethodDelete, Path: "/v1/catalogue/entries/{name}", Handler: o.deleteEntry},
+		{Method: http.MethodGet, Path: "/v1/status", Handler: o.status},
+		{Method: http.MethodGet, Path: "/v1/workers", Handler: o.workers},
+		{Method: http.MethodGet, Path: "/v1/tasks", Handler: o.tasks},
+		{Method: http.MethodPost, Path: "/v1/drain/{worker}", Handler: o.drain},
+		{Method: http.MethodDelete, Path: "/v1/drain/{worker}", Handler: o.undrain},
+		{Method: http.MethodGet, Path: "/v1/report/burn", Handler: o.burn},
+		{Method: http.MethodGet, Path: "/v1/metrics", Handler: o.serveMetrics},
+		{Method: http.MethodGet, Path: "/healthz", Handler: o.healthz},
+		{Method: http.MethodGet, Path: "/readyz", Handler: o.readyz},
+	}
+	return append(routes, jobsapi.New(o.client).Routes()...)
+}
+
+// read runs a function on a state that includes every change accepted before
+// the call.
+func (o *operator) read(ctx context.Context, run func(c *Core, now time.Time)) error {
+	ctx, cancel := context.WithTimeout(ctx, _operatorDeadline)
+	defer cancel()
+	revision, err := o.client.Barrier(ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		done := false
+		err := o.core.Do(ctx, func(c *Core, now time.Time) {
+			if c.lastApplied.Index >= revision {
+				done = true
+				run(c, now)
+			}
+		})
+		if err != nil {
+			return fault.Wrap(fault.NoLeader, err, "this controller is behind its leader")
+		}
+		if done {
+			return nil
+		}
+		time.Sleep(_barrierPoll)
+	}
+}
+
+// EntriesDocument is the JSON form of a page of the catalogue.
+type EntriesDocument struct {
+	Revision uint64                 `json:"revision"`
+	Entries  []declaration.Document `json:"entries"`
+	Next     string                 `json:"next,omitempty"`
+}
+
+func (o *operator) listEntries(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("watch") {
+		o.watchEntries(w, r)
+		return
+	}
+	limit := _mostEntryPage
+	if s := r.URL.Query().Get("limit"); s != "" {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 1 || n > _mostEntryPage {
+			web.WriteFault(w, fault.New(fault.BadRequest, "limit: found %q, allowed is a number from 1 to %d", s, _mostEntryPage))
+			return
+		}
+		limit = n
+	}
+	after := r.URL.Query().Get("after")
+	out := EntriesDocument{Entries: []declaration.Document{}}
+	err := o.read(r.Context(), func(c *Core, _ time.Time) {
+		out.Revision = c.machine.Revision()
+		for _, e := range c.machine.Catalogue().Entries() {
+			if e.Name() <= after {
+				continue
+			}
+			if len(out.Entries) == limit {
+				out.Next = out.Entries[limit-1].Name
+				return
+			}
+			out.Entries = append(out.Entries, declaration.Format(e.Spec(), e.Revision()))
+		}
+	})
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, out)
+}
+
+// WatchDocument is one line of a watch of the catalogue.
+type WatchDocument struct {
+	Type     string                `json:"type"` // put, deleted or bookmark
+	Revision uint64                `json:"revision"`
+	Name     string                `json:"name,omitempty"`
+	Entry    *declaration.Document `json:"entry,omitempty"`
+}
+
+// watchEntries streams changes after a revision as lines of JSON. A revision
+// that is not kept any more is answered with revision_gone; the operator then
+// lists and watches from the list's revision.
+func (o *operator) watchEntries(w http.ResponseWriter, r *http.Request) {
+	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		web.WriteFault(w, fault.New(fault.BadRequest, "revision: found %q, allowed is the number of a list's revision",
+			r.URL.Query().Get("revision")))
+		return
+	}
+	if _, ok, _ := o.core.feed.since(revision); !ok {
+		web.WriteFault(w, fault.New(fault.RevisionGone, "changes after revision %d are not kept any more; list again", revision))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json-seq")
+	control := http.NewResponseController(w)
+	bookmark := time.NewTicker(time.Second)
+	defer bookmark.Stop()
+	for {
+		u, ok, moved := o.core.feed.since(revision)
+		if !ok {
+			return
+		}
+		var lines []WatchDocument
+		for _, e := range u.GetEntries() {
+			doc := declarationOf(e)
+			lines = append(lines, WatchDocument{Type: "put", Revision: doc.Revision, Name: doc.Name, Entry: &doc})
+		}
+		for _, name := range u.GetDeletedEntries() {
+			lines = append(lines, WatchDocument{Type: "deleted", Revision: u.GetRevision(), Name: name})
+		}
+		lines = append(lines, WatchDocument{Type: "bookmark", Revision: u.GetRevision()})
+		for _, line := range lines {
+			if json.MarshalWrite(w, line) != nil {
+				return
+			}
+			if _, err := w.Write([]byte("\n")); err != nil {
+				return
+			}
+		}
+		if control.Flush() != nil {
+			return
+		}
+		revision = max(revision, u.GetRevision())
+		select {
+		case <-moved:
+		case <-bookmark.C:
+		case <-o.core.stopped:
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (o *operator) getEntry(w http.ResponseWriter, r *http.Request) {
+	name := web.Var(r, "name")
+	var entry catalogue.Entry
+	found := false
+	err := o.read(r.Context(), func(c *Core, _ time.Time) {
+		entry, found = c.machine.Catalogue().Entry(name)
+	})
+	if err == nil && !found {
+		err = fault.New(fault.EntryNotFound, "no entry %q", name)
+	}
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	writeEntry(w, entry, http.StatusOK)
+}
+
+func writeEntry(w http.ResponseWriter, e catalogue.Entry, status int) {
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(e.Version(), 10)))
+	w.Header().Set(HeaderRevision, strconv.FormatUint(e.Revision(), 10))
+	web.WriteJSON(w, status, declaration.Format(e.Spec(), e.Revision()))
+}
+
+// base returns the version that a change is based on, from If-Match.
+func base(h http.Header) (uint64, error) {
+	s := h.Get("If-Match")
+	if s == "" || s == "*" {
+		return catalogue.AnyVersion, nil
+	}
+	n, err := strconv.ParseUint(strings.Trim(s, `"`), 10, 64)
+	if err != nil {
+		return 0, fault.New(fault.BadRequest, "If-Match: found %q, allowed is a version in double quotes", s)
+	}
+	return n, nil
+}
+
+func changeID(h http.Header) string {
+	if id := h.Get(HeaderChange); id != "" {
+		return id
+	}
+	return uuid.NewString()
+}
+
+func (o *operator) putEntry(w http.ResponseWriter, r *http.Request) {
+	name := web.Var(r, "name")
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, declaration.MostBytes))
+	if err != nil {
+		web.WriteFault(w, fault.New(fault.BodyTooLarge, "the declaration could not be read within %d bytes: %s", declaration.MostBytes, err))
+		return
+	}
+	spec, err := declaration.Parse(name, data)
+	if err == nil && spec.Name != name {
+		err = fault.New(fault.BadDeclaration, "%s: name: found %q, allowed is the name in the path", name, spec.Name)
+	}
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	version, err := base(r.Header)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	o.change(w, r, catalogue.Change{ID: changeID(r.Header), Base: version, Name: name, Put: &spec})
+}
+
+func (o *operator) deleteEntry(w http.ResponseWriter, r *http.Request) {
+	version, err := base(r.Header)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	o.change(w, r, catalogue.Change{ID: changeID(r.Header), Base: version, Name: web.Var(r, "name")})
+}
+
+// change makes a change, or only tries it with dry_run=true.
+func (o *operator) change(w http.ResponseWriter, r *http.Request, ch catalogue.Change) {
+	if ch.Put != nil {
+		if err := o.checkFits(r.Context(), *ch.Put); err != nil {
+			web.WriteFault(w, err)
+			return
+		}
+	}
+	if r.URL.Query().Get("dry_run") == "true" {
+		o.dryRun(w, r, ch)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), _operatorDeadline)
+	defer cancel()
+	var cmd state.Command = state.DeleteEntry{Name: ch.Name, Base: ch.Base, ChangeID: ch.ID}
+	if ch.Put != nil {
+		cmd = state.PutEntry{Spec: *ch.Put, Base: ch.Base, ChangeID: ch.ID}
+	}
+	out, err := o.client.Propose(ctx, cmd)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	o.writeChanged(w, ch, out.Entry, out.Revision)
+}
+
+// checkFits refuses a batch entry whose tasks no registered worker could ever
+// hold.
+func (o *operator) checkFits(ctx context.Context, spec catalogue.Spec) error {
+	if spec.Class != catalogue.Batch {
+		return nil
+	}
+	reason := ""
+	err := o.read(ctx, func(c *Core, _ time.Time) {
+		reason = placement.NeverFits(catalogue.Restore(spec, 0, 0), c.nodes())
+	})
+	if err != nil {
+		return err
+	}
+	if reason != "" {
+		return fault.New(fault.BadDeclaration, "%s: limits: found a task that could never run, %s", spec.Name, reason)
+	}
+	return nil
+}
+
+func (o *operator) dryRun(w http.ResponseWriter, r *http.Request, ch catalogue.Change) {
+	ch.DryRun = true
+	var got catalogue.Accepted
+	var changeErr error
+	err := o.read(r.Context(), func(c *Core, _ time.Time) {
+		ch.At = c.machine.Now()
+		got, changeErr = c.machine.Catalogue().Apply(ch, c.machine.Revision()+1)
+	})
+	if err == nil {
+		err = changeErr
+	}
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	o.writeChanged(w, ch, &got.Entry, got.Revision)
+}
+
+func (o *operator) writeChanged(w http.ResponseWriter, ch catalogue.Change, e *catalogue.Entry, revision uint64) {
+	w.Header().Set(HeaderRevision, strconv.FormatUint(revision, 10))
+	if ch.Put == nil || e == nil {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	writeEntry(w, *e, http.StatusOK)
+}
+
+// WorkerDocument is the JSON form of a worker.
+type WorkerDocument struct {
+	ID          string   `json:"id"`
+	State       string   `json:"state"` // open, draining or leaving
+	Incarnation uint64   `json:"incarnation"`
+	Address     string   `json:"address"`
+	Region      string   `json:"region,omitempty"`
+	Zone        string   `json:"zone"`
+	Rack        string   `json:"rack,omitempty"`
+	Targets     []string `json:"targets"`
+	Slots       int      `json:"slots"`
+	SlotsUsed   int32    `json:"slots_used"`
+	Connections int      `json:"connections"`
+	Tasks       int      `json:"tasks"`
+	SilentMS    int64    `json:"silent_ms"`
+	Revision    uint64   `json:"revision"`
+}
+
+// WorkersDocument is the JSON form of all workers.
+type WorkersDocument struct {
+	Revision uint64           `json:"revision"`
+	Workers  []WorkerDocument `json:"workers"`
+}
+
+func workerState(w worker.Worker) string {
+	switch {
+	case w.Leaving:
+		return "leaving"
+	case w.Drained:
+		return "draining"
+	}
+	return "open"
+}
+
+func (o *operator) workers(w http.ResponseWriter, r *http.Request) {
+	out := WorkersDocument{Workers: []WorkerDocument{}}
+	err := o.read(r.Context(), func(c *Core, now time.Time) {
+		out.Revision = c.machine.Revision()
+		for _, wk := range c.machine.Workers().Workers() {
+			out.Workers = append(out.Workers, c.describeWorker(wk, now))
+		}
+	})
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, out)
+}
+
+func (c *Core) describeWorker(w worker.Worker, now time.Time) WorkerDocument {
+	d := WorkerDocument{
+		ID:          w.ID,
+		State:       workerState(w),
+		Incarnation: w.Incarnation,
+		Address:     w.Address,
+		Region:      w.Region,
+		Zone:        w.Zone,
+		Rack:        w.Rack,
+		Targets:     w.Targets,
+		Slots:       w.Capacity.Slots,
+		Connections: w.Capacity.Connections,
+		Tasks:       len(c.machine.Jobs().RunningOn(w.ID)),
+		Revision:    w.Revision,
+	}
+	if s, ok := c.sched.seen[w.ID]; ok {
+		d.SlotsUsed = s.load.GetSlotsUsed()
+		d.SilentMS = now.Sub(s.at).Milliseconds()
+	}
+	return d
+}
+
+// TaskDocument is the JSON form of a running task.
+type TaskDocument struct {
+	JobID   string `json:"job_id"`
+	Entry   string `json:"entry"`
+	Attempt uint32 `json:"attempt"`
+	Worker  string `json:"worker"`
+}
+
+// TasksDocument is the JSON form of all running tasks.
+type TasksDocument struct {
+	Revision uint64         `json:"revision"`
+	Queued   int            `json:"queued"`
+	Tasks    []TaskDocument `json:"tasks"`
+}
+
+func (o *operator) tasks(w http.ResponseWriter, r *http.Request) {
+	out := TasksDocument{Tasks: []TaskDocument{}}
+	err := o.read(r.Context(), func(c *Core, _ time.Time) {
+		out.Revision = c.machine.Revision()
+		out.Queued = c.machine.Jobs().QueuedLen()
+		for _, j := range c.machine.Jobs().Running() {
+			out.Tasks = append(out.Tasks, TaskDocument{JobID: j.ID, Entry: j.Entry, Attempt: j.Attempt, Worker: j.Worker})
+		}
+	})
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, out)
+}
+
+func (o *operator) drain(w http.ResponseWriter, r *http.Request)   { o.setDrain(w, r, true) }
+func (o *operator) undrain(w http.ResponseWriter, r *http.Request) { o.setDrain(w, r, false) }
+
+// DrainDocument is the JSON form of the answer to a drain.
+type DrainDocument struct {
+	Worker  string `json:"worker"`
+	Drained bool   `json:"drained"`
+}
+
+func (o *operator) setDrain(w http.ResponseWriter, r *http.Request, drained bool) {
+	ctx, cancel := context.WithTimeout(r.Context(), _operatorDeadline)
+	defer cancel()
+	id := web.Var(r, "worker")
+	if _, err := o.client.Propose(ctx, state.DrainWorker{ID: id, Drained: drained}); err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, DrainDocument{Worker: id, Drained: drained})
+}
+
+// MemberDocument is the JSON form of one controller.
+type MemberDocument struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Leader  bool   `json:"leader"`
+}
+
+// HolderDocument is the JSON form of a holder of the view.
+type HolderDocument struct {
+	Name     string `json:"name"`
+	Role     string `json:"role"`
+	Revision uint64 `json:"revision"`
+	Behind   uint64 `json:"behind"` // changes of the log not yet in force there
+	SilentMS int64  `json:"silent_ms"`
+}
+
+// StatusDocument is the JSON form of the status.
+type StatusDocument struct {
+	Answering string           `json:"answering"` // controller that answered
+	Role      string           `json:"role"`
+	Term      uint64           `json:"term"`
+	Revision  uint64           `json:"revision"`
+	Members   []MemberDocument `json:"members"`
+	Holders   []HolderDocument `json:"holders"`
+	Entries   int              `json:"entries"`
+	Workers   int              `json:"workers"`
+	Jobs      int              `json:"jobs"`
+	Queued    int              `json:"queued"`
+	Claims    int              `json:"claims"`
+}
+
+func (o *operator) status(w http.ResponseWriter, r *http.Request) {
+	out := StatusDocument{Answering: o.id, Members: []MemberDocument{}, Holders: []HolderDocument{}}
+	err := o.read(r.Context(), func(c *Core, now time.Time) {
+		out.Role = c.replica.Role().String()
+		out.Term = c.replica.Term()
+		out.Revision = c.machine.Revision()
+		out.Entries = c.machine.Catalogue().Len()
+		out.Workers = c.machine.Workers().Len()
+		out.Jobs = c.machine.Jobs().Len()
+		out.Queued = c.machine.Jobs().QueuedLen()
+		out.Claims = c.machine.Claims().Len()
+		for id, address := range o.members {
+			out.Members = append(out.Members, MemberDocument{
+				ID: id, Address: address, Leader: id == string(c.replica.Leader()),
+			})
+		}
+		for _, h := range c.holders {
+			out.Holders = append(out.Holders, HolderDocument{
+				Name:     h.Name,
+				Role:     h.Role,
+				Revision: h.Revision,
+				Behind:   c.machine.Revision() - min(h.Revision, c.machine.Revision()),
+				SilentMS: now.Sub(h.Seen).Milliseconds(),
+			})
+		}
+	})
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	sort.Slice(out.Members, func(i, j int) bool { return out.Members[i].ID < out.Members[j].ID })
+	sort.Slice(out.Holders, func(i, j int) bool { return out.Holders[i].Name < out.Holders[j].Name })
+	web.WriteJSON(w, http.StatusOK, out)
+}
+
+// WindowDocument is the JSON form of the burn over one window.
+type WindowDocument struct {
+	Span  string  `json:"span"`
+	Total uint64  `json:"total"`
+	Bad   uint64  `json:"bad"`
+	Rate  float64 `json:"rate"`
+	P50MS float64 `json:"p50_ms"`
+	P99MS float64 `json:"p99_ms"`
+}
+
+// BurnDocument is the JSON form of one entry's burn.
+type BurnDocument struct {
+	Entry      string           `json:"entry"`
+	Ratio      float64          `json:"ratio"`
+	LatencyMS  float64          `json:"latency_ms"`
+	Verdict    string           `json:"verdict"`
+	BudgetLeft float64          `json:"budget_left"`
+	Slow       uint64           `json:"slow"`
+	Refused    uint64           `json:"refused"`
+	Failed     uint64           `json:"failed"`
+	Windows    []WindowDocument `json:"windows"`
+}
+
+// BurnReportDocument is the JSON form of the burn report.
+type BurnReportDocument struct {
+	At      time.Time      `json:"at"`
+	Entries []BurnDocument `json:"entries"`
+}
+
+func (o *operator) burn(w http.ResponseWriter, r *http.Request) {
+	out := BurnReportDocument{Entries: []BurnDocument{}}
+	err := o.read(r.Context(), func(c *Core, now time.Time) {
+		out.At = now.UTC()
+		for _, e := range c.machine.Catalogue().Entries() {
+			obj := e.Objective()
+			out.Entries = append(out.Entries, burnDocument(c.machine.Burn().Report(e.Name(), obj.Ratio, obj.Latency, now)))
+		}
+	})
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, out)
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func burnDocument(b burn.Report) BurnDocument {
+	d := BurnDocument{
+		Entry:      b.Entry,
+		Ratio:      b.Ratio,
+		LatencyMS:  millis(b.Latency),
+		Verdict:    b.Verdict.String(),
+		BudgetLeft: b.BudgetLeft,
+		Slow:       b.Counts.Slow,
+		Refused:    b.Counts.Refused,
+		Failed:     b.Counts.Failed,
+	}
+	for _, w := range b.Windows {
+		d.Windows = append(d.Windows, WindowDocument{
+			Span: w.Span.String(), Total: w.Total, Bad: w.Bad, Rate: w.Rate, P50MS: millis(w.P50), P99MS: millis(w.P99),
+		})
+	}
+	return d
+}
+
+func (o *operator) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(o.metrics, w)
+}
+
+// HealthDocument is the JSON form of a health answer.
+type HealthDocument struct {
+	Status string `json:"status"`
+}
+
+func (o *operator) healthz(w http.ResponseWriter, _ *http.Request) {
+	web.WriteJSON(w, http.StatusOK, HealthDocument{Status: "ok"})
+}
+
+func (o *operator) readyz(w http.ResponseWriter, r *http.Request) {
+	err := o.read(r.Context(), func(*Core, time.Time) {})
+	if err != nil {
+		web.WriteFault(w, fault.Wrap(fault.NotReady, err, "not ready"))
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, HealthDocument{Status: "ready"})
+}
--- /dev/null
+++ b/internal/controller/service.go
@@ -0,0 +1,299 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/job"
+	"github.com/gentianrail/gentianrail/state"
+)
+
+// Bounds of the service.
+const (
+	_beatInterval = 200 * time.Millisecond // between signs of life on a log stream
+	_mostJobPage  = 500
+	_mostWait     = time.Minute
+)
+
+// service answers other processes over drpc.
+type service struct {
+	core    *Core
+	members map[string]string // address by replica
+}
+
+var _ pb.DRPCControllerServer = (*service)(nil)
+
+func (s *service) leaderAddress(ctx context.Context) string {
+	address := ""
+	_ = s.core.Do(ctx, func(c *Core, _ time.Time) { address = s.members[string(c.replica.Leader())] })
+	return address
+}
+
+// Propose applies a command of another process.
+func (s *service) Propose(ctx context.Context, in *pb.ProposeRequest) (*pb.ProposeReply, error) {
+	cmd, err := wire.DecodeCommand(in.GetCommand())
+	if err != nil {
+		return &pb.ProposeReply{Outcome: wire.EncodeOutcome(state.Outcome{Err: err})}, nil
+	}
+	o, err := s.core.Propose(ctx, cmd)
+	switch fault.CodeOf(err) {
+	case fault.OK:
+		return &pb.ProposeReply{Outcome: wire.EncodeOutcome(o)}, nil
+	case fault.NoLeader:
+		return &pb.ProposeReply{NotLeader: true, LeaderAddress: s.leaderAddress(ctx)}, nil
+	default:
+		return &pb.ProposeReply{MaybeApplied: true, LeaderAddress: s.leaderAddress(ctx)}, nil
+	}
+}
+
+// Barrier returns a revision that includes all accepted changes.
+func (s *service) Barrier(ctx context.Context, _ *pb.Empty) (*pb.BarrierReply, error) {
+	out := &pb.BarrierReply{NotLeader: true}
+	err := s.core.Do(ctx, func(c *Core, now time.Time) {
+		out.LeaderAddress = s.members[string(c.replica.Leader())]
+		if c.failed == nil && c.replica.HoldsLease(now) {
+			out.NotLeader = false
+			out.Revision = c.replica.Commit()
+		}
+	})
+	return out, err
+}
+
+// Sync takes in an agent's announcement and renewals and returns its orders.
+// Without orders it waits for some, for as long as the agent asked.
+func (s *service) Sync(ctx context.Context, in *pb.SyncRequest) (*pb.SyncReply, error) {
+	leads, registered := false, false
+	w := wire.DecodeWorker(in.GetWorker())
+	err := s.core.Do(ctx, func(c *Core, now time.Time) {
+		leads = c.failed == nil && c.replica.HoldsLease(now)
+		known, ok := c.machine.Workers().Worker(w.ID)
+		registered = ok && known.Same(w)
+	})
+	if err != nil || !leads {
+		return &pb.SyncReply{NotLeader: true, LeaderAddress: s.leaderAddress(ctx)}, err
+	}
+	if !registered {
+		if reply, err := s.register(ctx, state.RegisterWorker{Worker: w}); reply != nil || err != nil {
+			return reply, err
+		}
+	}
+	return s.orders(ctx, in)
+}
+
+// register returns a reply only if the announcement was not taken in.
+func (s *service) register(ctx context.Context, cmd state.RegisterWorker) (*pb.SyncReply, error) {
+	o, err := s.core.Propose(ctx, cmd)
+	if err == nil {
+		err = o.Err
+	}
+	switch fault.CodeOf(err) {
+	case fault.OK:
+		return nil, nil
+	case fault.StaleWorker:
+		return &pb.SyncReply{Superseded: true}, nil
+	case fault.NoLeader, fault.MaybeApplied:
+		return &pb.SyncReply{NotLeader: true, LeaderAddress: s.leaderAddress(ctx)}, nil
+	default:
+		return nil, err
+	}
+}
+
+func (s *service) orders(ctx context.Context, in *pb.SyncRequest) (*pb.SyncReply, error) {
+	var reply *pb.SyncReply
+	var busy bool
+	var woken <-chan struct{}
+	err := s.core.Do(ctx, func(c *Core, now time.Time) {
+		if !c.renew(now, in) {
+			reply, busy = &pb.SyncReply{NotLeader: true}, true
+			return
+		}
+		reply, busy = c.orders(in)
+		if !busy && in.GetWait() > 0 {
+			woken = c.waitForWorker(in.GetWorker().GetId())
+		}
+	})
+	if err != nil || busy || woken == nil {
+		return reply, err
+	}
+	if !waitFor(ctx, woken, time.Duration(in.GetWait())) {
+		return reply, nil
+	}
+	err = s.core.Do(ctx, func(c *Core, now time.Time) {
+		if c.replica.HoldsLease(now) {
+			reply, _ = c.orders(in)
+			return
+		}
+		reply = &pb.SyncReply{NotLeader: true}
+	})
+	return reply, err
+}
+
+// waitFor returns true if woken was closed within the time.
+func waitFor(ctx context.Context, woken <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(min(d, _mostWait))
+	defer t.Stop()
+	select {
+	case <-woken:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// Watch streams the view from a revision on.
+func (s *service) Watch(in *pb.WatchRequest, stream pb.DRPCController_WatchStream) error {
+	revision := in.GetRevision()
+	bookmark := time.NewTicker(control.BookmarkInterval)
+	defer bookmark.Stop()
+	loaded := false
+	for {
+		if !s.core.feed.serving() {
+			return fault.New(fault.NotReady, "this controller does not hear its leader")
+		}
+		update, ok, moved := s.core.feed.since(revision)
+		if !ok || !loaded && revision == 0 {
+			err := s.core.Do(stream.Context(), func(c *Core, _ time.Time) { update = snapshotUpdate(c.machine) })
+			if err != nil {
+				return err
+			}
+		}
+		loaded = true
+		if update.GetRevision() >= revision {
+			if err := stream.Send(update); err != nil {
+				return err
+			}
+			revision = update.GetRevision()
+		}
+		select {
+		case <-moved:
+		case <-bookmark.C:
+		case <-s.core.stopped:
+			return errStopped
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+}
+
+// Report notes which revision a holder has in force.
+func (s *service) Report(ctx context.Context, in *pb.HolderReport) (*pb.Empty, error) {
+	err := s.core.Do(ctx, func(c *Core, now time.Time) {
+		c.holders[in.GetHolder()] = Holder{
+			Name: in.GetHolder(), Role: in.GetRole(), Revision: in.GetRevision(), Seen: now,
+		}
+	})
+	return &pb.Empty{}, err
+}
+
+// Jobs reads one job, waiting for its end if asked, or lists jobs.
+func (s *service) Jobs(ctx context.Context, in *pb.JobQuery) (*pb.JobAnswer, error) {
+	out, woken, err := s.readJobs(ctx, in)
+	if err != nil || woken == nil {
+		return out, err
+	}
+	if waitFor(ctx, woken, time.Duration(in.GetWait())) {
+		out, _, err = s.readJobs(ctx, in)
+	}
+	return out, err
+}
+
+func (s *service) readJobs(ctx context.Context, in *pb.JobQuery) (*pb.JobAnswer, <-chan struct{}, error) {
+	out := &pb.JobAnswer{}
+	var woken <-chan struct{}
+	err := s.core.Do(ctx, func(c *Core, now time.Time) {
+		if c.failed != nil || !c.replica.HoldsLease(now) {
+			out.NotLeader = true
+			out.LeaderAddress = s.members[string(c.replica.Leader())]
+			return
+		}
+		if in.GetId() == "" {
+			listJobs(c.machine.Jobs().Jobs(), in, out)
+			return
+		}
+		j, ok := c.machine.Jobs().Job(in.GetId())
+		if !ok {
+			return
+		}
+		out.Jobs = append(out.Jobs, wire.EncodeJob(j))
+		if !j.State.Ended() && in.GetWait() > 0 {
+			woken = c.waitForJob(j.ID)
+		}
+	})
+	return out, woken, err
+}
+
+func listJobs(jobs []job.Job, in *pb.JobQuery, out *pb.JobAnswer) {
+	limit := int(in.GetLimit())
+	if limit <= 0 || limit > _mostJobPage {
+		limit = _mostJobPage
+	}
+	past := in.GetAfter() == ""
+	for _, j := range jobs {
+		if !past {
+			past = j.ID == in.GetAfter()
+			continue
+		}
+		if in.GetEntry() != "" && in.GetEntry() != j.Entry || in.GetState() != 0 && in.GetState() != uint32(j.State) {
+			continue
+		}
+		if len(out.Jobs) == limit {
+			out.Next = out.Jobs[limit-1].GetId()
+			return
+		}
+		j.Body, j.Result, j.Checkpoint = nil, nil, nil
+		out.Jobs = append(out.Jobs, wire.EncodeJob(j))
+	}
+}
+
+// Step takes in another replica's messages. It sends a sign of life, so that
+// the other side notices a connection that has gone silent.
+func (s *service) Step(stream pb.DRPCController_StepStream) error {
+	done := make(chan struct{})
+	beats := make(chan struct{})
+	go func() {
+		defer close(beats)
+		sendBeats(stream, done)
+	}()
+	defer func() {
+		close(done)
+		<-beats
+	}()
+	for {
+		in, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		m, err := wire.DecodeMessage(in)
+		if err != nil {
+			return err
+		}
+		if s.members[string(m.From)] == "" {
+			return fault.New(fault.BadRequest, "replica %q is not a member", m.From)
+		}
+		if err := s.core.Deliver(stream.Context(), m); err != nil {
+			return err
+		}
+	}
+}
+
+func sendBeats(stream pb.DRPCController_StepStream, done <-chan struct{}) {
+	t := time.NewTicker(_beatInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-stream.Context().Done():
+			return
+		case <-t.C:
+			if err := stream.Send(&pb.Empty{}); err != nil {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,105 @@
+// Package daemon runs the roles that the settings name in one process.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"runtime/debug"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+
+	"github.com/gentianrail/gentianrail/internal/agent"
+	"github.com/gentianrail/gentianrail/internal/controller"
+	"github.com/gentianrail/gentianrail/internal/entry"
+	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/internal/sample"
+	"github.com/gentianrail/gentianrail/internal/settings"
+)
+
+// _libraryQuitAfter keeps go-zero from ending the process on a signal; the
+// drain decides when it ends.
+const _libraryQuitAfter = 365 * 24 * time.Hour
+
+// part is one role that runs.
+type part interface {
+	// Stop drains the role. It returns early when the context ends.
+	Stop(ctx context.Context) error
+}
+
+// Daemon is the set of roles of one process.
+type Daemon struct {
+	parts   []part // in the order of their start
+	log     event.Log
+	drain   time.Duration
+	metrics metrics.Registry
+}
+
+// Start starts the roles of the settings.
+func Start(s *settings.Settings, log event.Log) (*Daemon, error) {
+	logx.Disable()
+	proc.SetTimeToForceQuit(_libraryQuitAfter)
+	debug.SetMemoryLimit(int64(s.MemoryLimit))
+	d := &Daemon{log: log, drain: time.Duration(s.DrainTimeout), metrics: metrics.NewRegistry()}
+	if err := d.start(s); err != nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		return nil, errors.Join(err, d.Stop(ctx))
+	}
+	log.Emit(event.Started, event.Fields{"name": s.Name, "roles": s.Roles}, "started")
+	return d, nil
+}
+
+func (d *Daemon) start(s *settings.Settings) error {
+	if s.Sample != nil {
+		t, err := sample.Start(s.Sample.Address)
+		if err != nil {
+			return err
+		}
+		d.parts = append(d.parts, samplePart{t})
+	}
+	if s.Controller != nil {
+		c, err := controller.Start(s, d.log.With("role", settings.RoleController), d.metrics)
+		if err != nil {
+			return err
+		}
+		d.parts = append(d.parts, c)
+	}
+	if s.Agent != nil {
+		a, err := agent.Start(s, d.log.With("role", settings.RoleAgent), time.Now())
+		if err != nil {
+			return err
+		}
+		d.parts = append(d.parts, a)
+	}
+	if s.Entry != nil {
+		e, err := entry.Start(s, d.log.With("role", settings.RoleEntry), d.metrics)
+		if err != nil {
+			return err
+		}
+		d.parts = append(d.parts, e)
+	}
+	return nil
+}
+
+// samplePart ends the stand-in target last.
+type samplePart struct{ target *sample.Target }
+
+// Stop implements part.
+func (p samplePart) Stop(ctx context.Context) error { return p.target.Server().Shutdown(ctx) }
+
+// Stop drains the roles, the last started first, for as long as requests are
+// in flight, or until the context or the drain timeout ends.
+func (d *Daemon) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.drain)
+	defer cancel()
+	d.log.Emit(event.Draining, nil, "draining")
+	var errs []error
+	for i := len(d.parts) - 1; i >= 0; i-- {
+		errs = append(errs, d.parts[i].Stop(ctx))
+	}
+	d.log.Emit(event.Stopped, nil, "stopped")
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/event/event.go
@@ -0,0 +1,148 @@
+// Package event holds the numbered log events of gentianrail.
+//
+// Each event has a number and a name that stay the same over releases, so
+// that alarms can be set on them. Each is explained in docs/EVENTS.md; a test
+// holds the table here against that page.
+package event
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Number identifies an event.
+type Number int
+
+// Events by subject: 1xx process, 2xx controller, 3xx agent, 4xx entry.
+const (
+	Started        Number = 101
+	Draining       Number = 102
+	Stopped        Number = 103
+	SecondSignal   Number = 104
+	TaskFailed     Number = 105
+	LogEndCut      Number = 106
+	ServerError    Number = 107
+	RoleChanged    Number = 201
+	SnapshotSaved  Number = 202
+	DiskFailed     Number = 203
+	WorkerAdded    Number = 204
+	WorkerLost     Number = 205
+	ChangeAccepted Number = 206
+	JobPlaced      Number = 207
+	JobEnded       Number = 208
+	JobUnplaceable Number = 209
+	SnapshotLoaded Number = 210
+	AgentJoined    Number = 301
+	ControllerLost Number = 302
+	TaskStarted    Number = 303
+	TaskEnded      Number = 304
+	LeaseExpired   Number = 305
+	TargetSilent   Number = 306
+	ClaimUnsettled Number = 307
+	TargetBack     Number = 308
+	ViewLost       Number = 401
+	ConnectionDead Number = 402
+	WorkerEjected  Number = 403
+	AnswerCut      Number = 404
+	BurnNotSent    Number = 405
+	WatchMoved     Number = 406
+)
+
+// Definition describes an event.
+type Definition struct {
+	Number Number
+	Name   string // snake case, stable
+	Level  logrus.Level
+}
+
+var _definitions = []Definition{
+	{Started, "started", logrus.InfoLevel},
+	{Draining, "draining", logrus.InfoLevel},
+	{Stopped, "stopped", logrus.InfoLevel},
+	{SecondSignal, "second_signal", logrus.WarnLevel},
+	{TaskFailed, "task_failed", logrus.ErrorLevel},
+	{LogEndCut, "log_end_cut", logrus.WarnLevel},
+	{ServerError, "server_error", logrus.WarnLevel},
+	{RoleChanged, "role_changed", logrus.InfoLevel},
+	{SnapshotSaved, "snapshot_saved", logrus.InfoLevel},
+	{DiskFailed, "disk_failed", logrus.ErrorLevel},
+	{WorkerAdded, "worker_added", logrus.InfoLevel},
+	{WorkerLost, "worker_lost", logrus.WarnLevel},
+	{ChangeAccepted, "change_accepted", logrus.InfoLevel},
+	{JobPlaced, "job_placed", logrus.DebugLevel},
+	{JobEnded, "job_ended", logrus.DebugLevel},
+	{JobUnplaceable, "job_unplaceable", logrus.WarnLevel},
+	{SnapshotLoaded, "snapshot_loaded", logrus.InfoLevel},
+	{AgentJoined, "agent_joined", logrus.InfoLevel},
+	{ControllerLost, "controller_lost", logrus.WarnLevel},
+	{TaskStarted, "task_started", logrus.DebugLevel},
+	{TaskEnded, "task_ended", logrus.DebugLevel},
+	{LeaseExpired, "lease_expired", logrus.WarnLevel},
+	{TargetSilent, "target_silent", logrus.WarnLevel},
+	{ClaimUnsettled, "claim_unsettled", logrus.WarnLevel},
+	{TargetBack, "target_back", logrus.InfoLevel},
+	{ViewLost, "view_lost", logrus.WarnLevel},
+	{ConnectionDead, "connection_dead", logrus.WarnLevel},
+	{WorkerEjected, "worker_ejected", logrus.WarnLevel},
+	{AnswerCut, "answer_cut", logrus.WarnLevel},
+	{BurnNotSent, "burn_not_sent", logrus.WarnLevel},
+	{WatchMoved, "watch_moved", logrus.InfoLevel},
+}
+
+var _byNumber = func() map[Number]Definition {
+	m := make(map[Number]Definition, len(_definitions))
+	for _, d := range _definitions {
+		m[d.Number] = d
+	}
+	return m
+}()
+
+// Definitions returns all events in rising order.
+func Definitions() []Definition { return append([]Definition(nil), _definitions...) }
+
+// Fields are the values of one event.
+type Fields = logrus.Fields
+
+// Log writes numbered events. The zero value discards them.
+type Log struct {
+	entry *logrus.Entry
+}
+
+// Format is the form of the log lines.
+type Format uint8
+
+const (
+	// JSON writes one JSON object a line.
+	JSON Format = iota + 1
+	// Text writes key=value lines.
+	Text
+)
+
+// NewLog returns a log that writes to w.
+func NewLog(w io.Writer, format Format, level logrus.Level) Log {
+	l := logrus.New()
+	l.SetOutput(w)
+	l.SetLevel(level)
+	if format == JSON {
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	}
+	return Log{entry: logrus.NewEntry(l)}
+}
+
+// With returns a log whose events all carry the field.
+func (l Log) With(key string, value any) Log {
+	if l.entry == nil {
+		return l
+	}
+	return Log{entry: l.entry.WithField(key, value)}
+}
+
+// Emit writes an event.
+func (l Log) Emit(n Number, fields Fields, message string) {
+	if l.entry == nil {
+		return
+	}
+	d := _byNumber[n]
+	l.entry.WithFields(fields).WithField("event", int(n)).WithField("event_name", d.Name).Log(d.Level, message)
+}
--- /dev/null
+++ b/internal/jobsapi/jobs.go
@@ -0,0 +1,247 @@
+// Package jobsapi serves batch jobs over HTTP, to callers at entry instances
+// and to operators at controllers.
+package jobsapi
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/gentianrail/gentianrail/catalogue"
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/web"
+	"github.com/gentianrail/gentianrail/job"
+	"github.com/gentianrail/gentianrail/state"
+)
+
+// Bounds of a request.
+const (
+	_deadline = 10 * time.Second // until the controllers must have answered
+	_mostWait = time.Minute      // that a caller may wait for a result
+	_mostPage = 500
+)
+
+// Controllers is what the handlers need of the controllers' client.
+type Controllers interface {
+	Propose(ctx context.Context, cmd state.Command) (state.Outcome, error)
+	Jobs(ctx context.Context, q control.JobQuery) (control.JobPage, error)
+}
+
+// API serves jobs.
+type API struct {
+	controllers Controllers
+}
+
+// New returns handlers that use the given client.
+func New(c Controllers) *API { return &API{controllers: c} }
+
+// Routes returns the routes of jobs.
+func (a *API) Routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodPost, Path: "/v1/jobs/{id}", Handler: a.submit},
+		{Method: http.MethodGet, Path: "/v1/jobs", Handler: a.list},
+		{Method: http.MethodGet, Path: "/v1/jobs/{id}", Handler: a.get},
+		{Method: http.MethodDelete, Path: "/v1/jobs/{id}", Handler: a.cancel},
+		{Method: http.MethodGet, Path: "/v1/jobs/{id}/result", Handler: a.result},
+	}
+}
+
+// Document is the JSON form of a job.
+type Document struct {
+	JobID     string    `json:"job_id"`
+	Entry     string    `json:"entry"`
+	Owner     string    `json:"owner"`
+	State     string    `json:"state"`
+	Attempt   uint32    `json:"attempt"`
+	Worker    string    `json:"worker,omitempty"`
+	Failures  int       `json:"failures"`
+	Reason    string    `json:"reason,omitempty"`
+	Submitted time.Time `json:"submitted"`
+	Ended     time.Time `json:"ended,omitzero"`
+}
+
+// ListDocument is the JSON form of a page of jobs.
+type ListDocument struct {
+	Jobs []Document `json:"jobs"`
+	Next string     `json:"next,omitempty"`
+}
+
+// SubmitDocument is the JSON form of an accepted submission.
+type SubmitDocument struct {
+	JobID string `json:"job_id"`
+	State string `json:"state"`
+}
+
+func document(j job.Job) Document {
+	return Document{
+		JobID:     j.ID,
+		Entry:     j.Entry,
+		Owner:     j.Owner,
+		State:     j.State.String(),
+		Attempt:   j.Attempt,
+		Worker:    j.Worker,
+		Failures:  j.Failures,
+		Reason:    j.Reason,
+		Submitted: j.Submitted,
+		Ended:     j.Ended,
+	}
+}
+
+func (a *API) submit(w http.ResponseWriter, r *http.Request) {
+	entry := web.Var(r, "id")
+	if !catalogue.ValidName(entry) {
+		web.WriteFault(w, fault.New(fault.BadEntryName, "found entry name %q", entry))
+		return
+	}
+	key, err := web.IdempotencyKey(r.Header)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, job.MostBody))
+	if err != nil {
+		web.WriteFault(w, fault.New(fault.BodyTooLarge, "the job's body could not be read within %d bytes: %s", job.MostBody, err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), _deadline)
+	defer cancel()
+	o, err := a.controllers.Propose(ctx, state.SubmitJob{Job: job.Job{
+		ID:          uuid.NewString(),
+		Entry:       entry,
+		Key:         key,
+		Fingerprint: xxhash.Sum64(body),
+		Body:        body,
+	}})
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	w.Header().Set("Location", "/v1/jobs/"+o.Job.ID)
+	web.WriteJSON(w, http.StatusAccepted, SubmitDocument{JobID: o.Job.ID, State: o.Job.State.String()})
+}
+
+func (a *API) list(w http.ResponseWriter, r *http.Request) {
+	q := control.JobQuery{
+		Entry: r.URL.Query().Get("entry"),
+		After: r.URL.Query().Get("after"),
+		Limit: _mostPage,
+	}
+	if s := r.URL.Query().Get("state"); s != "" {
+		if q.State = job.ParseState(s); q.State == 0 {
+			web.WriteFault(w, fault.New(fault.BadRequest, "state: found %q, allowed are queued, running, done, failed and cancelled", s))
+			return
+		}
+	}
+	if s := r.URL.Query().Get("limit"); s != "" {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 1 || n > _mostPage {
+			web.WriteFault(w, fault.New(fault.BadRequest, "limit: found %q, allowed is a number from 1 to %d", s, _mostPage))
+			return
+		}
+		q.Limit = n
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), _deadline)
+	defer cancel()
+	page, err := a.controllers.Jobs(ctx, q)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	out := ListDocument{Jobs: []Document{}, Next: page.Next}
+	for _, j := range page.Jobs {
+		out.Jobs = append(out.Jobs, document(j))
+	}
+	web.WriteJSON(w, http.StatusOK, out)
+}
+
+func (a *API) one(r *http.Request, wait time.Duration) (job.Job, error) {
+	id := web.Var(r, "id")
+	ctx, cancel := context.WithTimeout(r.Context(), _deadline+wait)
+	defer cancel()
+	page, err := a.controllers.Jobs(ctx, control.JobQuery{ID: id, Wait: wait})
+	if err != nil {
+		return job.Job{}, err
+	}
+	if len(page.Jobs) == 0 {
+		return job.Job{}, fault.New(fault.JobNotFound, "no job %q", id)
+	}
+	return page.Jobs[0], nil
+}
+
+func (a *API) get(w http.ResponseWriter, r *http.Request) {
+	j, err := a.one(r, 0)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, document(j))
+}
+
+func (a *API) cancel(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), _deadline)
+	defer cancel()
+	o, err := a.controllers.Propose(ctx, state.CancelJob{ID: web.Var(r, "id")})
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	status := http.StatusOK
+	if !o.Job.State.Ended() {
+		status = http.StatusAccepted // the attempt is being stopped; its end tells which came first
+	}
+	web.WriteJSON(w, status, document(*o.Job))
+}
+
+func (a *API) result(w http.ResponseWriter, r *http.Request) {
+	var wait time.Duration
+	if s := r.URL.Query().Get("wait_ms"); s != "" {
+		ms, err := strconv.Atoi(s)
+		if err != nil || ms < 0 || time.Duration(ms)*time.Millisecond > _mostWait {
+			web.WriteFault(w, fault.New(fault.BadRequest, "wait_ms: found %q, allowed is a number from 0 to %d", s, _mostWait.Milliseconds()))
+			return
+		}
+		wait = time.Duration(ms) * time.Millisecond
+	}
+	j, err := a.one(r, wait)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	switch j.State {
+	case job.Done:
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set(web.HeaderRan, fault.RanYes.String())
+		w.WriteHeader(j.Status)
+		// A failed write means that the caller has gone.
+		_, _ = w.Write(j.Result)
+	case job.Failed:
+		web.WriteFault(w, failure(j))
+	case job.Cancelled:
+		web.WriteFault(w, cancelled(j))
+	case job.Queued, job.Running:
+		web.WriteFault(w, fault.New(fault.JobNotFinished, "job %s is %s", j.ID, j.State))
+	}
+}
+
+func failure(j job.Job) error {
+	f := fault.New(fault.JobFailed, "job %s failed: %s", j.ID, j.Reason)
+	if j.Attempt == 0 {
+		return f.WithRan(fault.RanNo)
+	}
+	return f
+}
+
+func cancelled(j job.Job) error {
+	f := fault.New(fault.JobCancelled, "job %s was cancelled", j.ID)
+	if j.Attempt == 0 {
+		return f.WithRan(fault.RanNo)
+	}
+	return f
+}
--- /dev/null
+++ b/internal/link/pool.go
@@ -0,0 +1,163 @@
+// Package link holds connections between gentianrail's own processes.
+//
+// A drpc connection carries one call at a time, so each address has a set of
+// idle connections. A call that fails or runs out of time closes its
+// connection: a connection that has gone silent is never used again.
+package link
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+)
+
+// Bounds of connections.
+const (
+	DialTimeout   = time.Second      // until a dial has failed
+	MostMessage   = 8 << 20          // bytes of one message
+	_mostIdle     = 64               // idle connections kept to one address
+	_idleFor      = 20 * time.Second // how long an idle connection is kept
+	_serverIdle   = 60 * time.Second // after which a server closes an idle connection
+	_writerBuffer = 4 << 10          // bytes
+)
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		WriterBufferSize: _writerBuffer,
+		Reader:           drpcwire.ReaderOptions{MaximumBufferSize: MostMessage},
+	}
+}
+
+// ServerOptions returns the options of a drpc server of this project.
+func ServerOptions(log func(error)) drpcserver.Options {
+	m := managerOptions()
+	m.InactivityTimeout = _serverIdle
+	return drpcserver.Options{Manager: m, Log: log}
+}
+
+// Conn is one connection.
+type Conn struct {
+	*drpcconn.Conn
+	idleSince time.Time
+}
+
+// Pool keeps idle connections by address. The zero value is ready.
+type Pool struct {
+	mu     sync.Mutex
+	idle   map[string][]*Conn // most recently used last
+	closed bool
+}
+
+// Take returns an idle connection to the address, or dials one.
+func (p *Pool) Take(ctx context.Context, now time.Time, address string) (*Conn, error) {
+	if c := p.takeIdle(now, address); c != nil {
+		return c, nil
+	}
+	return Dial(ctx, address)
+}
+
+// Dial opens a new connection.
+func Dial(ctx context.Context, address string) (*Conn, error) {
+	d := net.Dialer{Timeout: DialTimeout, KeepAlive: _idleFor}
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})}, nil
+}
+
+func (p *Pool) takeIdle(now time.Time, address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for len(list) > 0 {
+		c := list[len(list)-1]
+		list = list[:len(list)-1]
+		p.idle[address] = list
+		if now.Sub(c.idleSince) < _idleFor && !isClosed(c) {
+			return c
+		}
+		_ = c.Close()
+	}
+	delete(p.idle, address)
+	return nil
+}
+
+func isClosed(c *Conn) bool {
+	select {
+	case <-c.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
+// Give returns a connection that is in good order.
+func (p *Pool) Give(now time.Time, address string, c *Conn) {
+	if isClosed(c) {
+		return
+	}
+	c.idleSince = now
+	p.mu.Lock()
+	if p.closed || len(p.idle[address]) >= _mostIdle {
+		p.mu.Unlock()
+		_ = c.Close()
+		return
+	}
+	if p.idle == nil {
+		p.idle = make(map[string][]*Conn)
+	}
+	p.idle[address] = append(p.idle[address], c)
+	p.mu.Unlock()
+}
+
+// Drop closes all idle connections to an address.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
+// Expire closes connections that have been idle for too long.
+func (p *Pool) Expire(now time.Time) {
+	var old []*Conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		for len(list) > 0 && now.Sub(list[0].idleSince) >= _idleFor {
+			old = append(old, list[0])
+			list = list[1:]
+		}
+		p.idle[address] = list
+		if len(list) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
+
+// Close closes all idle connections and those given back later.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	all := p.idle
+	p.idle = nil
+	p.closed = true
+	p.mu.Unlock()
+	for _, list := range all {
+		for _, c := range list {
+			_ = c.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/sample/sample.go
@@ -0,0 +1,245 @@
+// Package sample is a stand-in target. It serves requests and watches, runs
+// tasks as a worker does, and counts what it has run.
+package sample
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/web"
+	"github.com/gentianrail/gentianrail/platform"
+)
+
+const (
+	_mostBody      = 64 << 20    // bytes of a request
+	_watchInterval = time.Second // between watch events
+)
+
+// runDocument is the answer to a request.
+type runDocument struct {
+	Run    int64  `json:"run"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+}
+
+// Target is one stand-in target.
+type Target struct {
+	server *web.Server
+	board  *board
+	runs   atomic.Int64
+}
+
+// Start serves a target on the address.
+func Start(address string) (*Target, error) {
+	t := &Target{}
+	t.board = newBoard(time.Now(), func() int64 { return t.runs.Add(1) })
+	handler, err := web.Handler("sample", t.routes())
+	if err != nil {
+		return nil, err
+	}
+	if t.server, err = web.Listen(address, handler); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Address returns the address that is served.
+func (t *Target) Address() string { return t.server.Address() }
+
+// Runs returns how many requests and tasks have run.
+func (t *Target) Runs() int64 { return t.runs.Load() }
+
+// Server returns the target's HTTP server.
+func (t *Target) Server() *web.Server { return t.server }
+
+func (t *Target) routes() []rest.Route {
+	task := platform.Prefix + "/tasks/{job}/{attempt}"
+	return []rest.Route{
+		{Method: http.MethodGet, Path: platform.Prefix + "/clock", Handler: t.clock},
+		{Method: http.MethodPut, Path: task, Handler: t.startTask},
+		{Method: http.MethodGet, Path: task, Handler: t.waitTask},
+		{Method: http.MethodDelete, Path: task, Handler: t.stopTask},
+		{Method: http.MethodPost, Path: task + "/checkpoint", Handler: t.checkpoint},
+		{Method: http.MethodPost, Path: task + "/throttle", Handler: t.throttle},
+		{Method: http.MethodDelete, Path: platform.Prefix + "/tasks", Handler: t.stopAll},
+		{Method: http.MethodPost, Path: platform.Prefix + "/renew", Handler: t.renew},
+		{Method: http.MethodGet, Path: platform.Prefix + "/usage", Handler: t.usage},
+		{Method: web.AnyMethod, Path: "/{path...}", Handler: t.request},
+	}
+}
+
+func (t *Target) request(w http.ResponseWriter, r *http.Request) {
+	if strings.Contains(r.Header.Get("Accept"), "text/event-stream") {
+		t.watch(w, r)
+		return
+	}
+	run := t.runs.Add(1)
+	body, err := io.ReadAll(io.LimitReader(r.Body, _mostBody))
+	if err != nil {
+		web.WriteFault(w, fault.New(fault.BadRequest, "the body ended early: %s", err))
+		return
+	}
+	delay, _ := strconv.Atoi(r.URL.Query().Get("delay_ms"))
+	if delay > 0 {
+		time.Sleep(time.Duration(delay) * time.Millisecond)
+	}
+	status, err := strconv.Atoi(r.URL.Query().Get("status"))
+	if err != nil || status < 200 || status > 599 {
+		status = http.StatusOK
+	}
+	web.WriteJSON(w, status, runDocument{Run: run, Method: r.Method, Path: r.URL.Path, Body: string(body)})
+}
+
+// watch sends a numbered event every second, from the one after the caller's
+// last on.
+func (t *Target) watch(w http.ResponseWriter, r *http.Request) {
+	last, _ := strconv.ParseInt(r.Header.Get("Last-Event-ID"), 10, 64)
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	tick := time.NewTicker(_watchInterval)
+	defer tick.Stop()
+	for n := last + 1; ; n++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: {\"event\":%d}\n\n", n, n); err != nil {
+			return
+		}
+		if control.Flush() != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+func (t *Target) writeClock(w http.ResponseWriter) {
+	web.WriteJSON(w, http.StatusOK, platform.ClockDocument{ClockMS: t.board.clock(time.Now()).Milliseconds()})
+}
+
+func (t *Target) clock(w http.ResponseWriter, _ *http.Request) { t.writeClock(w) }
+
+var errBadAttempt = errors.New("the attempt is not a number")
+
+func taskID(r *http.Request) (platform.TaskID, error) {
+	n, err := strconv.ParseUint(web.Var(r, "attempt"), 10, 32)
+	if err != nil {
+		return platform.TaskID{}, errBadAttempt
+	}
+	return platform.TaskID{Job: web.Var(r, "job"), Attempt: uint32(n)}, nil
+}
+
+func (t *Target) startTask(w http.ResponseWriter, r *http.Request) {
+	id, err := taskID(r)
+	var doc platform.StartDocument
+	if err == nil {
+		err = json.UnmarshalRead(r.Body, &doc)
+	}
+	if err != nil {
+		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
+		return
+	}
+	until := time.Duration(doc.UntilMS) * time.Millisecond
+	if !t.board.start(id, doc.Body, doc.Checkpoint, until, time.Now()) {
+		web.WriteFault(w, fault.New(fault.StaleAttempt, "a later attempt of the job was started"))
+		return
+	}
+	t.writeClock(w)
+}
+
+// task returns the named task, or answers that it is unknown.
+func (t *Target) task(w http.ResponseWriter, r *http.Request) *task {
+	id, err := taskID(r)
+	if err != nil {
+		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
+		return nil
+	}
+	found := t.board.find(id)
+	if found == nil {
+		web.WriteJSON(w, http.StatusOK, platform.StatusDocument{Progress: platform.Unknown.String()})
+	}
+	return found
+}
+
+func (t *Target) waitTask(w http.ResponseWriter, r *http.Request) {
+	found := t.task(w, r)
+	if found == nil {
+		return
+	}
+	ms, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	timer := time.NewTimer(time.Duration(ms) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-found.done:
+	case <-timer.C:
+		web.WriteJSON(w, http.StatusOK, platform.StatusDocument{Progress: platform.Running.String()})
+		return
+	case <-r.Context().Done():
+		return
+	}
+	s := found.status
+	web.WriteJSON(w, http.StatusOK, platform.StatusDocument{
+		Progress: s.Progress.String(), Code: s.Code, Result: s.Result, Reason: s.Reason,
+	})
+}
+
+func (t *Target) stopTask(w http.ResponseWriter, r *http.Request) {
+	id, err := taskID(r)
+	if err != nil {
+		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, platform.CheckpointDocument{Checkpoint: t.board.stop(id, time.Now())})
+}
+
+func (t *Target) checkpoint(w http.ResponseWriter, r *http.Request) {
+	if found := t.task(w, r); found != nil {
+		web.WriteJSON(w, http.StatusOK, platform.CheckpointDocument{Checkpoint: t.board.checkpoint(found, time.Now())})
+	}
+}
+
+// throttle takes the order; a task that only waits is not slowed by it.
+func (t *Target) throttle(w http.ResponseWriter, r *http.Request) {
+	if found := t.task(w, r); found != nil {
+		t.writeClock(w)
+	}
+}
+
+func (t *Target) stopAll(w http.ResponseWriter, _ *http.Request) {
+	t.board.stopAll()
+	t.writeClock(w)
+}
+
+func (t *Target) renew(w http.ResponseWriter, r *http.Request) {
+	var doc platform.RenewDocument
+	if err := json.UnmarshalRead(r.Body, &doc); err != nil {
+		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
+		return
+	}
+	ids := make([]platform.TaskID, 0, len(doc.Tasks))
+	for _, d := range doc.Tasks {
+		ids = append(ids, platform.TaskID(d))
+	}
+	t.board.renew(ids, time.Duration(doc.UntilMS)*time.Millisecond, time.Now())
+	t.writeClock(w)
+}
+
+func (t *Target) usage(w http.ResponseWriter, _ *http.Request) {
+	docs := []platform.UsageDocument{}
+	at := t.board.clock(time.Now()).Milliseconds()
+	for _, id := range t.board.live() {
+		docs = append(docs, platform.UsageDocument{Job: id.Job, Attempt: id.Attempt, AtMS: at})
+	}
+	web.WriteJSON(w, http.StatusOK, docs)
+}
--- /dev/null
+++ b/internal/wire/command.go
@@ -0,0 +1,236 @@
+package wire
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gentianrail/gentianrail/burn"
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/job"
+	"github.com/gentianrail/gentianrail/state"
+)
+
+// Numbers of job outcomes in EndAttempt.
+const (
+	_finished uint32 = iota + 1
+	_failed
+	_evicted
+	_lost
+	_stopped
+)
+
+// EncodeCommand returns the message of a command.
+func EncodeCommand(c state.Command) *pb.Command {
+	switch c := c.(type) {
+	case state.PutEntry:
+		return &pb.Command{Kind: &pb.Command_PutEntry{PutEntry: &pb.PutEntry{
+			Entry: encodeSpec(c.Spec), BaseVersion: c.Base, ChangeId: c.ChangeID,
+		}}}
+	case state.DeleteEntry:
+		return &pb.Command{Kind: &pb.Command_DeleteEntry{DeleteEntry: &pb.DeleteEntry{
+			Name: c.Name, BaseVersion: c.Base, ChangeId: c.ChangeID,
+		}}}
+	case state.RegisterWorker:
+		return &pb.Command{Kind: &pb.Command_RegisterWorker{RegisterWorker: &pb.RegisterWorker{
+			Worker: EncodeWorker(c.Worker),
+		}}}
+	case state.RetireWorker:
+		return &pb.Command{Kind: &pb.Command_RetireWorker{RetireWorker: &pb.RetireWorker{
+			Id: c.ID, Incarnation: c.Incarnation,
+		}}}
+	case state.DrainWorker:
+		return &pb.Command{Kind: &pb.Command_DrainWorker{DrainWorker: &pb.DrainWorker{
+			Id: c.ID, Drained: c.Drained,
+		}}}
+	case state.SubmitJob:
+		return &pb.Command{Kind: &pb.Command_SubmitJob{SubmitJob: &pb.SubmitJob{Job: EncodeJob(c.Job)}}}
+	case state.CancelJob:
+		return &pb.Command{Kind: &pb.Command_CancelJob{CancelJob: &pb.CancelJob{Id: c.ID}}}
+	case state.PlaceJob:
+		return &pb.Command{Kind: &pb.Command_PlaceJob{PlaceJob: &pb.PlaceJob{
+			Id: c.ID, Attempt: c.Attempt, Worker: c.Worker, Incarnation: c.Incarnation,
+		}}}
+	case state.EndAttempt:
+		return &pb.Command{Kind: &pb.Command_EndAttempt{EndAttempt: encodeEnd(c)}}
+	case state.FailJob:
+		return &pb.Command{Kind: &pb.Command_FailJob{FailJob: &pb.FailJob{Id: c.ID, Reason: c.Reason}}}
+	case state.BeginClaim:
+		return &pb.Command{Kind: &pb.Command_BeginClaim{BeginClaim: &pb.BeginClaim{
+			Claim: EncodeClaim(c.Claim), Remaining: int64(c.Remaining),
+		}}}
+	case state.FinishClaim:
+		return &pb.Command{Kind: &pb.Command_FinishClaim{FinishClaim: &pb.FinishClaim{
+			Entry: c.Entry, Key: c.Key, Token: c.Token, Answer: EncodeAnswer(c.Answer),
+		}}}
+	case state.ReleaseClaim:
+		return &pb.Command{Kind: &pb.Command_ReleaseClaim{ReleaseClaim: &pb.ReleaseClaim{
+			Entry: c.Entry, Key: c.Key, Token: c.Token,
+		}}}
+	case state.RecordBurn:
+		return &pb.Command{Kind: &pb.Command_RecordBurn{RecordBurn: encodeBurn(c)}}
+	default:
+		panic(fmt.Sprintf("wire: unexpected command %T", c))
+	}
+}
+
+func encodeBurn(c state.RecordBurn) *pb.RecordBurn {
+	m := &pb.RecordBurn{Source: c.Source, Sequence: c.Sequence}
+	for _, count := range c.Counts {
+		m.Counts = append(m.Counts, EncodeCount(count))
+	}
+	return m
+}
+
+func encodeEnd(c state.EndAttempt) *pb.EndAttempt {
+	m := &pb.EndAttempt{Id: c.ID, Attempt: c.Attempt}
+	switch o := c.Outcome.(type) {
+	case job.Finished:
+		m.Outcome, m.Status, m.Body = _finished, int32(o.Status), o.Result
+	case job.AttemptFailed:
+		m.Outcome, m.Reason = _failed, o.Reason
+	case job.Evicted:
+		m.Outcome, m.Body, m.Reason = _evicted, o.Checkpoint, o.Reason
+	case job.Lost:
+		m.Outcome, m.Reason = _lost, o.Reason
+	case job.Stopped:
+		m.Outcome = _stopped
+	default:
+		panic(fmt.Sprintf("wire: unexpected outcome %T", o))
+	}
+	return m
+}
+
+func decodeEnd(m *pb.EndAttempt) (state.EndAttempt, error) {
+	c := state.EndAttempt{ID: m.GetId(), Attempt: m.GetAttempt()}
+	switch m.GetOutcome() {
+	case _finished:
+		c.Outcome = job.Finished{Status: int(m.GetStatus()), Result: m.GetBody()}
+	case _failed:
+		c.Outcome = job.AttemptFailed{Reason: m.GetReason()}
+	case _evicted:
+		c.Outcome = job.Evicted{Checkpoint: m.GetBody(), Reason: m.GetReason()}
+	case _lost:
+		c.Outcome = job.Lost{Reason: m.GetReason()}
+	case _stopped:
+		c.Outcome = job.Stopped{}
+	default:
+		return c, fault.New(fault.BadRequest, "unknown job outcome %d", m.GetOutcome())
+	}
+	return c, nil
+}
+
+// DecodeCommand returns the command of a message.
+func DecodeCommand(m *pb.Command) (state.Command, error) {
+	switch k := m.GetKind().(type) {
+	case *pb.Command_PutEntry:
+		return state.PutEntry{
+			Spec: decodeSpec(k.PutEntry.GetEntry()), Base: k.PutEntry.GetBaseVersion(), ChangeID: k.PutEntry.GetChangeId(),
+		}, nil
+	case *pb.Command_DeleteEntry:
+		return state.DeleteEntry{
+			Name: k.DeleteEntry.GetName(), Base: k.DeleteEntry.GetBaseVersion(), ChangeID: k.DeleteEntry.GetChangeId(),
+		}, nil
+	case *pb.Command_RegisterWorker:
+		return state.RegisterWorker{Worker: DecodeWorker(k.RegisterWorker.GetWorker())}, nil
+	case *pb.Command_RetireWorker:
+		return state.RetireWorker{ID: k.RetireWorker.GetId(), Incarnation: k.RetireWorker.GetIncarnation()}, nil
+	case *pb.Command_DrainWorker:
+		return state.DrainWorker{ID: k.DrainWorker.GetId(), Drained: k.DrainWorker.GetDrained()}, nil
+	case *pb.Command_SubmitJob:
+		return state.SubmitJob{Job: DecodeJob(k.SubmitJob.GetJob())}, nil
+	case *pb.Command_CancelJob:
+		return state.CancelJob{ID: k.CancelJob.GetId()}, nil
+	case *pb.Command_PlaceJob:
+		return state.PlaceJob{
+			ID: k.PlaceJob.GetId(), Attempt: k.PlaceJob.GetAttempt(),
+			Worker: k.PlaceJob.GetWorker(), Incarnation: k.PlaceJob.GetIncarnation(),
+		}, nil
+	case *pb.Command_EndAttempt:
+		return decodeEnd(k.EndAttempt)
+	case *pb.Command_FailJob:
+		return state.FailJob{ID: k.FailJob.GetId(), Reason: k.FailJob.GetReason()}, nil
+	case *pb.Command_BeginClaim:
+		return state.BeginClaim{
+			Claim: DecodeClaim(k.BeginClaim.GetClaim()), Remaining: durationOf(k.BeginClaim.GetRemaining()),
+		}, nil
+	case *pb.Command_FinishClaim:
+		return state.FinishClaim{
+			Entry: k.FinishClaim.GetEntry(), Key: k.FinishClaim.GetKey(),
+			Token: k.FinishClaim.GetToken(), Answer: DecodeAnswer(k.FinishClaim.GetAnswer()),
+		}, nil
+	case *pb.Command_ReleaseClaim:
+		return state.ReleaseClaim{
+			Entry: k.ReleaseClaim.GetEntry(), Key: k.ReleaseClaim.GetKey(), Token: k.ReleaseClaim.GetToken(),
+		}, nil
+	case *pb.Command_RecordBurn:
+		return state.RecordBurn{
+			Source: k.RecordBurn.GetSource(), Sequence: k.RecordBurn.GetSequence(), Counts: decodeCounts(k.RecordBurn.GetCounts()),
+		}, nil
+	default:
+		return nil, fault.New(fault.BadRequest, "unknown command %T", k)
+	}
+}
+
+func decodeCounts(ms []*pb.BurnCount) []burn.Count {
+	out := make([]burn.Count, 0, len(ms))
+	for _, m := range ms {
+		out = append(out, DecodeCount(m))
+	}
+	return out
+}
+
+// MarshalCommand returns the bytes of a command as the log holds them.
+func MarshalCommand(c state.Command) ([]byte, error) { return proto.Marshal(EncodeCommand(c)) }
+
+// UnmarshalCommand returns the command of a log entry.
+func UnmarshalCommand(data []byte) (state.Command, error) {
+	var m pb.Command
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, fault.Wrap(fault.DataDamaged, err, "decode command")
+	}
+	return DecodeCommand(&m)
+}
+
+// EncodeOutcome returns the message of an outcome.
+func EncodeOutcome(o state.Outcome) *pb.Outcome {
+	m := &pb.Outcome{Revision: o.Revision, RepeatedChange: o.Repeated, Code: int32(fault.OK)}
+	if o.Entry != nil {
+		m.Entry = EncodeEntry(*o.Entry)
+	}
+	if o.Job != nil {
+		m.Job = EncodeJob(*o.Job)
+	}
+	if o.Claim != nil {
+		m.Claim = EncodeClaim(*o.Claim)
+	}
+	if o.Err != nil {
+		f := fault.From(o.Err)
+		m.Code = int32(f.Code())
+		m.Message = f.Message()
+		m.RetryAfter = int64(f.RetryAfter())
+	}
+	return m
+}
+
+// DecodeOutcome returns the outcome of a message.
+func DecodeOutcome(m *pb.Outcome) state.Outcome {
+	o := state.Outcome{Revision: m.GetRevision(), Repeated: m.GetRepeatedChange()}
+	if m.GetEntry() != nil {
+		e := DecodeEntry(m.GetEntry())
+		o.Entry = &e
+	}
+	if m.GetJob() != nil {
+		j := DecodeJob(m.GetJob())
+		o.Job = &j
+	}
+	if m.GetClaim() != nil {
+		c := DecodeClaim(m.GetClaim())
+		o.Claim = &c
+	}
+	if code := fault.Code(m.GetCode()); code != fault.OK {
+		o.Err = fault.New(code, "%s", m.GetMessage()).WithRetry(durationOf(m.GetRetryAfter()))
+	}
+	return o
+}
--- /dev/null
+++ b/internal/wire/replica.go
@@ -0,0 +1,141 @@
+package wire
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/replica"
+)
+
+func encodeLog(entries []replica.Entry) []*pb.LogEntry {
+	out := make([]*pb.LogEntry, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, &pb.LogEntry{
+			Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Time: nanos(e.Time), Data: e.Data,
+		})
+	}
+	return out
+}
+
+func decodeLog(ms []*pb.LogEntry) []replica.Entry {
+	out := make([]replica.Entry, 0, len(ms))
+	for _, m := range ms {
+		out = append(out, replica.Entry{
+			Index: m.GetIndex(), Term: m.GetTerm(), Kind: replica.EntryKind(m.GetKind()),
+			Time: instant(m.GetTime()), Data: m.GetData(),
+		})
+	}
+	return out
+}
+
+// EncodeMessage returns the wire message of a replica's message.
+func EncodeMessage(m replica.Message) *pb.ReplicaMessage {
+	out := &pb.ReplicaMessage{From: string(m.From), To: string(m.To), Term: m.Term}
+	switch b := m.Body.(type) {
+	case replica.VoteRequest:
+		out.Body = &pb.ReplicaMessage_VoteRequest{VoteRequest: &pb.VoteRequest{
+			Pre: b.Pre, Transfer: b.Transfer, LastIndex: b.LastIndex, LastTerm: b.LastTerm,
+		}}
+	case replica.VoteReply:
+		out.Body = &pb.ReplicaMessage_VoteReply{VoteReply: &pb.VoteReply{Pre: b.Pre, Granted: b.Granted}}
+	case replica.Append:
+		out.Body = &pb.ReplicaMessage_Append{Append: &pb.Append{
+			PrevIndex: b.PrevIndex, PrevTerm: b.PrevTerm, Commit: b.Commit,
+			Sent: nanos(b.Sent), Entries: encodeLog(b.Entries),
+		}}
+	case replica.AppendReply:
+		out.Body = &pb.ReplicaMessage_AppendReply{AppendReply: &pb.AppendReply{
+			Rejected: b.Rejected, Match: b.Match, Sent: nanos(b.Sent),
+		}}
+	case replica.InstallSnapshot:
+		out.Body = &pb.ReplicaMessage_InstallSnapshot{InstallSnapshot: &pb.InstallSnapshot{
+			Index: b.Index, Term: b.Term, Offset: b.Offset, Last: b.Last, Data: b.Data, Sent: nanos(b.Sent),
+		}}
+	case replica.SnapshotProgress:
+		out.Body = &pb.ReplicaMessage_SnapshotProgress{SnapshotProgress: &pb.SnapshotProgress{
+			Index: b.Index, Received: b.Received, Sent: nanos(b.Sent),
+		}}
+	case replica.TimeoutNow:
+		out.Body = &pb.ReplicaMessage_TimeoutNow{TimeoutNow: &pb.TimeoutNow{}}
+	default:
+		panic(fmt.Sprintf("wire: unexpected message body %T", b))
+	}
+	return out
+}
+
+// DecodeMessage returns the replica's message of a wire message.
+func DecodeMessage(m *pb.ReplicaMessage) (replica.Message, error) {
+	out := replica.Message{From: replica.ID(m.GetFrom()), To: replica.ID(m.GetTo()), Term: m.GetTerm()}
+	switch k := m.GetBody().(type) {
+	case *pb.ReplicaMessage_VoteRequest:
+		b := k.VoteRequest
+		out.Body = replica.VoteRequest{
+			Pre: b.GetPre(), Transfer: b.GetTransfer(), LastIndex: b.GetLastIndex(), LastTerm: b.GetLastTerm(),
+		}
+	case *pb.ReplicaMessage_VoteReply:
+		out.Body = replica.VoteReply{Pre: k.VoteReply.GetPre(), Granted: k.VoteReply.GetGranted()}
+	case *pb.ReplicaMessage_Append:
+		b := k.Append
+		out.Body = replica.Append{
+			PrevIndex: b.GetPrevIndex(), PrevTerm: b.GetPrevTerm(), Commit: b.GetCommit(),
+			Sent: instant(b.GetSent()), Entries: decodeLog(b.GetEntries()),
+		}
+	case *pb.ReplicaMessage_AppendReply:
+		b := k.AppendReply
+		out.Body = replica.AppendReply{Rejected: b.GetRejected(), Match: b.GetMatch(), Sent: instant(b.GetSent())}
+	case *pb.ReplicaMessage_InstallSnapshot:
+		b := k.InstallSnapshot
+		out.Body = replica.InstallSnapshot{
+			Index: b.GetIndex(), Term: b.GetTerm(), Offset: b.GetOffset(), Last: b.GetLast(),
+			Data: b.GetData(), Sent: instant(b.GetSent()),
+		}
+	case *pb.ReplicaMessage_SnapshotProgress:
+		b := k.SnapshotProgress
+		out.Body = replica.SnapshotProgress{Index: b.GetIndex(), Received: b.GetReceived(), Sent: instant(b.GetSent())}
+	case *pb.ReplicaMessage_TimeoutNow:
+		out.Body = replica.TimeoutNow{}
+	default:
+		return out, fault.New(fault.BadRequest, "unknown replica message %T", k)
+	}
+	return out, nil
+}
+
+// MarshalRecord returns the bytes of one synced unit of a log segment.
+func MarshalRecord(s *replica.HardState, entries []replica.Entry) ([]byte, error) {
+	m := &pb.DiskRecord{Entries: encodeLog(entries)}
+	if s != nil {
+		m.State = &pb.HardState{Term: s.Term, Vote: string(s.Vote)}
+	}
+	return proto.Marshal(m)
+}
+
+// UnmarshalRecord returns what MarshalRecord wrote; the state is nil if the
+// record has none.
+func UnmarshalRecord(data []byte) (*replica.HardState, []replica.Entry, error) {
+	var m pb.DiskRecord
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, nil, fault.Wrap(fault.DataDamaged, err, "decode log record")
+	}
+	entries := decodeLog(m.GetEntries())
+	if m.GetState() == nil {
+		return nil, entries, nil
+	}
+	return &replica.HardState{Term: m.GetState().GetTerm(), Vote: replica.ID(m.GetState().GetVote())}, entries, nil
+}
+
+// MarshalSnapshot returns the bytes of a snapshot file.
+func MarshalSnapshot(s replica.Snapshot) ([]byte, error) {
+	return proto.Marshal(&pb.DiskSnapshot{Index: s.Index, Term: s.Term, Data: s.Data})
+}
+
+// UnmarshalSnapshot returns what MarshalSnapshot wrote.
+func UnmarshalSnapshot(data []byte) (replica.Snapshot, error) {
+	var m pb.DiskSnapshot
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return replica.Snapshot{}, fault.Wrap(fault.DataDamaged, err, "decode snapshot file")
+	}
+	return replica.Snapshot{Index: m.GetIndex(), Term: m.GetTerm(), Data: m.GetData()}, nil
+}
--- /dev/null
+++ b/internal/wire/state.go
@@ -0,0 +1,88 @@
+package wire
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gentianrail/gentianrail/catalogue"
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/state"
+)
+
+func durationOf(n int64) time.Duration { return time.Duration(n) }
+
+// MarshalState returns the bytes of a snapshot of the state machine.
+func MarshalState(c state.Contents) ([]byte, error) {
+	m := &pb.State{
+		Now:       nanos(c.Now),
+		Revision:  c.Revision,
+		NextJob:   c.NextJob,
+		Forgotten: nanos(c.Forgotten),
+	}
+	for _, e := range c.Entries {
+		m.Entries = append(m.Entries, EncodeEntry(e))
+	}
+	for _, d := range c.Deleted {
+		m.DeletedVersions = append(m.DeletedVersions, &pb.DeletedVersion{Name: d.Name, Version: d.Version})
+	}
+	for _, r := range c.Changes {
+		m.Changes = append(m.Changes, &pb.Change{ChangeId: r.ID, Revision: r.Revision, Version: r.Version, At: nanos(r.At)})
+	}
+	for _, w := range c.Workers {
+		m.Workers = append(m.Workers, EncodeWorker(w))
+	}
+	for _, j := range c.Jobs {
+		m.Jobs = append(m.Jobs, EncodeJob(j))
+	}
+	for _, k := range c.Claims {
+		m.Claims = append(m.Claims, EncodeClaim(k))
+	}
+	for _, b := range c.Burn {
+		m.Burn = append(m.Burn, EncodeCount(b))
+	}
+	for _, s := range c.Sources {
+		m.BurnSources = append(m.BurnSources, &pb.BurnSource{Source: s.Name, Sequence: s.Sequence, Seen: nanos(s.Seen)})
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
+}
+
+// UnmarshalState returns the state that a snapshot holds.
+func UnmarshalState(data []byte) (state.Contents, error) {
+	var m pb.State
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return state.Contents{}, fault.Wrap(fault.DataDamaged, err, "decode snapshot")
+	}
+	c := state.Contents{
+		Now:       instant(m.GetNow()),
+		Revision:  m.GetRevision(),
+		NextJob:   m.GetNextJob(),
+		Forgotten: instant(m.GetForgotten()),
+		Burn:      decodeCounts(m.GetBurn()),
+	}
+	for _, e := range m.GetEntries() {
+		c.Entries = append(c.Entries, DecodeEntry(e))
+	}
+	for _, d := range m.GetDeletedVersions() {
+		c.Deleted = append(c.Deleted, catalogue.DeletedVersion{Name: d.GetName(), Version: d.GetVersion()})
+	}
+	for _, r := range m.GetChanges() {
+		c.Changes = append(c.Changes, catalogue.Remembered{
+			ID: r.GetChangeId(), Revision: r.GetRevision(), Version: r.GetVersion(), At: instant(r.GetAt()),
+		})
+	}
+	for _, w := range m.GetWorkers() {
+		c.Workers = append(c.Workers, DecodeWorker(w))
+	}
+	for _, j := range m.GetJobs() {
+		c.Jobs = append(c.Jobs, DecodeJob(j))
+	}
+	for _, k := range m.GetClaims() {
+		c.Claims = append(c.Claims, DecodeClaim(k))
+	}
+	for _, s := range m.GetBurnSources() {
+		c.Sources = append(c.Sources, state.Source{Name: s.GetSource(), Sequence: s.GetSequence(), Seen: instant(s.GetSeen())})
+	}
+	return c, nil
+}
--- /dev/null
+++ b/state/machine.go
@@ -0,0 +1,372 @@
+// Package state is the state machine that the controllers replicate.
+//
+// A Machine holds the aggregates: the catalogue, the workers, the jobs, the
+// claims and the burn counts. Apply is deterministic: its result depends on
+// the state, the command, the log index and the log time alone, so that all
+// replicas agree. The log time never goes back, whatever the leaders' clocks
+// say.
+package state
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/gentianrail/gentianrail/burn"
+	"github.com/gentianrail/gentianrail/catalogue"
+	"github.com/gentianrail/gentianrail/claim"
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/job"
+	"github.com/gentianrail/gentianrail/worker"
+)
+
+// Source is the last report of one entry instance.
+type Source struct {
+	Name     string
+	Sequence uint64
+	Seen     time.Time
+}
+
+// Event is the sealed set of changes of the view that entry and agent
+// instances hold: EntryChanged, EntryDeleted, WorkerChanged and WorkerGone.
+type Event interface{ event() }
+
+// EntryChanged carries an entry that came in force.
+type EntryChanged struct{ Entry catalogue.Entry }
+
+// EntryDeleted names an entry that went out of force.
+type EntryDeleted struct{ Name string }
+
+// WorkerChanged carries a worker that was registered or changed.
+type WorkerChanged struct{ Worker worker.Worker }
+
+// WorkerGone names a worker that was retired.
+type WorkerGone struct{ ID string }
+
+func (EntryChanged) event()  {}
+func (EntryDeleted) event()  {}
+func (WorkerChanged) event() {}
+func (WorkerGone) event()    {}
+
+var (
+	_ Event = EntryChanged{}
+	_ Event = EntryDeleted{}
+	_ Event = WorkerChanged{}
+	_ Event = WorkerGone{}
+)
+
+// Result is what Apply returns.
+type Result struct {
+	Outcome Outcome
+	Events  []Event
+	Job     string // identifier of a job that changed; empty if none
+}
+
+// Machine is the replicated state. The zero value is empty and ready. It is
+// not safe for concurrent use.
+type Machine struct {
+	now       time.Time // log time; never goes back
+	revision  uint64    // index of the last command that was applied
+	catalogue catalogue.Catalogue
+	workers   worker.Pool
+	jobs      job.Book
+	claims    claim.Book
+	burn      burn.Ledger
+	sources   map[string]Source
+	forgotten time.Time // log time at which old burn counts were last dropped
+}
+
+// Now returns the log time.
+func (m *Machine) Now() time.Time { return m.now }
+
+// Revision returns the index of the last command that was applied.
+func (m *Machine) Revision() uint64 { return m.revision }
+
+// Catalogue returns the entries. Only Apply may change them.
+func (m *Machine) Catalogue() *catalogue.Catalogue { return &m.catalogue }
+
+// Workers returns the workers. Only Apply may change them.
+func (m *Machine) Workers() *worker.Pool { return &m.workers }
+
+// Jobs returns the jobs. Only Apply may change them.
+func (m *Machine) Jobs() *job.Book { return &m.jobs }
+
+// Claims returns the claims. Only Apply may change them.
+func (m *Machine) Claims() *claim.Book { return &m.claims }
+
+// Burn returns the burn counts. Only Apply may change them.
+func (m *Machine) Burn() *burn.Ledger { return &m.burn }
+
+// Apply carries out the command at the given log index and leader's time.
+func (m *Machine) Apply(index uint64, at time.Time, c Command) Result {
+	if at.After(m.now) {
+		m.now = at
+	}
+	m.revision = index
+	r := m.dispatch(c)
+	r.Outcome.Revision = max(r.Outcome.Revision, index)
+	return r
+}
+
+func (m *Machine) dispatch(c Command) Result {
+	switch c := c.(type) {
+	case PutEntry:
+		return m.putEntry(c)
+	case DeleteEntry:
+		return m.deleteEntry(c)
+	case RegisterWorker:
+		return m.registerWorker(c)
+	case RetireWorker:
+		return m.retireWorker(c)
+	case DrainWorker:
+		return m.drainWorker(c)
+	case SubmitJob:
+		return m.submitJob(c)
+	case CancelJob:
+		return jobResult(m.jobs.Cancel(c.ID, m.now))
+	case PlaceJob:
+		return m.placeJob(c)
+	case EndAttempt:
+		return m.endAttempt(c)
+	case FailJob:
+		return jobResult(m.jobs.Fail(c.ID, c.Reason, m.now))
+	case BeginClaim:
+		c.Claim.Deadline = m.now.Add(c.Remaining)
+		got, err := m.claims.Begin(c.Claim, m.now)
+		return Result{Outcome: Outcome{Claim: &got, Err: err}}
+	case FinishClaim:
+		return failed(m.claims.Finish(c.Entry, c.Key, c.Token, c.Answer))
+	case ReleaseClaim:
+		return failed(m.claims.Release(c.Entry, c.Key, c.Token))
+	case RecordBurn:
+		return m.recordBurn(c)
+	default:
+		panic(fmt.Sprintf("state: unexpected command %T", c))
+	}
+}
+
+func failed(err error) Result { return Result{Outcome: Outcome{Err: err}} }
+
+func jobResult(j job.Job, err error) Result {
+	return Result{Outcome: Outcome{Job: &j, Err: err}, Job: j.ID}
+}
+
+func (m *Machine) putEntry(c PutEntry) Result {
+	spec := c.Spec
+	got, err := m.catalogue.Apply(catalogue.Change{
+		ID:   c.ChangeID,
+		Base: c.Base,
+		Name: spec.Name,
+		Put:  &spec,
+		At:   m.now,
+	}, m.revision)
+	return entryResult(got, err)
+}
+
+func (m *Machine) deleteEntry(c DeleteEntry) Result {
+	got, err := m.catalogue.Apply(catalogue.Change{
+		ID:   c.ChangeID,
+		Base: c.Base,
+		Name: c.Name,
+		At:   m.now,
+	}, m.revision)
+	r := entryResult(got, err)
+	if err == nil && !got.Repeated {
+		r.Events = []Event{EntryDeleted{Name: c.Name}}
+	}
+	return r
+}
+
+func entryResult(got catalogue.Accepted, err error) Result {
+	if err != nil {
+		return failed(err)
+	}
+	r := Result{Outcome: Outcome{Revision: got.Revision, Repeated: got.Repeated}}
+	if got.Deleted {
+		return r
+	}
+	entry := got.Entry
+	r.Outcome.Entry = &entry
+	if !got.Same && !got.Repeated {
+		r.Events = []Event{EntryChanged{Entry: entry}}
+	}
+	return r
+}
+
+func (m *Machine) registerWorker(c RegisterWorker) Result {
+	old, known := m.workers.Worker(c.Worker.ID)
+	w, err := m.workers.Register(c.Worker, m.revision)
+	if err != nil {
+		return failed(err)
+	}
+	if known && old.Incarnation != w.Incarnation {
+		m.loseAttempts(old.ID, old.Incarnation, "the agent restarted")
+	}
+	return Result{Events: []Event{WorkerChanged{Worker: w}}}
+}
+
+// retireWorker is proposed only after the leases of the incarnation ran out.
+func (m *Machine) retireWorker(c RetireWorker) Result {
+	if err := m.workers.Retire(c.ID, c.Incarnation); err != nil {
+		return failed(err)
+	}
+	m.loseAttempts(c.ID, c.Incarnation, "the worker was lost")
+	return Result{Events: []Event{WorkerGone{ID: c.ID}}}
+}
+
+func (m *Machine) loseAttempts(id string, incarnation uint64, reason string) {
+	for _, j := range m.jobs.RunningOn(id) {
+		if j.Incarnation != incarnation {
+			continue
+		}
+		// The attempt is running, so ending it cannot fail.
+		_, _ = m.jobs.End(j.ID, j.Attempt, job.Lost{Reason: reason}, m.mostAttempts(j.Entry), m.now)
+	}
+}
+
+func (m *Machine) drainWorker(c DrainWorker) Result {
+	w, err := m.workers.Drain(c.ID, c.Drained, m.revision)
+	if err != nil {
+		return failed(err)
+	}
+	return Result{Events: []Event{WorkerChanged{Worker: w}}}
+}
+
+func (m *Machine) submitJob(c SubmitJob) Result {
+	entry, ok := m.catalogue.Entry(c.Job.Entry)
+	if !ok {
+		return failed(fault.New(fault.EntryNotFound, "no entry %q", c.Job.Entry))
+	}
+	if entry.Class() != catalogue.Batch {
+		return failed(fault.New(fault.WrongClass, "entry %q is a %s, not batch", entry.Name(), entry.Class()))
+	}
+	j := c.Job
+	j.Owner = entry.Owner()
+	return jobResult(m.jobs.Submit(j, m.now))
+}
+
+func (m *Machine) placeJob(c PlaceJob) Result {
+	w, ok := m.workers.Worker(c.Worker)
+	if !ok || w.Incarnation != c.Incarnation || !w.Open() {
+		return failed(fault.New(fault.StaleWorker, "worker %q takes no work at incarnation %d", c.Worker, c.Incarnation))
+	}
+	return jobResult(m.jobs.Place(c.ID, c.Attempt, c.Worker, c.Incarnation, m.now))
+}
+
+func (m *Machine) endAttempt(c EndAttempt) Result {
+	j, _ := m.jobs.Job(c.ID)
+	return jobResult(m.jobs.End(c.ID, c.Attempt, c.Outcome, m.mostAttempts(j.Entry), m.now))
+}
+
+// defaultMostAttempts bounds the jobs of an entry that was deleted.
+const defaultMostAttempts = 3
+
+func (m *Machine) mostAttempts(entry string) int {
+	if e, ok := m.catalogue.Entry(entry); ok {
+		return e.Limits().MostAttempts
+	}
+	return defaultMostAttempts
+}
+
+func (m *Machine) recordBurn(c RecordBurn) Result {
+	if m.sources == nil {
+		m.sources = make(map[string]Source)
+	}
+	if c.Sequence <= m.sources[c.Source].Sequence {
+		return Result{Outcome: Outcome{Repeated: true}}
+	}
+	m.sources[c.Source] = Source{Name: c.Source, Sequence: c.Sequence, Seen: m.now}
+	for _, count := range c.Counts {
+		m.burn.Record(count)
+	}
+	m.forgetOld()
+	return Result{}
+}
+
+func (m *Machine) forgetOld() {
+	if m.now.Sub(m.forgotten) < time.Hour {
+		return
+	}
+	m.forgotten = m.now
+	m.burn.Forget(m.now)
+	for name, s := range m.sources {
+		if m.now.Sub(s.Seen) >= burn.KeepFor {
+			delete(m.sources, name)
+		}
+	}
+}
+
+// Sources returns the last report of each entry instance, by name.
+func (m *Machine) Sources() []Source {
+	out := make([]Source, 0, len(m.sources))
+	for _, s := range m.sources {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Contents is the whole state in plain values, as a snapshot holds it.
+type Contents struct {
+	Now       time.Time
+	Revision  uint64
+	Entries   []catalogue.Entry
+	Deleted   []catalogue.DeletedVersion
+	Changes   []catalogue.Remembered
+	Workers   []worker.Worker
+	Jobs      []job.Job
+	NextJob   uint64
+	Claims    []claim.Claim
+	Burn      []burn.Count
+	Sources   []Source
+	Forgotten time.Time
+}
+
+// Contents returns the whole state.
+func (m *Machine) Contents() Contents {
+	return Contents{
+		Now:       m.now,
+		Revision:  m.revision,
+		Entries:   m.catalogue.Entries(),
+		Deleted:   m.catalogue.Versions(),
+		Changes:   m.catalogue.RememberedChanges(),
+		Workers:   m.workers.Workers(),
+		Jobs:      m.jobs.Stored(),
+		NextJob:   m.jobs.Next(),
+		Claims:    m.claims.Claims(),
+		Burn:      m.burn.Counts(),
+		Sources:   m.Sources(),
+		Forgotten: m.forgotten,
+	}
+}
+
+// Restore returns the machine that c describes.
+func Restore(c Contents) *Machine {
+	m := &Machine{now: c.Now, revision: c.Revision, forgotten: c.Forgotten, sources: make(map[string]Source)}
+	for _, d := range c.Deleted {
+		m.catalogue.RestoreVersion(d)
+	}
+	for _, e := range c.Entries {
+		m.catalogue.Put(e)
+	}
+	for _, r := range c.Changes {
+		m.catalogue.Remember(r)
+	}
+	for _, w := range c.Workers {
+		m.workers.Put(w)
+	}
+	for _, j := range c.Jobs {
+		m.jobs.Put(j)
+	}
+	m.jobs.SetNext(c.NextJob)
+	for _, k := range c.Claims {
+		m.claims.Put(k)
+	}
+	for _, b := range c.Burn {
+		m.burn.Record(b)
+	}
+	for _, s := range c.Sources {
+		m.sources[s.Name] = s
+	}
+	return m
+}
