--- a/fault/fault.go
+++ b/fault/fault.go
@@ -268,3 +268,13 @@
 	}
 	return From(err).Code()
 }
+
+// ParseRan returns the value of the word s; RanUnknown for any other.
+func ParseRan(s string) Ran {
+	for _, r := range []Ran{RanNo, RanYes} {
+		if r.String() == s {
+			return r
+		}
+	}
+	return RanUnknown
+}
--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -81,7 +81,7 @@
 	if err := Strict(data, &doc); err != nil {
 		return catalogue.Spec{}, fault.New(fault.BadDeclaration, "%s: %s", file, err)
 	}
-	spec := doc.spec()
+	spec := doc.Spec()
 	problems := spec.Validate()
 	if len(problems) == 0 {
 		return spec, nil
@@ -162,7 +162,8 @@
 	return fmt.Errorf("not JSON at byte %d: %s", e.ByteOffset, e.Err)
 }
 
-func (d Document) spec() catalogue.Spec {
+// Spec returns what the document declares. It does not validate.
+func (d Document) Spec() catalogue.Spec {
 	l := d.Limits
 	return catalogue.Spec{
 		Name:    d.Name,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -239,7 +239,7 @@
 func (c *checker) check(s *Settings) {
 	c.text("name", s.Name)
 	c.text("zone", s.Zone)
-	if len(s.Roles) == 0 {
+	if len(s.Roles) == 0 && s.Sample == nil {
 		c.add("roles", "missing, allowed are entry, controller and agent")
 	}
 	for i, r := range s.Roles {
@@ -263,7 +263,7 @@
 	if s.Sample != nil {
 		c.address("sample.address", s.Sample.Address)
 	}
-	if len(s.Controllers) == 0 {
+	if len(s.Controllers) == 0 && len(s.Roles) > 0 {
 		c.add("controllers", "missing, allowed is a list of the controllers' addresses")
 	}
 	for i, a := range s.Controllers {
