--- a/replica/step.go
+++ b/replica/step.go
@@ -329,6 +329,11 @@
 		return
 	}
 	r.hear(now, m.From)
+	if r.log.term(s.Index) == s.Term {
+		// The log has all that the snapshot includes. It may also have more,
+		// which the leader may count on, so the log stays.
+		r.commit = max(r.commit, s.Index)
+	}
 	if s.Index <= r.commit {
 		r.post(m.From, r.state.Term, AppendReply{Match: s.Index, Sent: s.Sent}, true)
 		return
