--- /dev/null
+++ b/catalogue/catalogue_test.go
@@ -0,0 +1,156 @@
+package catalogue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gentianrail/gentianrail/fault"
+)
+
+func testSpec(name string, version uint64, slots int) *Spec {
+	return &Spec{
+		Name: name, Owner: "workshop", Class: Service, Target: "sample", Version: version,
+		Limits: Limits{
+			Slots: slots, Connections: 8, RequestTimeout: time.Second, MostRunningTasks: 1,
+			Deadline: time.Second, MostAttempts: 1,
+		},
+		Objective: Objective{Ratio: 0.99, Latency: time.Second},
+	}
+}
+
+// changeStep is one change, what it gets, and what is in force after it as
+// "version/slots".
+type changeStep struct {
+	id      string
+	base    uint64
+	put     *Spec // nil to delete
+	code    fault.Code
+	inForce string
+}
+
+// TestChanges plays changes by racing and resending operators.
+func TestChanges(t *testing.T) {
+	const any = AnyVersion
+	for _, tc := range []struct {
+		name  string
+		steps []changeStep
+	}{
+		{"two operators declare the same version with other content", []changeStep{
+			{"a", any, testSpec("e", 1, 1), fault.OK, "1/1"},
+			{"b", any, testSpec("e", 2, 2), fault.OK, "2/2"},
+			{"c", any, testSpec("e", 2, 3), fault.VersionConflict, "2/2"},
+			{"d", any, testSpec("e", 2, 2), fault.OK, "2/2"},
+		}},
+		{"two operators change the same base version", []changeStep{
+			{"a", 0, testSpec("e", 0, 1), fault.OK, "1/1"},
+			{"b", 1, testSpec("e", 0, 2), fault.OK, "2/2"},
+			{"c", 1, testSpec("e", 0, 3), fault.VersionConflict, "2/2"},
+			{"d", 2, testSpec("e", 0, 3), fault.OK, "3/3"},
+		}},
+		{"a change resent after its answer was lost gets the first answer", []changeStep{
+			{"a", any, testSpec("e", 0, 1), fault.OK, "1/1"},
+			{"a", any, testSpec("e", 0, 1), fault.OK, "1/1"},
+			{"b", any, testSpec("e", 0, 2), fault.OK, "2/2"},
+			{"a", any, testSpec("e", 0, 1), fault.OK, "2/2"},
+		}},
+		{"an old declaration does not come back after a delete", []changeStep{
+			{"a", any, testSpec("e", 3, 1), fault.OK, "3/1"},
+			{"b", 3, nil, fault.OK, "none"},
+			{"c", any, testSpec("e", 3, 1), fault.VersionConflict, "none"},
+			{"d", any, testSpec("e", 4, 1), fault.OK, "4/1"},
+		}},
+		{"a delete of another version is refused", []changeStep{
+			{"a", any, testSpec("e", 1, 1), fault.OK, "1/1"},
+			{"b", 7, nil, fault.VersionConflict, "1/1"},
+			{"b", any, nil, fault.OK, "none"},
+			{"b", any, nil, fault.OK, "none"},
+			{"c", any, nil, fault.EntryNotFound, "none"},
+		}},
+		{"a bad declaration changes nothing", []changeStep{
+			{"a", any, testSpec("e", 1, 1), fault.OK, "1/1"},
+			{"b", any, testSpec("e", 2, 0), fault.BadDeclaration, "1/1"},
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var c Catalogue
+			for i, s := range tc.steps {
+				_, err := c.Apply(Change{ID: s.id, Base: s.base, Name: "e", Put: s.put, At: time.Unix(int64(i), 0)}, uint64(i+1))
+				if fault.CodeOf(err) != s.code {
+					t.Fatalf("step %d: error %v, want code %d", i, err, s.code)
+				}
+				// A snapshot between any two changes changes nothing.
+				c = copyOf(&c)
+				if got := inForce(&c); got != s.inForce {
+					t.Fatalf("step %d: %s in force, want %s", i, got, s.inForce)
+				}
+			}
+		})
+	}
+}
+
+func inForce(c *Catalogue) string {
+	e, ok := c.Entry("e")
+	if !ok {
+		return "none"
+	}
+	return fmt.Sprintf("%d/%d", e.Version(), e.Limits().Slots)
+}
+
+func copyOf(c *Catalogue) Catalogue {
+	var out Catalogue
+	for _, d := range c.Versions() {
+		out.RestoreVersion(d)
+	}
+	for _, e := range c.Entries() {
+		out.Put(e)
+	}
+	for _, r := range c.RememberedChanges() {
+		out.Remember(r)
+	}
+	return out
+}
+
+func TestDryRunChangesNothing(t *testing.T) {
+	var c Catalogue
+	got, err := c.Apply(Change{ID: "a", Base: AnyVersion, Name: "e", Put: testSpec("e", 1, 1), DryRun: true}, 1)
+	if err != nil || got.Entry.Version() != 1 {
+		t.Errorf("got %v, %v", got, err)
+	}
+	if c.Len() != 0 || len(c.RememberedChanges()) != 0 {
+		t.Error("a dry run left something behind")
+	}
+}
+
+func TestChangesAreForgotten(t *testing.T) {
+	var c Catalogue
+	for i := range 3 {
+		at := time.Unix(0, 0).Add(time.Duration(i) * ChangeMemory * 2 / 3)
+		if _, err := c.Apply(Change{ID: fmt.Sprint(i), Base: AnyVersion, Name: "e", Put: testSpec("e", 0, i+1), At: at}, uint64(i+1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := len(c.RememberedChanges()); got != 2 {
+		t.Errorf("%d changes are remembered, want 2", got)
+	}
+}
+
+func TestIdempotent(t *testing.T) {
+	e := Restore(Spec{IdempotentMethods: []string{"PUT"}, IdempotentPaths: []string{"/price/*"}}, 1, 1)
+	for _, tc := range []struct {
+		method, path string
+		want         bool
+	}{
+		{"GET", "/confirm", true},
+		{"HEAD", "/confirm", true},
+		{"PUT", "/confirm", true},
+		{"DELETE", "/confirm", false},
+		{"POST", "/confirm", false},
+		{"POST", "/price/1", true},
+		{"POST", "/price/1/2", false},
+	} {
+		if got := e.Idempotent(tc.method, tc.path); got != tc.want {
+			t.Errorf("%s %s: %v, want %v", tc.method, tc.path, got, tc.want)
+		}
+	}
+}
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -281,10 +281,9 @@
 	if err != nil {
 		return err
 	}
-	if err := s.files.Rename(_temporary+file, file); err != nil {
-		return err
-	}
-	return s.files.SyncFolder()
+	// The folder is synced with the new segment; until then the old files
+	// still hold everything.
+	return s.files.Rename(_temporary+file, file)
 }
 
 // removeOld deletes files that the newest snapshot and segment replace. A
--- /dev/null
+++ b/state/machine_test.go
@@ -0,0 +1,321 @@
+package state_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/gentianrail/gentianrail/burn"
+	"github.com/gentianrail/gentianrail/catalogue"
+	"github.com/gentianrail/gentianrail/claim"
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/job"
+	"github.com/gentianrail/gentianrail/state"
+	"github.com/gentianrail/gentianrail/worker"
+)
+
+const fuzzSeed = 20260702
+
+func spec(name string, class catalogue.Class, slots int) catalogue.Spec {
+	return catalogue.Spec{
+		Name: name, Owner: "workshop", Class: class, Target: "sample",
+		Limits: catalogue.Limits{
+			Slots: slots, Connections: 8, RequestTimeout: time.Second, MostRunningTasks: 4,
+			Deadline: time.Hour, MostAttempts: 3,
+		},
+		Objective: catalogue.Objective{Ratio: 0.99, Latency: time.Second},
+	}
+}
+
+// world is a machine with an oracle beside it that only counts.
+type world struct {
+	m       *state.Machine
+	rnd     *rand.Rand
+	now     time.Time
+	index   uint64
+	runs    map[string]int    // runs of each request, by key
+	answers map[string]string // first answer of each key
+	tokens  map[string]string // token that may run each key
+	live    map[string]uint32 // attempt that runs of each job
+	results map[string]string
+	highest map[string]uint64 // highest version seen of each entry
+	fault   string
+}
+
+func newWorld(seed uint64) *world {
+	return &world{
+		m: &state.Machine{}, rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0).UTC(),
+		runs: make(map[string]int), answers: make(map[string]string), tokens: make(map[string]string),
+		live: make(map[string]uint32), results: make(map[string]string), highest: make(map[string]uint64),
+	}
+}
+
+func (w *world) failf(format string, args ...any) {
+	if w.fault == "" {
+		w.fault = fmt.Sprintf(format, args...)
+	}
+}
+
+// apply carries a command through the codec, as the log does.
+func (w *world) apply(c state.Command) state.Outcome {
+	data, err := wire.MarshalCommand(c)
+	if err != nil {
+		w.failf("encode %T: %v", c, err)
+	}
+	decoded, err := wire.UnmarshalCommand(data)
+	if err != nil {
+		w.failf("decode %T: %v", c, err)
+		return state.Outcome{}
+	}
+	w.index++
+	return w.m.Apply(w.index, w.now, decoded).Outcome
+}
+
+func (w *world) step(n uint16) {
+	w.now = w.now.Add(time.Duration(n%50) * 100 * time.Millisecond)
+	if n%500 == 0 {
+		w.now = w.now.Add(-time.Hour) // a leader whose clock is behind
+	}
+	pick := int(n >> 4)
+	switch n % 16 {
+	case 0, 1, 2, 3:
+		w.request(fmt.Sprintf("k%d", pick%6))
+	case 4:
+		w.lateFinish(fmt.Sprintf("k%d", pick%6))
+	case 5:
+		w.put(pick)
+	case 6:
+		name := fmt.Sprintf("e%d", pick%3)
+		w.apply(state.DeleteEntry{Name: name, Base: catalogue.AnyVersion, ChangeID: fmt.Sprint("d", w.index)})
+	case 7, 8:
+		w.apply(state.SubmitJob{Job: job.Job{ID: fmt.Sprint("j", w.index), Entry: "plans", Key: fmt.Sprint("jk", pick%20)}})
+	case 9, 10:
+		w.place(pick)
+	case 11, 12:
+		w.endJob(pick)
+	case 13:
+		w.register(pick)
+	case 14:
+		if jobs := w.m.Jobs().Jobs(); len(jobs) > 0 {
+			w.apply(state.CancelJob{ID: jobs[pick%len(jobs)].ID})
+		}
+	case 15:
+		w.apply(state.RecordBurn{Source: "entry_1", Sequence: uint64(pick), Counts: []burn.Count{{Entry: "e1", Minute: 5, Good: 1}}})
+	}
+}
+
+// request is an agent's way with one claimed request. It may die at any step,
+// and it may send any command twice.
+func (w *world) request(key string) {
+	token := fmt.Sprint("t", w.index)
+	begin := state.BeginClaim{Claim: claim.Claim{Entry: "e1", Key: key, Fingerprint: 7, Token: token}, Remaining: time.Second}
+	o := w.apply(begin)
+	if w.rnd.IntN(3) == 0 {
+		o = w.apply(begin)
+	}
+	if o.Err != nil {
+		return
+	}
+	if o.Claim.State == claim.Finished {
+		if got := string(o.Claim.Answer.Body); got != w.answers[key] {
+			w.failf("%s was answered %q, the first answer was %q", key, got, w.answers[key])
+		}
+		return
+	}
+	w.tokens[key] = token
+	switch w.rnd.IntN(4) {
+	case 0: // refused by the target; truly not run
+		w.apply(state.ReleaseClaim{Entry: "e1", Key: key, Token: token})
+		return
+	case 1: // dies before it runs
+		return
+	}
+	w.runs[key]++
+	if w.runs[key] > 1 {
+		w.failf("%s ran %d times", key, w.runs[key])
+	}
+	if w.rnd.IntN(3) == 0 {
+		return // dies after it ran
+	}
+	w.finish(key, token)
+}
+
+func (w *world) finish(key, token string) {
+	answer := claim.Answer{Status: 200, Body: []byte(token), Whole: true}
+	if o := w.apply(state.FinishClaim{Entry: "e1", Key: key, Token: token, Answer: answer}); o.Err == nil && w.answers[key] == "" {
+		w.answers[key] = token
+	}
+}
+
+// lateFinish records the answer of a run whose agent had seemed dead.
+func (w *world) lateFinish(key string) {
+	if token := w.tokens[key]; token != "" && w.runs[key] == 1 {
+		w.finish(key, token)
+	}
+}
+
+func (w *world) put(pick int) {
+	s := spec(fmt.Sprintf("e%d", pick%3), catalogue.Service, 1+pick%5)
+	s.Version = uint64(pick % 7)
+	cmd := state.PutEntry{Spec: s, Base: catalogue.AnyVersion, ChangeID: fmt.Sprint("c", pick%40)}
+	o := w.apply(cmd)
+	if o.Err != nil || o.Entry == nil {
+		return
+	}
+	if v := o.Entry.Version(); v < w.highest[s.Name] && !o.Repeated {
+		w.failf("%s went from version %d back to %d", s.Name, w.highest[s.Name], v)
+	}
+	if current, ok := w.m.Catalogue().Entry(s.Name); ok {
+		if current.Version() < w.highest[s.Name] {
+			w.failf("%s reverted to version %d", s.Name, current.Version())
+		}
+		w.highest[s.Name] = max(w.highest[s.Name], current.Version())
+	}
+}
+
+func (w *world) register(pick int) {
+	id := fmt.Sprintf("w%d", pick%3)
+	incarnation := uint64(1 + pick/3%5)
+	old, known := w.m.Workers().Worker(id)
+	o := w.apply(state.RegisterWorker{Worker: worker.Worker{ID: id, Incarnation: incarnation, Targets: []string{"sample"}}})
+	if known && incarnation < old.Incarnation && o.Err == nil {
+		w.failf("%s: incarnation %d replaced %d", id, incarnation, old.Incarnation)
+	}
+	if known && incarnation > old.Incarnation {
+		for _, j := range w.m.Jobs().Jobs() {
+			if j.State != job.Running {
+				delete(w.live, j.ID)
+			}
+		}
+	}
+}
+
+func (w *world) place(pick int) {
+	workers, queued := w.m.Workers().Workers(), w.m.Jobs().Queued()
+	if len(workers) == 0 || len(queued) == 0 {
+		return
+	}
+	wk, j := workers[pick%len(workers)], queued[pick%len(queued)]
+	cmd := state.PlaceJob{ID: j.ID, Attempt: j.Attempt + 1, Worker: wk.ID, Incarnation: wk.Incarnation}
+	for range 1 + pick%2 {
+		o := w.apply(cmd)
+		if o.Err != nil {
+			continue
+		}
+		if w.live[j.ID] != 0 {
+			w.failf("%s runs as attempt %d and %d", j.ID, w.live[j.ID], cmd.Attempt)
+		}
+		w.live[j.ID] = cmd.Attempt
+	}
+}
+
+func (w *world) endJob(pick int) {
+	running := w.m.Jobs().Running()
+	if len(running) == 0 {
+		return
+	}
+	j := running[pick%len(running)]
+	outcomes := []job.Outcome{
+		job.Finished{Status: 200, Result: []byte(fmt.Sprint(j.ID, "/", j.Attempt))},
+		job.AttemptFailed{Reason: "failed"}, job.Evicted{Checkpoint: []byte("c")}, job.Lost{}, job.Stopped{},
+	}
+	attempt := j.Attempt - uint32(pick/8%2) // now and then an old attempt
+	o := w.apply(state.EndAttempt{ID: j.ID, Attempt: attempt, Outcome: outcomes[pick%len(outcomes)]})
+	if attempt != j.Attempt && o.Err == nil {
+		w.failf("%s: attempt %d ended while %d ran", j.ID, attempt, j.Attempt)
+	}
+	if o.Err != nil {
+		return
+	}
+	delete(w.live, j.ID)
+	if o.Job.State != job.Done {
+		return
+	}
+	if _, ok := w.results[j.ID]; ok {
+		w.failf("%s has two results", j.ID)
+	}
+	w.results[j.ID] = string(o.Job.Result)
+}
+
+func (w *world) snapshot() []byte {
+	data, err := wire.MarshalState(w.m.Contents())
+	if err != nil {
+		w.failf("encode the state: %v", err)
+	}
+	return data
+}
+
+func play(seed uint64, ops []uint16) string {
+	w := newWorld(seed)
+	w.apply(state.PutEntry{Spec: spec("plans", catalogue.Batch, 1), Base: catalogue.AnyVersion})
+	for _, n := range ops {
+		w.step(n)
+		if w.fault != "" {
+			return w.fault
+		}
+	}
+	return ""
+}
+
+// TestMachineAgainstOracle plays requests, jobs, workers and declarations with
+// deaths, resends and clocks that go back.
+func TestMachineAgainstOracle(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(fuzzSeed)
+	params.MinSuccessfulTests = 400
+	props := gopter.NewProperties(params)
+	props.Property("at most once, one attempt, no revert", prop.ForAll(play, gen.UInt64(), gen.SliceOfN(250, gen.UInt16())))
+	props.TestingRun(t)
+}
+
+// TestSnapshotContinues checks that a machine restored from a snapshot goes on
+// exactly as the one that it was taken from.
+func TestSnapshotContinues(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(fuzzSeed + 1)
+	params.MinSuccessfulTests = 100
+	props := gopter.NewProperties(params)
+	props.Property("same state", prop.ForAll(func(seed uint64, before, after []uint16) string {
+		w := newWorld(seed)
+		w.apply(state.PutEntry{Spec: spec("plans", catalogue.Batch, 1), Base: catalogue.AnyVersion})
+		for _, n := range before {
+			w.step(n)
+		}
+		contents, err := wire.UnmarshalState(w.snapshot())
+		if err != nil {
+			return err.Error()
+		}
+		original, restored := w.m, state.Restore(contents)
+		for i, n := range after {
+			at := w.now.Add(time.Duration(n) * time.Second)
+			cmd := state.SubmitJob{Job: job.Job{ID: fmt.Sprint("s", i), Entry: "plans", Key: fmt.Sprint("jk", n%20)}}
+			a, b := original.Apply(w.index+uint64(i), at, cmd), restored.Apply(w.index+uint64(i), at, cmd)
+			if fault.CodeOf(a.Outcome.Err) != fault.CodeOf(b.Outcome.Err) {
+				return fmt.Sprintf("step %d: %v and %v", i, a.Outcome.Err, b.Outcome.Err)
+			}
+		}
+		w.m = original
+		want := w.snapshot()
+		w.m = restored
+		if !bytes.Equal(want, w.snapshot()) {
+			return "the states differ"
+		}
+		return w.fault
+	}, gen.UInt64(), gen.SliceOfN(150, gen.UInt16()), gen.SliceOfN(60, gen.UInt16())))
+	props.TestingRun(t)
+}
+
+func TestLogTimeNeverGoesBack(t *testing.T) {
+	m := &state.Machine{}
+	late, early := time.Unix(2000, 0), time.Unix(1000, 0)
+	m.Apply(1, late, state.CancelJob{ID: "none"})
+	m.Apply(2, early, state.CancelJob{ID: "none"})
+	if !m.Now().Equal(late) {
+		t.Errorf("the log time is %s, want %s", m.Now(), late)
+	}
+}
