Let work in at once when others wait that do not fit

Cause: the fuzzing of the gate showed work that waits although it fits: an offer was queued whenever anything waited, also behind work that its own entry's limit held back. Change: an offer that fits is let in; nothing that waits can fit by then. Six hand-made bugs (ignore own slots, admit after the deadline, miscount the queue, miscount a release, ignore the closed gate, queue what fits) turn a test red. Conclusion: fixed.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -110,7 +110,8 @@
 	if !now.Before(t.Deadline) {
 		return Refused, fault.New(fault.QueueTimeout, "the deadline had passed before the worker took the work")
 	}
-	if len(g.waiting) == 0 && g.fits(t) {
+	// Nothing that waits fits, or it would have been let in by now.
+	if g.fits(t) {
 		g.admit(t)
 		return Admitted, nil
 	}
