Hold the caller API to a contract against a target that misbehaves

Cause: the path from caller to target had only been tried by hand. Change: a table of 25 exchanges (keys, limits, hang-ups, hangs, refusals) with what the caller is told and how often the target ran; late answers, cut answers, overload, pass-through of bodies and headers, watches that break off. One fault seen while writing was the test target's own (a server drops the rest of a request once its answer begins).

--- /dev/null
+++ b/internal/daemon/contract_test.go
@@ -0,0 +1,366 @@
+package daemon
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/internal/settings"
+	"github.com/gentianrail/gentianrail/platform"
+)
+
+// faulty is a target whose paths misbehave each in their own way.
+type faulty struct {
+	server  *httptest.Server
+	runs    sync.Map // *atomic.Int64 by path
+	release chan struct{}
+}
+
+func startFaulty(t *testing.T, address string) *faulty {
+	t.Helper()
+	f := &faulty{release: make(chan struct{})}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.server = &httptest.Server{Listener: l, Config: &http.Server{Handler: http.HandlerFunc(f.serve)}}
+	f.server.Start()
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *faulty) ran(path string) int64 {
+	n, _ := f.runs.LoadOrStore(path, new(atomic.Int64))
+	return n.(*atomic.Int64).Load()
+}
+
+func (f *faulty) serve(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, platform.Prefix) {
+		fmt.Fprint(w, `{"clock_ms": 1000}`)
+		return
+	}
+	n, _ := f.runs.LoadOrStore(r.URL.Path, new(atomic.Int64))
+	run := n.(*atomic.Int64).Add(1)
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/close"):
+		hangUp(w)
+	case strings.HasPrefix(r.URL.Path, "/hang"):
+		<-f.release
+		fmt.Fprintf(w, "late run %d", run)
+	case r.URL.Path == "/short":
+		w.Header().Set("Content-Length", "100000")
+		fmt.Fprint(w, strings.Repeat("x", 40000))
+		hangUp(w)
+	case r.URL.Path == "/chunked_cut":
+		fmt.Fprint(w, strings.Repeat("x", 40000))
+		_ = http.NewResponseController(w).Flush()
+		hangUp(w)
+	case r.URL.Path == "/empty":
+		w.WriteHeader(http.StatusNoContent)
+	case r.URL.Path == "/fail":
+		http.Error(w, "broken", http.StatusInternalServerError)
+	case strings.HasPrefix(r.URL.Path, "/events"):
+		f.events(w, r)
+	case strings.HasPrefix(r.URL.Path, "/echo"):
+		w.Header().Set("X-Seen", r.Header.Get("X-Caller")+"|"+r.Header.Get("Connection")+"|"+r.Host+"|"+r.URL.RequestURI())
+		// The server drops what is left of a request once its answer begins.
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	default:
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "run %d %s", run, body)
+	}
+}
+
+func hangUp(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = c.Close()
+	}
+}
+
+// events sends three events after the caller's last one and then breaks off
+// in the middle of a fourth.
+func (f *faulty) events(w http.ResponseWriter, r *http.Request) {
+	var last int
+	_, _ = fmt.Sscan(r.Header.Get("Last-Event-ID"), &last)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := last + 1; n <= last+3; n++ {
+		fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", n, n)
+	}
+	fmt.Fprintf(w, "id: %d\nda", last+4)
+	_ = http.NewResponseController(w).Flush()
+	hangUp(w)
+}
+
+const _contractEntries = `{"name": "quotes", "owner": "workshop", "class": "service", "target": "sample",
+	"limits": {"slots": 4, "queue": 0, "request_timeout": "1s", "body_size": "8MiB"}, "objective": {"ratio": 0.99, "latency": "1s"}}
+{"name": "keyed", "owner": "workshop", "class": "service", "target": "sample", "key_required": true,
+	"limits": {"body_size": "1KiB"}, "objective": {"ratio": 0.99, "latency": "1s"}}
+{"name": "narrow", "owner": "workshop", "class": "service", "target": "sample",
+	"limits": {"slots": 1, "queue": 0, "request_timeout": "1s"}, "objective": {"ratio": 0.99, "latency": "1s"}}
+{"name": "stock", "owner": "workshop", "class": "watch", "target": "sample", "objective": {"ratio": 0.99, "latency": "1s"}}`
+
+// startContract starts controller, agent and entry in front of a faulty
+// target, and declares the entries.
+func startContract(t *testing.T, firstPort int) (caller string, target *faulty) {
+	t.Helper()
+	address := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", firstPort+n) }
+	target = startFaulty(t, address(4))
+	file := filepath.Join(t.TempDir(), "settings.json")
+	text := fmt.Sprintf(`{"name": "single", "zone": "zone_a", "roles": ["controller", "agent", "entry"],
+		"controller": {"id": "c1", "address": %q, "operator_address": %q, "data_folder": "data"},
+		"entry": {"address": %q}, "agent": {"id": "w1", "address": %q, "target_address": %q, "targets": ["sample"],
+		"slots": 16, "connections": 64, "cpu": "4", "memory": "4GiB"}}`, address(0), address(1), address(2), address(3), address(4))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := settings.Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := Start(&s, event.Log{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = d.Stop(t.Context()) })
+	t.Cleanup(func() { close(target.release) })
+	for _, doc := range strings.Split(_contractEntries, "\n{") {
+		doc = "{" + strings.TrimPrefix(doc, "{")
+		name := strings.Split(doc, `"`)[3]
+		eventually(t, "declare "+name, func() error {
+			req, err := http.NewRequest(http.MethodPut, "http://"+address(1)+"/v1/catalogue/entries/"+name, strings.NewReader(doc))
+			if err != nil {
+				return err
+			}
+			return expectOK(http.DefaultClient.Do(req))
+		})
+	}
+	caller = "http://" + address(2)
+	waitAnswer(t, caller+"/v1/services/narrow/ready")
+	waitAnswer(t, caller+"/v1/services/keyed/ready")
+	return caller, target
+}
+
+// exchange is one request of a table and what it gets.
+type exchange struct {
+	name   string
+	method string
+	path   string
+	key    string
+	body   string
+	status int
+	code   string // of the system's own answer; empty for the target's
+	ran    string
+	want   string // body of the target's answer
+	runs   int64  // of the path at the target, afterwards
+}
+
+func send(t *testing.T, caller string, x exchange) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), x.method, caller+x.path, strings.NewReader(x.body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if x.key != "" {
+		req.Header.Set("Idempotency-Key", x.key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// TestCallerContract is the table of what callers are told. The requests run
+// in order against one target.
+func TestCallerContract(t *testing.T) {
+	caller, target := startContract(t, 18720)
+	const quotes, keyed = "/v1/services/quotes", "/v1/services/keyed"
+	for _, x := range []exchange{
+		{"a request", "GET", quotes + "/a", "", "", 200, "", "", "run 1 ", 1},
+		{"a body", "POST", quotes + "/b", "", "x", 200, "", "", "run 1 x", 1},
+		{"the same without a key runs again", "POST", quotes + "/b", "", "x", 200, "", "", "run 2 x", 2},
+		{"a key", "POST", quotes + "/c", "k1", "x", 200, "", "", "run 1 x", 1},
+		{"a resend of the key", "POST", quotes + "/c", `"k1"`, "x", 200, "", "", "run 1 x", 1},
+		{"another body with the key", "POST", quotes + "/c", "k1", "y", 422, "1302", "no", "", 1},
+		{"another path with the key", "POST", quotes + "/d", "k1", "x", 422, "1302", "no", "", 0},
+		{"the key at another entry", "POST", keyed + "/c", "k1", "x", 200, "", "", "run 2 x", 2},
+		{"a bad key", "POST", quotes + "/e", `"`, "x", 400, "1306", "no", "", 0},
+		{"no key where one is required", "POST", keyed + "/e", "", "x", 400, "1301", "no", "", 0},
+		{"an idempotent request needs none", "GET", keyed + "/f", "", "", 200, "", "", "run 1 ", 1},
+		{"an unknown entry", "GET", "/v1/services/none/a", "", "", 404, "1103", "no", "", 1},
+		{"a watch as a service", "GET", "/v1/services/stock/a", "", "", 400, "1105", "no", "", 1},
+		{"an unknown path", "GET", "/v2/none", "", "", 404, "1211", "no", "", 0},
+		{"a body over the limit", "POST", keyed + "/g", "k2", strings.Repeat("x", 1025), 413, "1206", "no", "", 0},
+		{"a body at the limit", "POST", keyed + "/g", "k2", strings.Repeat("x", 1024), 200, "", "", "run 1 " + strings.Repeat("x", 1024), 1},
+		{"the target's own failure", "GET", quotes + "/fail", "", "", 500, "", "", "broken\n", 1},
+		{"an answer without a body", "GET", quotes + "/empty", "", "", 204, "", "", "", 1},
+		{"only the head", "HEAD", quotes + "/a", "", "", 200, "", "", "", 2},
+		{"the target hangs up on a request that must not run twice", "POST", quotes + "/close1", "", "x", 502, "1207", "unknown", "", 1},
+		{"the same without a body", "POST", quotes + "/close2", "", "", 502, "1207", "unknown", "", 1},
+		{"the same with a key", "POST", quotes + "/close3", "k3", "x", 502, "1207", "unknown", "", 1},
+		{"the same with a key and without a body", "POST", quotes + "/close4", "k4", "", 502, "1207", "unknown", "", 1},
+		{"a resend while the first may run", "POST", quotes + "/close3", "k3", "x", 409, "1303", "unknown", "", 1},
+		{"the target hangs", "POST", quotes + "/hang", "k5", "x", 504, "1205", "unknown", "", 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			resp, body, err := send(t, caller, x)
+			if err != nil {
+				t.Fatal(err)
+			}
+			code, ran := resp.Header.Get("Gentianrail-Code"), resp.Header.Get("Gentianrail-Ran")
+			if resp.StatusCode != x.status || code != x.code || ran != x.ran {
+				t.Errorf("got %d, code %q, ran %q (%s); want %d, %q, %q", resp.StatusCode, code, ran, body, x.status, x.code, x.ran)
+			}
+			if x.code == "" && body != x.want {
+				t.Errorf("got body %.60q, want %.60q", body, x.want)
+			}
+			parts := strings.SplitN(x.path, "/", 5)
+			if runs := target.ran("/" + parts[len(parts)-1]); runs != x.runs {
+				t.Errorf("it has run %d times, want %d", runs, x.runs)
+			}
+		})
+	}
+}
+
+// TestLateAnswerIsKept checks that an answer which came after its caller's
+// deadline is what a resend gets.
+func TestLateAnswerIsKept(t *testing.T) {
+	caller, target := startContract(t, 18730)
+	x := exchange{method: "POST", path: "/v1/services/quotes/hang", key: "k", body: "x"}
+	resp, _, err := send(t, caller, x)
+	if err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	target.release <- struct{}{}
+	eventually(t, "the first answer", func() error {
+		resp, body, err := send(t, caller, x)
+		if err != nil || resp.StatusCode != http.StatusOK || body != "late run 1" {
+			return fmt.Errorf("got %v %q, %v", resp, body, err)
+		}
+		return nil
+	})
+	if runs := target.ran("/hang"); runs != 1 {
+		t.Errorf("it has run %d times, want 1", runs)
+	}
+}
+
+// TestCutAnswer checks that a caller notices an answer that is not whole.
+func TestCutAnswer(t *testing.T) {
+	caller, _ := startContract(t, 18740)
+	for _, path := range []string{"/short", "/chunked_cut"} {
+		_, body, err := send(t, caller, exchange{method: "GET", path: "/v1/services/quotes" + path})
+		if err == nil {
+			t.Errorf("%s: %d bytes of an answer that was cut off were taken for the whole", path, len(body))
+		}
+	}
+}
+
+// TestOverload checks that work beyond the slots is refused without running.
+func TestOverload(t *testing.T) {
+	caller, target := startContract(t, 18750)
+	first := make(chan error, 1)
+	go func() {
+		_, _, err := send(t, caller, exchange{method: "POST", path: "/v1/services/narrow/hang", key: "k1"})
+		first <- err
+	}()
+	eventually(t, "the first request", func() error {
+		if target.ran("/hang") == 0 {
+			return fmt.Errorf("it does not run yet")
+		}
+		return nil
+	})
+	resp, body, err := send(t, caller, exchange{method: "POST", path: "/v1/services/narrow/x", key: "k2"})
+	if err != nil || resp.Header.Get("Gentianrail-Code") != "1203" || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("got %v %s, %v", resp, body, err)
+	}
+	if resp.Header.Get("Gentianrail-Ran") != "no" || target.ran("/x") != 0 {
+		t.Errorf("a refused request ran %d times", target.ran("/x"))
+	}
+	// The slot is held until the target is done, whatever the caller was told.
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+	resp, _, err = send(t, caller, exchange{method: "POST", path: "/v1/services/narrow/x", key: "k2"})
+	if err != nil || resp.Header.Get("Gentianrail-Code") != "1203" {
+		t.Errorf("a slot was given away while the target was busy: %v, %v", resp, err)
+	}
+	target.release <- struct{}{}
+	eventually(t, "the refused request", func() error {
+		resp, body, err := send(t, caller, exchange{method: "POST", path: "/v1/services/narrow/x", key: "k2"})
+		if err != nil || resp.StatusCode != http.StatusOK || body != "run 1 " {
+			return fmt.Errorf("got %v %q, %v", resp, body, err)
+		}
+		return nil
+	})
+}
+
+// TestPassThrough checks that requests and answers pass as they are.
+func TestPassThrough(t *testing.T) {
+	caller, _ := startContract(t, 18760)
+	for _, size := range []int{0, 1, 32 << 10, 64 << 10, 64<<10 + 1, 5 << 20} {
+		body := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
+		req, err := http.NewRequest(http.MethodPost, caller+"/v1/services/quotes/echo//a%2Fb?q=%20&r", bytes.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "quotes.example"
+		req.Header.Set("X-Caller", "c")
+		req.Header.Set("Connection", "X-Secret")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || !bytes.Equal(got, body) {
+			t.Errorf("%d bytes sent, %d came back, %v", size, len(got), err)
+		}
+		if seen := resp.Header.Get("X-Seen"); seen != "c||quotes.example|/echo//a%2Fb?q=%20&r" {
+			t.Errorf("the target saw %q", seen)
+		}
+	}
+}
+
+// TestWatchResumes checks that a watch goes on after its target breaks off,
+// without losing, doubling or tearing an event.
+func TestWatchResumes(t *testing.T) {
+	caller, _ := startContract(t, 18770)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, caller+"/v1/watches/stock/events", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Last-Event-ID", "5")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	var got []string
+	for len(got) < 20 && lines.Scan() {
+		if line := lines.Text(); line != "" && line[0] != ':' {
+			got = append(got, line)
+		}
+	}
+	for i := range 10 {
+		id, data := fmt.Sprintf("id: %d", 6+i), fmt.Sprintf("data: e%d", 6+i)
+		if got[2*i] != id || got[2*i+1] != data {
+			t.Fatalf("event %d is %q, want %q and %q", i, got[2*i:2*i+2], id, data)
+		}
+	}
+}
