Test reused connections, replays and cut bodies at the target

Cause: three hand-made bugs (repeat on a reused connection, leak a slot on a replay, take part of a body for the whole) had stayed green. Change: an exchange that leaves a connection open before the hang-up; twenty replays at one slot; a chunked upload that is cut off.

--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -25,6 +25,7 @@
 	server  *httptest.Server
 	runs    sync.Map // *atomic.Int64 by path
 	release chan struct{}
+	torn    atomic.Int64 // requests whose body was seen to be cut off
 }
 
 func startFaulty(t *testing.T, address string) *faulty {
@@ -78,7 +79,11 @@
 		body, _ := io.ReadAll(r.Body)
 		_, _ = w.Write(body)
 	default:
-		body, _ := io.ReadAll(r.Body)
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			f.torn.Add(1)
+			return
+		}
 		fmt.Fprintf(w, "run %d %s", run, body)
 	}
 }
@@ -136,21 +141,26 @@
 	}
 	t.Cleanup(func() { _ = d.Stop(t.Context()) })
 	t.Cleanup(func() { close(target.release) })
+	declareContract(t, "http://"+address(1))
+	caller = "http://" + address(2)
+	waitAnswer(t, caller+"/v1/services/narrow/ready")
+	waitAnswer(t, caller+"/v1/services/keyed/ready")
+	return caller, target
+}
+
+func declareContract(t *testing.T, operator string) {
+	t.Helper()
 	for _, doc := range strings.Split(_contractEntries, "\n{") {
 		doc = "{" + strings.TrimPrefix(doc, "{")
 		name := strings.Split(doc, `"`)[3]
 		eventually(t, "declare "+name, func() error {
-			req, err := http.NewRequest(http.MethodPut, "http://"+address(1)+"/v1/catalogue/entries/"+name, strings.NewReader(doc))
+			req, err := http.NewRequest(http.MethodPut, operator+"/v1/catalogue/entries/"+name, strings.NewReader(doc))
 			if err != nil {
 				return err
 			}
 			return expectOK(http.DefaultClient.Do(req))
 		})
 	}
-	caller = "http://" + address(2)
-	waitAnswer(t, caller+"/v1/services/narrow/ready")
-	waitAnswer(t, caller+"/v1/services/keyed/ready")
-	return caller, target
 }
 
 // exchange is one request of a table and what it gets.
@@ -213,6 +223,7 @@
 		{"the target hangs up on a request that must not run twice", "POST", quotes + "/close1", "", "x", 502, "1207", "unknown", "", 1},
 		{"the same without a body", "POST", quotes + "/close2", "", "", 502, "1207", "unknown", "", 1},
 		{"the same with a key", "POST", quotes + "/close3", "k3", "x", 502, "1207", "unknown", "", 1},
+		{"a request that leaves a connection open", "GET", quotes + "/b", "", "", 200, "", "", "run 3 ", 3},
 		{"the same with a key and without a body", "POST", quotes + "/close4", "k4", "", 502, "1207", "unknown", "", 1},
 		{"a resend while the first may run", "POST", quotes + "/close3", "k3", "x", 409, "1303", "unknown", "", 1},
 		{"the target hangs", "POST", quotes + "/hang", "k5", "x", 504, "1205", "unknown", "", 1},
@@ -364,3 +375,47 @@
 		}
 	}
 }
+
+// TestReplaysHoldNoSlot checks that answering from the record takes nothing
+// from the target for good.
+func TestReplaysHoldNoSlot(t *testing.T) {
+	caller, target := startContract(t, 18780)
+	for range 20 {
+		resp, body, err := send(t, caller, exchange{method: "POST", path: "/v1/services/narrow/x", key: "k"})
+		if err != nil || resp.StatusCode != http.StatusOK || body != "run 1 " {
+			t.Fatalf("got %v %q, %v", resp, body, err)
+		}
+	}
+	if target.ran("/x") != 1 {
+		t.Errorf("it has run %d times, want 1", target.ran("/x"))
+	}
+}
+
+// TestCutBody checks that a target never takes part of a body for the whole.
+func TestCutBody(t *testing.T) {
+	caller, target := startContract(t, 18790)
+	c, err := net.Dial("tcp", strings.TrimPrefix(caller, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, "POST /v1/services/quotes/cut HTTP/1.1\r\nHost: q\r\nTransfer-Encoding: chunked\r\n\r\n")
+	chunk := strings.Repeat("x", 10000)
+	for range 10 {
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(chunk), chunk)
+	}
+	eventually(t, "the request at the target", func() error {
+		if target.ran("/cut") == 0 {
+			return fmt.Errorf("it does not run yet")
+		}
+		return nil
+	})
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the cut at the target", func() error {
+		if target.torn.Load() != 1 {
+			return fmt.Errorf("the target has not noticed it")
+		}
+		return nil
+	})
+}
