Run the README and the faults' worst pairs with real processes

Cause: the promises had not been tried with processes that are killed. Change: a test runs the README's own commands, alone and on the three-zone script; kills of one process and of pairs under keyed requests that are resent through both entry instances; kills of the leader under writes; planned stops of every process under load; a frozen leader. apply waits until the changes are in force at every entry instance, which report a new revision at once.

--- /dev/null
+++ b/e2e/faults_test.go
@@ -0,0 +1,324 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestThreeZones starts the example by its script and takes the README's
+// walk-through.
+func TestThreeZones(t *testing.T) {
+	dir := copyTree(t)
+	script := startGroup(t, dir, "examples/three-zones/start.sh", logFile(t))
+	waitReady(t, _entries[0]+"/readyz", _entries[1]+"/readyz", _operators[0]+"/readyz")
+	blocks := readBlocks(t, filepath.Join(dir, "README.md"))[2:]
+	for i := range blocks {
+		// Each target counts for itself, so the count depends on the choice.
+		blocks[i].output = regexp.MustCompile(`"run":\d+`).ReplaceAllString(blocks[i].output, `"run":…`)
+	}
+	walk(t, dir, blocks)
+	_ = script.interrupt(t)
+	if out, err := exec.Command("curl", "-s", "--max-time", "2", _entries[0]+"/healthz").Output(); err == nil {
+		t.Errorf("the processes outlive their script: %s", out)
+	}
+}
+
+// keyed sends requests with keys of their own, and each again until its
+// outcome is settled, through both entry instances in turn.
+type keyed struct {
+	mu       sync.Mutex
+	answered map[string]string // answer's body by key
+	unknown  int
+	faults   []string
+}
+
+func (k *keyed) run(key string, n int) {
+	var first string
+	for try := range 200 {
+		a := confirm(_entries[(n+try)%2], key)
+		if a.err == nil && a.status == http.StatusOK {
+			if first == "" {
+				first = a.body
+				k.note(key, first)
+				continue // once more, for the same answer
+			}
+			if a.body != first {
+				k.fault("%s was answered %q and then %q", key, first, a.body)
+			}
+			return
+		}
+		if first == "" && a.err == nil && strings.Contains(a.body, "key_outcome_unknown") {
+			k.mu.Lock()
+			k.unknown++
+			k.mu.Unlock()
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	k.fault("%s was not settled", key)
+}
+
+func (k *keyed) note(key, body string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.answered[key] = body
+}
+
+func (k *keyed) fault(format string, args ...any) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.faults = append(k.faults, fmt.Sprintf(format, args...))
+}
+
+// TestAtMostOnceUnderKills kills one process after the other, and the worst
+// pairs together, while requests that must not run twice are sent and resent
+// through both entry instances.
+func TestAtMostOnceUnderKills(t *testing.T) {
+	c := startCluster(t)
+	probes := 0
+	before := totalRuns(t, &probes)
+	k := &keyed{answered: make(map[string]string)}
+	var stop atomic.Bool
+	var senders sync.WaitGroup
+	var sent atomic.Int64
+	for s := range 8 {
+		senders.Go(func() {
+			for n := 0; !stop.Load(); n++ {
+				sent.Add(1)
+				k.run(fmt.Sprintf("key_%d_%d", s, n), n)
+			}
+		})
+	}
+	for _, names := range [][]string{
+		{"agent_1"}, {"entry_1"}, {c.leader()}, {"agent_2", "entry_2"}, {"leader", "agent_3"}, {"entry_1", "agent_1"},
+	} {
+		for i, name := range names {
+			if name == "leader" {
+				names[i] = c.leader()
+			}
+			c.kill(names[i])
+		}
+		time.Sleep(time.Second)
+		for _, name := range names {
+			c.start(name)
+		}
+		c.waitReady()
+	}
+	stop.Store(true)
+	senders.Wait()
+	ran := totalRuns(t, &probes) - before
+	for _, f := range k.faults {
+		t.Error(f)
+	}
+	answers := make(map[string]string)
+	if ran > int(sent.Load()) || ran < len(k.answered) {
+		t.Errorf("%d requests were sent, %d answered, and the targets ran %d", sent.Load(), len(k.answered), ran)
+	}
+	t.Logf("%d requests, %d answered, %d told unknown, %d runs", sent.Load(), len(k.answered), k.unknown, ran)
+	for key, body := range k.answered {
+		answers[body] = key
+	}
+	if len(answers) == 0 {
+		t.Error("nothing was answered")
+	}
+}
+
+// TestWritesSurviveLeaderKills kills the leader again and again while
+// declarations change, and checks that none that was acknowledged is lost.
+func TestWritesSurviveLeaderKills(t *testing.T) {
+	c := startCluster(t)
+	var acked atomic.Int64
+	var stop atomic.Bool
+	var writer sync.WaitGroup
+	var gaps []time.Duration
+	writer.Go(func() {
+		last := time.Now()
+		n := int64(2)
+		for try := 0; !stop.Load(); try++ {
+			if putVersion(_operators[try%3], n) == nil {
+				acked.Store(n)
+				gaps = append(gaps, time.Since(last))
+				last = time.Now()
+				n++
+			}
+		}
+	})
+	defer func() {
+		stop.Store(true)
+		writer.Wait()
+	}()
+	for range 4 {
+		leader := c.leader()
+		c.kill(leader)
+		reached := acked.Load()
+		eventually(t, "a write after the kill", func() error {
+			if acked.Load() < reached+3 {
+				return errors.New("none yet")
+			}
+			return nil
+		})
+		c.start(leader)
+		c.waitReady()
+	}
+	stop.Store(true)
+	writer.Wait()
+	for _, op := range _operators {
+		var doc struct{ Version int64 }
+		if err := getJSON(op+"/v1/catalogue/entries/quotes", &doc); err != nil {
+			t.Fatal(err)
+		}
+		if doc.Version < acked.Load() {
+			t.Errorf("%s has version %d, but %d was acknowledged", op, doc.Version, acked.Load())
+		}
+	}
+	longest := time.Duration(0)
+	for _, g := range gaps {
+		longest = max(longest, g)
+	}
+	t.Logf("%d writes acknowledged over 4 kills; longest gap between two %s", acked.Load()-1, longest)
+}
+
+func putVersion(operator string, n int64) error {
+	doc := fmt.Sprintf(`{"name": "quotes", "owner": "workshop", "class": "service", "target": "sample", "version": %d,
+		"limits": {"queue": %d}, "objective": {"ratio": 0.999, "latency": "250ms"}}`, n, n%1000)
+	req, err := http.NewRequest(http.MethodPut, operator+"/v1/catalogue/entries/quotes", strings.NewReader(doc))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Gentianrail-Change-Id", fmt.Sprintf("change_%d", n))
+	resp, err := _client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(resp.Body)
+		return fmt.Errorf("%s: %s", resp.Status, body)
+	}
+	return nil
+}
+
+// balancer stands in for the platform's: it sends each request to an entry
+// instance that said ready lately.
+type balancer struct {
+	ready [2]atomic.Bool
+}
+
+func (b *balancer) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		for i, e := range _entries {
+			resp, err := _client.Get(e + "/readyz")
+			b.ready[i].Store(err == nil && resp.StatusCode == http.StatusOK)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (b *balancer) pick(n int) string {
+	for i := range _entries {
+		if b.ready[(n+i)%2].Load() {
+			return _entries[(n+i)%2]
+		}
+	}
+	return _entries[0]
+}
+
+// TestPlannedStopsCutNothing stops and restarts every process in turn, while
+// short and long requests go on. None may fail.
+func TestPlannedStopsCutNothing(t *testing.T) {
+	c := startCluster(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var b balancer
+	var tasks sync.WaitGroup
+	tasks.Go(func() { b.watch(ctx) })
+	eventually(t, "ready entry instances", func() error {
+		if !b.ready[0].Load() || !b.ready[1].Load() {
+			return errors.New("not yet")
+		}
+		return nil
+	})
+	var done atomic.Int64
+	for s := range 6 {
+		tasks.Go(func() {
+			for n := s; ctx.Err() == nil; n++ {
+				path := "/price"
+				if s == 0 {
+					path = "/price?delay_ms=1000"
+				}
+				entry := b.pick(n)
+				resp, err := _client.Get(entry + "/v1/services/quotes" + path)
+				if err != nil {
+					t.Errorf("%s%s: %v", entry, path, err)
+					return
+				}
+				body, err := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				if err != nil || resp.StatusCode != http.StatusOK {
+					t.Errorf("%s%s: %s %s %v", entry, path, resp.Status, body, err)
+					return
+				}
+				done.Add(1)
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	for _, name := range []string{"agent_1", "entry_1", "controller_1", "agent_2", "entry_2", "controller_2", "agent_3", "controller_3"} {
+		c.stop(name)
+		c.start(name)
+		c.waitReady()
+		time.Sleep(300 * time.Millisecond)
+	}
+	cancel()
+	tasks.Wait()
+	t.Logf("%d requests", done.Load())
+	if done.Load() == 0 {
+		t.Error("no request was made")
+	}
+}
+
+// TestFrozenLeader freezes the leader for longer than any lease. The others
+// go on, and the leader changes nothing when it wakes.
+func TestFrozenLeader(t *testing.T) {
+	c := startCluster(t)
+	frozen := c.leader()
+	c.signal(frozen, syscall.SIGSTOP)
+	var others []string
+	for i, op := range _operators {
+		if frozen != fmt.Sprintf("controller_%d", i+1) {
+			others = append(others, op)
+		}
+	}
+	eventually(t, "a write without the frozen leader", func() error { return putVersion(others[0], 2) })
+	if a := confirm(_entries[1], "while_frozen"); a.status != http.StatusOK {
+		t.Errorf("a request while the leader is frozen: %+v", a)
+	}
+	c.signal(frozen, syscall.SIGCONT)
+	for _, op := range _operators {
+		eventually(t, op, func() error {
+			var doc struct{ Version int64 }
+			if err := getJSON(op+"/v1/catalogue/entries/quotes", &doc); err != nil {
+				return err
+			}
+			if doc.Version != 2 {
+				return fmt.Errorf("version %d is in force", doc.Version)
+			}
+			return nil
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,7 @@
 	endWatches  context.CancelFunc
 	tasks       sync.WaitGroup
 	cancel      context.CancelFunc
+	changed     chan struct{} // size one; the view has changed
 	requests    metrics.Timer
 	retries     metrics.Counter
 }
@@ -64,6 +65,7 @@
 		cfg:         *s.Entry,
 		log:         log,
 		controllers: control.NewClient(s.Controllers),
+		changed:     make(chan struct{}, 1),
 		router:      newRouter(uint64(time.Now().UnixNano()), uint64(os.Getpid())),
 		requests:    metrics.NewRegisteredTimer("entry.requests", registry),
 		retries:     metrics.NewRegisteredCounter("entry.retries", registry),
@@ -104,7 +106,13 @@
 		e.log.Emit(event.ViewLost, event.Fields{"error": err.Error(), "revision": e.view.Revision()},
 			"the view's stream broke; the last view stays in force until another controller is reached")
 	}
-	e.controllers.Follow(ctx, e.name, &e.view, func() { e.router.forget(&e.view) }, lost)
+	e.controllers.Follow(ctx, e.name, &e.view, func() {
+		e.router.forget(&e.view)
+		select {
+		case e.changed <- struct{}{}:
+		default:
+		}
+	}, lost)
 }
 
 // keepHouse closes idle connections and reports the revision in force.
@@ -113,6 +121,7 @@
 	defer expire.Stop()
 	report := time.NewTicker(_reportInterval)
 	defer report.Stop()
+	var reported uint64
 	for {
 		select {
 		case <-ctx.Done():
@@ -121,14 +130,25 @@
 			e.pool.Expire(now)
 			e.controllers.Expire(now)
 		case <-report.C:
-			reportCtx, cancel := context.WithTimeout(ctx, _reportTimeout)
-			// A lost report shows as a growing silence in the status.
-			_ = e.controllers.Report(reportCtx, e.name, settings.RoleEntry, e.view.Revision())
-			cancel()
+			reported = e.report(ctx)
+		case <-e.changed:
+			if e.view.Revision() > reported {
+				reported = e.report(ctx)
+			}
 		}
 	}
 }
 
+// report tells the leader which revision is in force here.
+func (e *Entry) report(ctx context.Context) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, _reportTimeout)
+	defer cancel()
+	revision := e.view.Revision()
+	// A lost report shows as a growing silence in the status.
+	_ = e.controllers.Report(ctx, e.name, settings.RoleEntry, revision)
+	return revision
+}
+
 // HealthDocument is the JSON form of a health answer.
 type HealthDocument struct {
 	Status   string `json:"status"`
--- a/internal/tool/catalogue.go
+++ b/internal/tool/catalogue.go
@@ -9,7 +9,9 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-json-experiment/json"
 	"github.com/google/uuid"
@@ -24,6 +26,13 @@
 
 const _entriesPath = "/v1/catalogue/entries"
 
+// Timing of the wait for changes to be in force.
+const (
+	_forceWait  = 6 * time.Second
+	_forcePoll  = 50 * time.Millisecond
+	_holderGone = 10 * time.Second // silence after which a holder is not waited for
+)
+
 // declared is one declaration of a file.
 type declared struct {
 	file string
@@ -93,6 +102,7 @@
 			fileFlag(),
 			&cli.BoolFlag{Name: "dry-run", Usage: "only tell what would change"},
 			&cli.BoolFlag{Name: "prune", Usage: "delete entries that no file declares"},
+			&cli.DurationFlag{Name: "wait", Usage: "wait until the changes are in force at every entry instance", Value: _forceWait},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			all, err := readDeclarations(cmd.String("file"))
@@ -145,7 +155,47 @@
 		}
 		results = append(results, pruned...)
 	}
-	return printChanges(cmd, results)
+	if err := printChanges(cmd, results); err != nil || cmd.Bool("dry-run") {
+		return err
+	}
+	return waitInForce(ctx, c, results, cmd.Duration("wait"))
+}
+
+// waitInForce waits until every holder of the catalogue reports the highest
+// revision among the changes.
+func waitInForce(ctx context.Context, c *client.Client, results []changeResult, wait time.Duration) error {
+	var revision uint64
+	for _, r := range results {
+		n, err := strconv.ParseUint(r.Revision, 10, 64)
+		if err == nil {
+			revision = max(revision, n)
+		}
+	}
+	until := time.Now().Add(wait)
+	for {
+		var status controller.StatusDocument
+		if err := c.Get(ctx, "/v1/status", &status); err != nil {
+			return err
+		}
+		behind := lagging(status, revision)
+		if len(behind) == 0 || wait == 0 {
+			return nil
+		}
+		if time.Now().After(until) {
+			return fault.New(fault.NotReady, "accepted, but not yet in force at %s", strings.Join(behind, ", "))
+		}
+		time.Sleep(_forcePoll)
+	}
+}
+
+func lagging(status controller.StatusDocument, revision uint64) []string {
+	var names []string
+	for _, h := range status.Holders {
+		if h.Revision < revision && milliseconds(h.SilentMS) < _holderGone {
+			names = append(names, h.Name)
+		}
+	}
+	return names
 }
 
 func putCall(d declared, dryRun bool) client.Call {
