--- a/fault/fault.go
+++ b/fault/fault.go
@@ -52,22 +52,20 @@
 	EntryNotFound   Code = 1103
 	BadEntryName    Code = 1104
 	WrongClass      Code = 1105
-	EntryInUse      Code = 1106
-
-	BadRequest      Code = 1201
-	NoTarget        Code = 1202
-	Overloaded      Code = 1203
-	QueueTimeout    Code = 1204
-	RequestTimeout  Code = 1205
-	BodyTooLarge    Code = 1206
-	TargetFailed    Code = 1207
-	AgentLost       Code = 1208
-	AnswerBroken    Code = 1209
-	Draining        Code = 1210
-	NotFound        Code = 1211
-	CallerGone      Code = 1212
-	TargetDown      Code = 1213
-	WatchOverloaded Code = 1214
+
+	BadRequest     Code = 1201
+	NoTarget       Code = 1202
+	Overloaded     Code = 1203
+	QueueTimeout   Code = 1204
+	RequestTimeout Code = 1205
+	BodyTooLarge   Code = 1206
+	TargetFailed   Code = 1207
+	AgentLost      Code = 1208
+	AnswerBroken   Code = 1209
+	Draining       Code = 1210
+	NotFound       Code = 1211
+	CallerGone     Code = 1212
+	TargetDown     Code = 1213
 
 	KeyRequired    Code = 1301
 	KeyMismatch    Code = 1302
@@ -81,10 +79,8 @@
 	JobNotFinished Code = 1402
 	JobCancelled   Code = 1403
 	JobFailed      Code = 1404
-	JobUnplaceable Code = 1405
 	JobEnded       Code = 1406
 	StaleAttempt   Code = 1407
-	QuotaExceeded  Code = 1408
 
 	NoLeader       Code = 1501
 	MaybeApplied   Code = 1502
@@ -116,7 +112,6 @@
 	{EntryNotFound, "entry_not_found", http.StatusNotFound, RanNo, 0},
 	{BadEntryName, "bad_entry_name", http.StatusBadRequest, RanNo, 0},
 	{WrongClass, "wrong_class", http.StatusBadRequest, RanNo, 0},
-	{EntryInUse, "entry_in_use", http.StatusConflict, RanNo, 0},
 	{BadRequest, "bad_request", http.StatusBadRequest, RanNo, 0},
 	{NoTarget, "no_target", http.StatusServiceUnavailable, RanNo, time.Second},
 	{Overloaded, "overloaded", http.StatusServiceUnavailable, RanNo, time.Second},
@@ -130,7 +125,6 @@
 	{NotFound, "not_found", http.StatusNotFound, RanNo, 0},
 	{CallerGone, "caller_gone", 499, RanUnknown, 0},
 	{TargetDown, "target_down", http.StatusServiceUnavailable, RanNo, time.Second},
-	{WatchOverloaded, "watch_overloaded", http.StatusServiceUnavailable, RanNo, 5 * time.Second},
 	{KeyRequired, "key_required", http.StatusBadRequest, RanNo, 0},
 	{KeyMismatch, "key_mismatch", http.StatusUnprocessableEntity, RanNo, 0},
 	{KeyInProgress, "key_in_progress", http.StatusConflict, RanUnknown, time.Second},
@@ -142,10 +136,8 @@
 	{JobNotFinished, "job_not_finished", http.StatusAccepted, RanUnknown, time.Second},
 	{JobCancelled, "job_cancelled", http.StatusGone, RanUnknown, 0},
 	{JobFailed, "job_failed", http.StatusBadGateway, RanYes, 0},
-	{JobUnplaceable, "job_unplaceable", http.StatusUnprocessableEntity, RanNo, 0},
 	{JobEnded, "job_ended", http.StatusConflict, RanYes, 0},
 	{StaleAttempt, "stale_attempt", http.StatusConflict, RanUnknown, 0},
-	{QuotaExceeded, "quota_exceeded", http.StatusTooManyRequests, RanNo, 5 * time.Second},
 	{NoLeader, "no_leader", http.StatusServiceUnavailable, RanNo, time.Second},
 	{MaybeApplied, "maybe_applied", http.StatusGatewayTimeout, RanUnknown, time.Second},
 	{WorkerNotFound, "worker_not_found", http.StatusNotFound, RanNo, 0},
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -311,6 +311,7 @@
 		} else {
 			r = c.machine.Apply(e.Index, e.Time, cmd)
 			c.sched.applied(c.machine, cmd, r)
+			c.note(cmd, r)
 		}
 		c.feed.advance(e.Index, r.Events)
 	}
@@ -326,6 +327,25 @@
 	p.settle(result{outcome: r.Outcome})
 }
 
+// note logs what a command changed, once in the group: at the leader.
+func (c *Core) note(cmd state.Command, r state.Result) {
+	if c.replica.Role() != replica.Leader || r.Outcome.Err != nil {
+		return
+	}
+	switch cmd := cmd.(type) {
+	case state.PutEntry:
+		c.log.Emit(event.ChangeAccepted, event.Fields{"entry": cmd.Spec.Name, "revision": r.Outcome.Revision}, "a declaration is in force")
+	case state.DeleteEntry:
+		c.log.Emit(event.ChangeAccepted, event.Fields{"entry": cmd.Name, "revision": r.Outcome.Revision}, "a declaration is out of force")
+	case state.RegisterWorker:
+		c.log.Emit(event.WorkerAdded, event.Fields{"worker": cmd.Worker.ID, "incarnation": cmd.Worker.Incarnation}, "a worker was announced")
+	case state.PlaceJob:
+		c.log.Emit(event.JobPlaced, event.Fields{"job": cmd.ID, "attempt": cmd.Attempt, "worker": cmd.Worker}, "a job was placed")
+	case state.EndAttempt:
+		c.log.Emit(event.JobEnded, event.Fields{"job": cmd.ID, "attempt": cmd.Attempt, "state": r.Outcome.Job.State.String()}, "an attempt ended")
+	}
+}
+
 func (c *Core) noteRole() {
 	role := c.replica.Role()
 	if role == c.role {
--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -159,7 +159,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json-seq")
-	control := http.NewResponseController(w)
+	flusher := http.NewResponseController(w)
 	bookmark := time.NewTicker(time.Second)
 	defer bookmark.Stop()
 	for {
@@ -184,7 +184,7 @@
 				return
 			}
 		}
-		if control.Flush() != nil {
+		if flusher.Flush() != nil {
 			return
 		}
 		revision = max(revision, u.GetRevision())
--- a/internal/declaration/declaration.go
+++ b/internal/declaration/declaration.go
@@ -133,7 +133,17 @@
 	if e.Err != nil {
 		return fmt.Errorf("%s: %s", field(e.JSONPointer), e.Err)
 	}
-	return fmt.Errorf("%s: found a JSON %s, allowed is %s", field(e.JSONPointer), e.JSONKind, describeType(e))
+	return fmt.Errorf("%s: found a JSON %s, allowed is %s", field(e.JSONPointer), describeKind(e.JSONKind), describeType(e))
+}
+
+func describeKind(k jsontext.Kind) string {
+	switch k {
+	case jsontext.KindBeginObject:
+		return "object"
+	case jsontext.KindBeginArray:
+		return "list"
+	}
+	return k.String()
 }
 
 func describeType(e *json.SemanticError) string {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -299,7 +299,7 @@
 	if err != nil {
 		return c.orTimeout(ctx, err)
 	}
-	if err := c.exchange(ctx, u); err != nil {
+	if err := c.exchange(u); err != nil {
 		return c.orTimeout(ctx, err)
 	}
 	return nil
@@ -319,7 +319,7 @@
 }
 
 // exchange sends the request and passes the answer on.
-func (c *call) exchange(ctx context.Context, u *upstream) error {
+func (c *call) exchange(u *upstream) error {
 	if !u.open.GetBodyEnded() {
 		if err := c.sendBody(u); err != nil {
 			u.abandon()
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -9,6 +9,7 @@
 
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/agent"
+	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/link"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/routing"
@@ -50,7 +51,7 @@
 		return nil, fault.Wrap(fault.AgentLost, err, "connect to the agent of worker %s", w.ID).WithRan(fault.RanNo)
 	}
 	u.conn = conn
-	u.silence = time.AfterFunc(SilentAfter, func() { _ = conn.Close() })
+	u.silence = time.AfterFunc(SilentAfter, u.retire)
 	if u.stream, err = pb.NewDRPCAgentClient(conn).Serve(ctx); err != nil {
 		u.abandon()
 		u.fail()
@@ -64,6 +65,14 @@
 	return u, nil
 }
 
+// retire closes a connection that has gone silent, with the idle ones to the
+// same agent, which may be dead in the same way.
+func (u *upstream) retire() {
+	u.entry.log.Emit(event.ConnectionDead, event.Fields{"worker": u.worker.ID, "request": u.id}, "a connection went silent and is closed")
+	_ = u.conn.Close()
+	u.entry.pool.Drop(u.worker.Address)
+}
+
 func (u *upstream) send(f *pb.RequestFrame) error {
 	f.RequestId = u.id
 	f.Attempt = u.attempt
@@ -156,7 +165,13 @@
 }
 
 func (u *upstream) fail() {
-	u.end(func(t *routing.Table, now time.Time, latency time.Duration) { t.Failed(now, u.worker, latency) })
+	ejected := false
+	u.end(func(t *routing.Table, now time.Time, latency time.Duration) {
+		ejected = t.Failed(now, u.worker, latency)
+	})
+	if ejected {
+		u.entry.log.Emit(event.WorkerEjected, event.Fields{"worker": u.worker.ID}, "a worker failed several requests in a row and is left out")
+	}
 }
 
 // lost returns the error of a connection that broke before the answer's end.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -22,7 +22,6 @@
 	SecondSignal   Number = 104
 	TaskFailed     Number = 105
 	LogEndCut      Number = 106
-	ServerError    Number = 107
 	RoleChanged    Number = 201
 	SnapshotSaved  Number = 202
 	DiskFailed     Number = 203
@@ -63,7 +62,6 @@
 	{SecondSignal, "second_signal", logrus.WarnLevel},
 	{TaskFailed, "task_failed", logrus.ErrorLevel},
 	{LogEndCut, "log_end_cut", logrus.WarnLevel},
-	{ServerError, "server_error", logrus.WarnLevel},
 	{RoleChanged, "role_changed", logrus.InfoLevel},
 	{SnapshotSaved, "snapshot_saved", logrus.InfoLevel},
 	{DiskFailed, "disk_failed", logrus.ErrorLevel},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,17 +28,15 @@
 
 // Controller settings.
 type Controller struct {
-	ID                string            `json:"id"`
-	Address           string            `json:"address"`
-	OperatorAddress   string            `json:"operator_address"`
-	DataFolder        string            `json:"data_folder"`
-	Members           map[string]string `json:"members,omitempty"`
-	ElectionTimeout   unit.Duration     `json:"election_timeout"`
-	Heartbeat         unit.Duration     `json:"heartbeat"`
-	Lease             unit.Duration     `json:"lease"`
-	LostAfter         unit.Duration     `json:"lost_after"`
-	SnapshotEntries   int               `json:"snapshot_entries"`
-	MostWatchesServed int               `json:"most_watches_served"`
+	ID              string            `json:"id"`
+	Address         string            `json:"address"`
+	OperatorAddress string            `json:"operator_address"`
+	DataFolder      string            `json:"data_folder"`
+	Members         map[string]string `json:"members,omitempty"`
+	ElectionTimeout unit.Duration     `json:"election_timeout"`
+	Heartbeat       unit.Duration     `json:"heartbeat"`
+	Lease           unit.Duration     `json:"lease"`
+	SnapshotEntries int               `json:"snapshot_entries"`
 }
 
 // Entry settings.
@@ -98,9 +96,7 @@
 	_electionTimeout = unit.Duration(500 * time.Millisecond)
 	_heartbeat       = unit.Duration(50 * time.Millisecond)
 	_lease           = unit.Duration(10 * time.Second)
-	_lostAfter       = unit.Duration(5 * time.Second)
 	_snapshotEntries = 20_000
-	_mostWatches     = 2_000
 	_retries         = 2
 	_retryRatio      = 0.1
 	_watchHeartbeat  = unit.Duration(5 * time.Second)
@@ -174,9 +170,7 @@
 		setDefault(&c.ElectionTimeout, _electionTimeout)
 		setDefault(&c.Heartbeat, _heartbeat)
 		setDefault(&c.Lease, _lease)
-		setDefault(&c.LostAfter, _lostAfter)
 		setDefault(&c.SnapshotEntries, _snapshotEntries)
-		setDefault(&c.MostWatchesServed, _mostWatches)
 		if len(c.Members) == 0 {
 			c.Members = map[string]string{c.ID: c.Address}
 		}
@@ -295,9 +289,7 @@
 	c.span("controller.election_timeout", s.ElectionTimeout)
 	c.span("controller.heartbeat", s.Heartbeat)
 	c.span("controller.lease", s.Lease)
-	c.span("controller.lost_after", s.LostAfter)
 	c.positive("controller.snapshot_entries", int64(s.SnapshotEntries))
-	c.positive("controller.most_watches_served", int64(s.MostWatchesServed))
 	if s.ElectionTimeout < 4*s.Heartbeat {
 		c.add("controller.election_timeout", "found %s, allowed is at least 4 times controller.heartbeat",
 			time.Duration(s.ElectionTimeout))
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,123 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/gentianrail/gentianrail/fault"
+)
+
+const _sound = `{"name": "n", "zone": "z", "roles": ["controller", "entry", "agent"],
+	"controller": {"id": "c1", "address": "127.0.0.1:1", "operator_address": "127.0.0.1:2", "data_folder": "d"},
+	"entry": {"address": "127.0.0.1:3"},
+	"agent": {"id": "w1", "address": "127.0.0.1:4", "slots": 1, "connections": 1, "cpu": "1", "memory": "1GiB"},
+	"sample": {"address": "127.0.0.1:5", "targets": ["sample"]}}`
+
+func TestSoundSettings(t *testing.T) {
+	s, err := Parse("f", []byte(_sound))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.Controllers) != 1 || s.Agent.TargetAddress != "127.0.0.1:5" || s.Entry.Retries != _retries {
+		t.Errorf("defaults are missing: %+v", s)
+	}
+}
+
+// TestFaults changes the sound settings in one place and checks that the
+// message names it.
+func TestFaults(t *testing.T) {
+	for _, tc := range []struct{ from, to, want string }{
+		{`"name": "n"`, `"name": ""`, "name: missing"},
+		{`"name": "n"`, `"name": "n", "nmae": 1`, "nmae: unknown field"},
+		{`"zone": "z"`, `"zone": "z", "zone": "y"`, "zone: repeated field"},
+		{`"roles": ["controller", "entry", "agent"]`, `"roles": ["controller", "entry"]`, "agent: present, but roles does not name agent"},
+		{`"entry", "agent"]`, `"entry", "agent", "cook"]`, `roles.3: found "cook"`},
+		{`"entry": {"address": "127.0.0.1:3"},`, ``, "entry: missing, but roles names entry"},
+		{`"127.0.0.1:3"`, `"localhost:3"`, `entry.address: found "localhost:3"`},
+		{`"127.0.0.1:3"}`, `"127.0.0.1:3", "watch_heartbeat": "5"}`, "entry.watch_heartbeat"},
+		{`"127.0.0.1:3"}`, `"127.0.0.1:3", "retries": 11}`, "entry.retries: found 11, allowed is 0 to 10"},
+		{`"slots": 1`, `"slots": 0`, "agent.slots: found 0"},
+		{`"cpu": "1"`, `"cpu": "one"`, "agent.cpu"},
+		{`"memory": "1GiB"`, `"memory": "1 gig"`, "agent.memory"},
+		{`"data_folder": "d"`, `"data_folder": "d", "heartbeat": "1s"`, "controller.election_timeout"},
+		{`"data_folder": "d"`, `"data_folder": "d", "members": {"c2": "127.0.0.1:9"}`, "controller.members"},
+		{`"name": "n"`, `"name": 5`, "name: found a JSON number, allowed is a string"},
+		{`{"name"`, `["name"`, "the document: found a JSON list, allowed is an object"},
+		{`{"name"`, `{name`, "not JSON at byte"},
+	} {
+		_, err := Parse("f", []byte(strings.Replace(_sound, tc.from, tc.to, 1)))
+		if fault.CodeOf(err) != fault.BadSettings || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s: got %v, want %q", tc.to, err, tc.want)
+		}
+	}
+}
+
+func TestAllFaultsAtOnce(t *testing.T) {
+	_, err := Parse("f", []byte(`{"roles": ["entry"], "entry": {"address": "x"}}`))
+	for _, want := range []string{"name: missing", "zone: missing", "entry.address", "controllers: missing"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v does not tell %q", err, want)
+		}
+	}
+}
+
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/*.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files = append(files, "../../examples/single.json")
+	for _, file := range files {
+		if strings.Contains(file, "catalogue") {
+			continue
+		}
+		if _, err := Load(file); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestPage checks that docs/SETTINGS.md has every key.
+func TestPage(t *testing.T) {
+	data, err := os.ReadFile("../../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range keys(reflect.TypeFor[Settings](), "") {
+		if !strings.Contains(string(data), "`"+key+"`") {
+			t.Errorf("docs/SETTINGS.md lacks %s", key)
+		}
+	}
+}
+
+func keys(typ reflect.Type, prefix string) []string {
+	var out []string
+	for i := range typ.NumField() {
+		f := typ.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		inner := f.Type
+		if inner.Kind() == reflect.Pointer {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			out = append(out, keys(inner, name+".")...)
+			continue
+		}
+		out = append(out, prefix+name)
+	}
+	return out
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(_sound))
+	f.Add([]byte(`{"roles": null, "controller": {}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := Parse("f", data)
+		if err != nil && fault.CodeOf(err) != fault.BadSettings {
+			t.Errorf("code %d", fault.CodeOf(err))
+		}
+	})
+}
--- a/internal/web/router.go
+++ b/internal/web/router.go
@@ -91,13 +91,13 @@
 
 func (n *node) match(path string) ([]variable, bool) {
 	var vars []variable
-	rest := path
+	left := path
 	for i, s := range n.segments {
 		name, isVar := strings.CutPrefix(s, "{")
 		if open, ok := strings.CutSuffix(name, "...}"); ok && isVar {
-			return append(vars, variable{open, rest}), true
+			return append(vars, variable{open, left}), true
 		}
-		part, tail, more := strings.Cut(rest, "/")
+		part, tail, more := strings.Cut(left, "/")
 		last := i == len(n.segments)-1
 		if isVar {
 			value, err := url.PathUnescape(part)
@@ -114,7 +114,7 @@
 		if !more && !strings.HasSuffix(n.segments[i+1], "...}") {
 			return nil, false
 		}
-		rest = tail
+		left = tail
 	}
 	return nil, false
 }
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,64 @@
+package wire
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/replica"
+)
+
+func TestMessages(t *testing.T) {
+	at := time.Unix(1_000_000, 5).UTC()
+	entry := replica.Entry{Index: 3, Term: 2, Kind: replica.KindCommand, Time: at, Data: []byte("c")}
+	for _, body := range []replica.Body{
+		replica.VoteRequest{Pre: true, Transfer: true, LastIndex: 1, LastTerm: 2},
+		replica.VoteReply{Pre: true, Granted: true},
+		replica.Append{PrevIndex: 2, PrevTerm: 1, Commit: 1, Sent: at, Entries: []replica.Entry{entry}},
+		replica.AppendReply{Rejected: true, Match: 3, Sent: at},
+		replica.InstallSnapshot{Index: 3, Term: 2, Offset: 4, Last: true, Data: []byte("s"), Sent: at},
+		replica.SnapshotProgress{Index: 3, Received: 4, Sent: at},
+		replica.TimeoutNow{},
+	} {
+		want := replica.Message{From: "r1", To: "r2", Term: 4, Body: body}
+		got, err := DecodeMessage(EncodeMessage(want))
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, %v; want %+v", got, err, want)
+		}
+	}
+}
+
+func FuzzCommand(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0x0a, 0x00})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		cmd, err := UnmarshalCommand(data)
+		if err != nil {
+			return
+		}
+		if _, err := MarshalCommand(cmd); err != nil {
+			t.Errorf("%T was read but cannot be written: %v", cmd, err)
+		}
+	})
+}
+
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m pb.ReplicaMessage
+		if proto.Unmarshal(data, &m) != nil {
+			return
+		}
+		got, err := DecodeMessage(&m)
+		if err != nil {
+			return
+		}
+		again, err := DecodeMessage(EncodeMessage(got))
+		if err != nil || !reflect.DeepEqual(again, got) {
+			t.Errorf("%+v came back as %+v, %v", got, again, err)
+		}
+	})
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -76,7 +76,6 @@
 	next     uint64        // next index to send
 	acked    time.Time     // Sent time of the latest message it has answered
 	snapshot *outgoingSnap // transfer in progress; nil if none
-	lastSend time.Time     // when the latest message was sent
 }
 
 type outgoingSnap struct {
--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -224,7 +224,10 @@
 	j := running[pick%len(running)]
 	outcomes := []job.Outcome{
 		job.Finished{Status: 200, Result: []byte(fmt.Sprint(j.ID, "/", j.Attempt))},
-		job.AttemptFailed{Reason: "failed"}, job.Evicted{Checkpoint: []byte("c")}, job.Lost{}, job.Stopped{},
+		job.AttemptFailed{Reason: "failed"},
+		job.Evicted{Checkpoint: []byte("c")},
+		job.Lost{},
+		job.Stopped{},
 	}
 	attempt := j.Attempt - uint32(pick/8%2) // now and then an old attempt
 	o := w.apply(state.EndAttempt{ID: j.ID, Attempt: attempt, Outcome: outcomes[pick%len(outcomes)]})
