Pick a worker without looking through all of them

The controller looked through all workers every 10 ms. Change: the view keeps the candidates of a target by zone, built when workers change; a pick draws at random. Ejection's floor is checked when a worker is ejected. The look at the leases is every 500 ms.

--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -9,6 +9,7 @@
 	"github.com/gentianrail/gentianrail/internal/link"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/routing"
 	"github.com/gentianrail/gentianrail/worker"
 )
 
@@ -28,7 +29,8 @@
 	loaded    bool
 	catalogue catalogue.Catalogue
 	workers   worker.Pool
-	heard     time.Time // last update, bookmarks included
+	serving   map[string]*routing.Candidates // by target; built at the first use after a change of workers
+	heard     time.Time                      // last update, bookmarks included
 }
 
 // Entry returns a catalogue entry.
@@ -38,17 +40,28 @@
 	return v.catalogue.Entry(name)
 }
 
-// Workers returns the workers that serve a target, by identifier.
-func (v *View) Workers(target string) []worker.Worker {
+// Candidates returns the workers that serve a target.
+func (v *View) Candidates(target string) *routing.Candidates {
 	v.mu.RLock()
-	defer v.mu.RUnlock()
-	var out []worker.Worker
+	c, ok := v.serving[target]
+	v.mu.RUnlock()
+	if ok {
+		return c
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var serving []worker.Worker
 	for _, w := range v.workers.Workers() {
 		if w.Serves(target) {
-			out = append(out, w)
+			serving = append(serving, w)
 		}
 	}
-	return out
+	c = routing.NewCandidates(serving)
+	if v.serving == nil {
+		v.serving = make(map[string]*routing.Candidates)
+	}
+	v.serving[target] = c
+	return c
 }
 
 // Revision returns the revision in force; 0 before the first update.
@@ -83,6 +96,9 @@
 		v.catalogue = catalogue.Catalogue{}
 		v.workers = worker.Pool{}
 	}
+	if u.GetSnapshot() || len(u.GetWorkers()) > 0 || len(u.GetGoneWorkers()) > 0 {
+		v.serving = nil
+	}
 	for _, e := range u.GetEntries() {
 		v.catalogue.Put(wire.DecodeEntry(e))
 	}
--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -19,6 +19,9 @@
 // _placeEvery is the least time between two placement rounds.
 const _placeEvery = 10 * time.Millisecond
 
+// _lookEvery is the time between two looks at the leases of all workers.
+const _lookEvery = 500 * time.Millisecond
+
 type sighting struct {
 	incarnation uint64
 	at          time.Time // receipt of the latest renewal
@@ -38,6 +41,7 @@
 	syncWaits map[string]chan struct{}
 	jobWaits  map[string][]chan struct{}
 	lastPlace time.Time
+	lastLook  time.Time // at the leases of all workers
 }
 
 func (s *scheduler) lead(now time.Time, _ *state.Machine) {
@@ -112,7 +116,11 @@
 		return
 	}
 	c.sched.lastPlace = now
-	commands := c.lostWorkers(now)
+	var commands []state.Command
+	if now.Sub(c.sched.lastLook) >= _lookEvery {
+		c.sched.lastLook = now
+		commands = c.lostWorkers(now)
+	}
 	if len(c.sched.placing) == 0 && c.machine.Jobs().QueuedLen() > 0 {
 		commands = append(commands, c.placements(now)...)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -200,7 +200,7 @@
 	return &router{rnd: rand.New(rand.NewPCG(seed1, seed2))}
 }
 
-func (r *router) pick(now time.Time, zone string, candidates []worker.Worker, tried []string) (worker.Worker, bool) {
+func (r *router) pick(now time.Time, zone string, candidates *routing.Candidates, tried []string) (worker.Worker, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w, ok := r.table.Pick(now, r.rnd, zone, candidates, tried)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -290,7 +290,7 @@
 
 func (c *call) once(ctx context.Context, attempt uint32) error {
 	now := time.Now()
-	w, ok := c.entry.router.pick(now, c.entry.zone, c.entry.view.Workers(c.decl.Target()), c.tried)
+	w, ok := c.entry.router.pick(now, c.entry.zone, c.entry.view.Candidates(c.decl.Target()), c.tried)
 	if !ok {
 		return fault.New(fault.NoTarget, "no worker with target %q takes work now", c.decl.Target())
 	}
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -166,8 +166,9 @@
 
 func (u *upstream) fail() {
 	ejected := false
+	peers := u.entry.view.Candidates(u.open.GetTarget()).Len()
 	u.end(func(t *routing.Table, now time.Time, latency time.Duration) {
-		ejected = t.Failed(now, u.worker, latency)
+		ejected = t.Failed(now, u.worker, latency, peers)
 	})
 	if ejected {
 		u.entry.log.Emit(event.WorkerEjected, event.Fields{"worker": u.worker.ID}, "a worker failed several requests in a row and is left out")
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -148,7 +148,7 @@
 func (w *watch) once(ctx context.Context, attempt uint32, started func()) error {
 	c := w.call
 	now := time.Now()
-	wk, ok := w.entry.router.pick(now, w.entry.zone, w.entry.view.Workers(c.decl.Target()), c.tried)
+	wk, ok := w.entry.router.pick(now, w.entry.zone, w.entry.view.Candidates(c.decl.Target()), c.tried)
 	if !ok {
 		return fault.New(fault.NoTarget, "no worker with target %q takes watches now", c.decl.Target())
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -10,6 +10,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gentianrail/gentianrail/worker"
@@ -25,6 +26,7 @@
 	_ejectFirst     = 2 * time.Second        // for how long, at first
 	_ejectMost      = 30 * time.Second       // for how long at most
 	_mostEjected    = 0.5                    // share of the candidates that may be left out
+	_mostDraws      = 8                      // random draws before all workers are looked through
 	_failureLatency = 100 * time.Millisecond // latency that a failure counts as
 )
 
@@ -66,80 +68,114 @@
 	return fresh
 }
 
+// Candidates are the workers that serve one target, by availability zone. It
+// is built when the view changes and must not be changed afterwards.
+type Candidates struct {
+	all   []worker.Worker
+	zones map[string]zone
+}
+
+// zone is one availability zone as seen from itself.
+type zone struct{ near, far []worker.Worker }
+
+// NewCandidates returns the candidates among the workers.
+func NewCandidates(workers []worker.Worker) *Candidates {
+	c := &Candidates{all: workers, zones: make(map[string]zone)}
+	for _, w := range workers {
+		if _, ok := c.zones[w.Zone]; ok {
+			continue
+		}
+		var z zone
+		for _, other := range workers {
+			if other.Zone == w.Zone {
+				z.near = append(z.near, other)
+			} else {
+				z.far = append(z.far, other)
+			}
+		}
+		c.zones[w.Zone] = z
+	}
+	return c
+}
+
+// Len returns the number of candidates.
+func (c *Candidates) Len() int { return len(c.all) }
+
 // Pick returns the worker to ask among the candidates, none if there is none.
 // Those in tried are left out, and those that fail as long as enough others
 // are left.
-func (t *Table) Pick(now time.Time, rnd *rand.Rand, zone string, candidates []worker.Worker, tried []string) (worker.Worker, bool) {
-	open := t.open(now, candidates, tried)
-	if len(open) == 0 {
+func (t *Table) Pick(now time.Time, rnd *rand.Rand, zoneName string, c *Candidates, tried []string) (worker.Worker, bool) {
+	if c == nil || len(c.all) == 0 {
 		return worker.Worker{}, false
 	}
-	near, far := split(open, zone)
-	if len(near) == 0 || len(far) == 0 {
-		return t.choose(now, rnd, open), true
+	z, ok := c.zones[zoneName]
+	if !ok {
+		return t.choose(now, rnd, c.all, tried)
 	}
-	a := t.choose(now, rnd, near)
-	b := t.choose(now, rnd, far)
-	if t.cost(now, a) <= _zoneFactor*t.cost(now, b) {
+	a, okA := t.choose(now, rnd, z.near, tried)
+	b, okB := t.choose(now, rnd, z.far, tried)
+	switch {
+	case okA && okB && t.cost(now, a) <= _zoneFactor*t.cost(now, b), okA && !okB:
 		return a, true
+	case okB:
+		return b, true
 	}
-	return b, true
+	return worker.Worker{}, false
 }
 
-// open returns the candidates that take work, have not been tried and are not
-// ejected. Ejection never leaves out more than its share.
-func (t *Table) open(now time.Time, candidates []worker.Worker, tried []string) []worker.Worker {
-	var open, ejected []worker.Worker
-	for _, w := range candidates {
-		if !w.Open() || contains(tried, w.ID) {
-			continue
-		}
-		if now.Before(t.record(w.ID, w.Incarnation).ejectedTill) {
-			ejected = append(ejected, w)
-			continue
-		}
-		open = append(open, w)
-	}
-	if float64(len(ejected)) > _mostEjected*float64(len(open)+len(ejected)) {
-		return append(open, ejected...)
-	}
-	return open
+// usable reports whether a worker takes work, has not been tried and is not
+// left out.
+func (t *Table) usable(now time.Time, w worker.Worker, tried []string) bool {
+	return w.Open() && !slices.Contains(tried, w.ID) && !now.Before(t.record(w.ID, w.Incarnation).ejectedTill)
 }
 
-func contains(ids []string, id string) bool {
-	for _, s := range ids {
-		if s == id {
-			return true
+// draw returns a random usable worker. It draws a few times, which finds one
+// in a pool where most are usable, and then looks through all.
+func (t *Table) draw(now time.Time, rnd *rand.Rand, from []worker.Worker, tried []string) (worker.Worker, bool) {
+	for range _mostDraws {
+		if w := from[rnd.IntN(len(from))]; t.usable(now, w, tried) {
+			return w, true
 		}
 	}
-	return false
+	return t.search(now, rnd, from, tried)
 }
 
-func split(workers []worker.Worker, zone string) (near, far []worker.Worker) {
-	for _, w := range workers {
-		if w.Zone == zone {
-			near = append(near, w)
-		} else {
-			far = append(far, w)
+// search looks through all workers. If none is usable it takes one that is
+// left out for its failures: it may have recovered, and refusing is no better.
+func (t *Table) search(now time.Time, rnd *rand.Rand, from []worker.Worker, tried []string) (worker.Worker, bool) {
+	var usable, ejected []worker.Worker
+	for _, w := range from {
+		switch {
+		case !w.Open() || slices.Contains(tried, w.ID):
+		case t.usable(now, w, tried):
+			usable = append(usable, w)
+		default:
+			ejected = append(ejected, w)
 		}
 	}
-	return near, far
+	if len(usable) == 0 {
+		usable = ejected
+	}
+	if len(usable) == 0 {
+		return worker.Worker{}, false
+	}
+	return usable[rnd.IntN(len(usable))], true
 }
 
-// choose takes two random workers and returns the cheaper one.
-func (t *Table) choose(now time.Time, rnd *rand.Rand, from []worker.Worker) worker.Worker {
-	if len(from) == 1 {
-		return from[0]
+// choose draws two workers and returns the cheaper one.
+func (t *Table) choose(now time.Time, rnd *rand.Rand, from []worker.Worker, tried []string) (worker.Worker, bool) {
+	if len(from) == 0 {
+		return worker.Worker{}, false
 	}
-	i := rnd.IntN(len(from))
-	j := rnd.IntN(len(from) - 1)
-	if j >= i {
-		j++
+	a, ok := t.draw(now, rnd, from, tried)
+	if !ok || len(from) == 1 {
+		return a, ok
 	}
-	if t.cost(now, from[j]) < t.cost(now, from[i]) {
-		return from[j]
+	b, ok := t.draw(now, rnd, from, tried)
+	if ok && t.cost(now, b) < t.cost(now, a) {
+		return b, true
 	}
-	return from[i]
+	return a, true
 }
 
 // cost estimates the wait for an answer: the latency times the share of the
@@ -185,22 +221,33 @@
 }
 
 // Failed notes a request that the worker or its target failed. It reports
-// whether the worker is left out from now on.
-func (t *Table) Failed(now time.Time, w worker.Worker, latency time.Duration) bool {
+// whether the worker is left out from now on; peers is the number of workers
+// that serve the same target, of which only a share may be left out.
+func (t *Table) Failed(now time.Time, w worker.Worker, latency time.Duration, peers int) bool {
 	r := t.record(w.ID, w.Incarnation)
 	// A target that fails fast must not look fast.
 	r.observe(now, max(latency, _failureLatency))
 	r.failures++
-	if r.failures < _ejectAfter {
+	if r.failures < _ejectAfter || float64(t.ejected(now)+1) > _mostEjected*float64(peers) {
 		return false
 	}
 	r.failures = 0
-	span := min(_ejectFirst<<min(r.ejections, 8), _ejectMost)
+	r.ejectedTill = now.Add(min(_ejectFirst<<min(r.ejections, 8), _ejectMost))
 	r.ejections++
-	r.ejectedTill = now.Add(span)
 	return true
 }
 
+// ejected returns how many workers are left out.
+func (t *Table) ejected(now time.Time) int {
+	n := 0
+	for _, r := range t.records {
+		if now.Before(r.ejectedTill) {
+			n++
+		}
+	}
+	return n
+}
+
 // observe moves the average at once to a higher latency, and slowly down to a
 // lower one.
 func (r *record) observe(now time.Time, latency time.Duration) {
