Add the command that measures the slopes of docs/CAPACITY.md

Change: go run ./internal/measure starts fleets of 10, 50 and 200 agents and measures idle cost, the request path, commits, views, state and placement.

--- /dev/null
+++ b/internal/measure/parts.go
@@ -0,0 +1,429 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gentianrail/gentianrail/catalogue"
+	"github.com/gentianrail/gentianrail/claim"
+	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/load"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/job"
+	"github.com/gentianrail/gentianrail/placement"
+	"github.com/gentianrail/gentianrail/state"
+	"github.com/gentianrail/gentianrail/worker"
+)
+
+// Sizes of the measurements.
+const (
+	_settle   = 5 * time.Second  // after a start until figures are taken
+	_idleSpan = 15 * time.Second // over which idle processes are watched
+	_loadSpan = 6 * time.Second
+	_loadRate = 400 // requests a second
+)
+
+var _fleets = []int{10, 50, 200}
+
+func percent(cpu, span time.Duration) float64 { return 100 * float64(cpu) / float64(span) }
+
+func mib(n int64) float64 { return float64(n) / (1 << 20) }
+
+// measureAgents watches idle fleets of several sizes.
+func measureAgents(binary, dir string, out *strings.Builder) error {
+	out.WriteString("### Idle processes\n\nThree controllers, one entry instance, N agents that share a target; " +
+		"no requests. Agent figures are the median and the largest of all agents. Bytes are all that crossed loopback, divided by N.\n\n" +
+		"| agents | agent CPU % median / most | agent MB median / most | leader CPU % | leader MB | entry CPU % | entry MB | bytes/s an agent |\n" +
+		"| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, n := range _fleets {
+		if err := idle(binary, dir, n, out); err != nil {
+			return err
+		}
+	}
+	out.WriteString("\n")
+	return nil
+}
+
+func idle(binary, dir string, n int, out *strings.Builder) error {
+	f, err := startFleet(binary, dir, n)
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	time.Sleep(_settle)
+	before := make(map[string]usage)
+	for name := range f.procs {
+		if before[name], err = f.usage(name); err != nil {
+			return err
+		}
+	}
+	bytesBefore, err := loopbackBytes()
+	if err != nil {
+		return err
+	}
+	time.Sleep(_idleSpan)
+	bytesAfter, err := loopbackBytes()
+	if err != nil {
+		return err
+	}
+	var cpu, resident []float64
+	var leader, entry usage
+	for name, b := range before {
+		a, err := f.usage(name)
+		if err != nil {
+			return err
+		}
+		spent := usage{cpu: a.cpu - b.cpu, resident: a.resident}
+		switch {
+		case strings.HasPrefix(name, "agent"):
+			cpu = append(cpu, percent(spent.cpu, _idleSpan))
+			resident = append(resident, mib(spent.resident))
+		case name == "entry":
+			entry = spent
+		case strings.HasPrefix(name, "c") && spent.cpu > leader.cpu:
+			leader = spent
+		}
+	}
+	slices.Sort(cpu)
+	slices.Sort(resident)
+	fmt.Fprintf(out, "| %d | %.2f / %.2f | %.1f / %.1f | %.1f | %.1f | %.2f | %.1f | %.0f |\n", n,
+		cpu[len(cpu)/2], cpu[len(cpu)-1], resident[len(resident)/2], resident[len(resident)-1],
+		percent(leader.cpu, _idleSpan), mib(leader.resident), percent(entry.cpu, _idleSpan), mib(entry.resident),
+		float64(bytesAfter-bytesBefore)/_idleSpan.Seconds()/float64(n))
+	return nil
+}
+
+// measurePath compares requests to the target itself with requests through
+// entry and agent, in turn, three times.
+func measurePath(binary, dir string, out *strings.Builder) error {
+	f, err := startFleet(binary, dir, 3)
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	if err := declare("quotes"); err != nil {
+		return err
+	}
+	time.Sleep(_settle)
+	fmt.Fprintf(out, "### The path of a request\n\n%d requests a second for %s each, in turn. CPU is of all agents and of the entry instance, "+
+		"for each request.\n\n| run | way | p50 ms | p99 ms | p99.9 ms | entry CPU µs | agent CPU µs | entry MB | agent MB most |\n"+
+		"| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n", _loadRate, _loadSpan)
+	ways := []struct{ name, url, method string }{
+		{"direct", "http://" + address(_targetPort) + "/price", "GET"},
+		{"through", "http://" + address(_entryPort) + "/v1/services/quotes/price", "GET"},
+		{"through, with a key", "http://" + address(_entryPort) + "/v1/services/quotes/confirm", "POST"},
+	}
+	for run := range 3 {
+		for _, w := range ways {
+			if err := f.path(run, w.name, w.url, w.method, out); err != nil {
+				return err
+			}
+		}
+	}
+	out.WriteString("\n")
+	return nil
+}
+
+func (f *fleet) path(run int, name, url, method string, out *strings.Builder) error {
+	entry, agents, _, err := f.pathUsage()
+	if err != nil {
+		return err
+	}
+	cfg := load.Config{URL: url, Method: method, Rate: _loadRate, Duration: _loadSpan, InFlight: 128, Timeout: 10 * time.Second}
+	if method == "POST" {
+		cfg.Key = func(n int) string { return fmt.Sprintf("%d_%d", run, n) }
+	}
+	r, err := load.Run(context.Background(), cfg)
+	if err != nil {
+		return err
+	}
+	if r.Statuses[200] != r.Sent {
+		return fmt.Errorf("%s: sent %d, statuses %v, errors %v", name, r.Sent, r.Statuses, r.Errors)
+	}
+	entryAfter, agentsAfter, most, err := f.pathUsage()
+	if err != nil {
+		return err
+	}
+	each := func(d time.Duration) float64 { return float64(d.Microseconds()) / float64(r.Sent) }
+	ms := func(i int) float64 { return float64(r.Quantiles[i].Latency) / float64(time.Millisecond) }
+	fmt.Fprintf(out, "| %d | %s | %.2f | %.2f | %.2f | %.0f | %.0f | %.1f | %.1f |\n", run+1, name, ms(0), ms(2), ms(3),
+		each(entryAfter.cpu-entry.cpu), each(agentsAfter-agents), mib(entryAfter.resident), mib(most))
+	return nil
+}
+
+func (f *fleet) pathUsage() (entry usage, agents time.Duration, most int64, err error) {
+	if entry, err = f.usage("entry"); err != nil {
+		return
+	}
+	for name := range f.procs {
+		if !strings.HasPrefix(name, "agent") {
+			continue
+		}
+		u, err := f.usage(name)
+		if err != nil {
+			return entry, 0, 0, err
+		}
+		agents += u.cpu
+		most = max(most, u.resident)
+	}
+	return entry, agents, most, nil
+}
+
+// measureCommits has claims begun and finished by many callers at once.
+func measureCommits(binary, dir string, out *strings.Builder) error {
+	f, err := startFleet(binary, dir, 1)
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	time.Sleep(_settle)
+	out.WriteString("### Commits\n\nSmall commands from callers that each wait for the last one, with fsync on three controllers.\n\n" +
+		"| callers | commits/s | p50 ms | p99 ms | leader CPU µs a commit |\n| --- | --- | --- | --- | --- |\n")
+	for _, callers := range []int{1, 16, 64, 256} {
+		if err := f.commits(callers, out); err != nil {
+			return err
+		}
+	}
+	out.WriteString("\n")
+	return nil
+}
+
+func (f *fleet) commits(callers int, out *strings.Builder) error {
+	client := control.NewClient(_controllers)
+	defer client.Close()
+	var mu sync.Mutex
+	var all []time.Duration
+	var failed error
+	before, err := f.controllersCPU()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	var wg sync.WaitGroup
+	for c := range callers {
+		wg.Go(func() {
+			var own []time.Duration
+			for n := 0; time.Since(began) < _loadSpan; n++ {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				at := time.Now()
+				_, err := client.Propose(ctx, state.BeginClaim{
+					Claim:     claim.Claim{Entry: "quotes", Key: fmt.Sprintf("%d_%d_%d", callers, c, n), Token: "t", Fingerprint: 1},
+					Remaining: time.Minute,
+				})
+				cancel()
+				own = append(own, time.Since(at))
+				if err != nil {
+					mu.Lock()
+					failed = err
+					mu.Unlock()
+					return
+				}
+			}
+			mu.Lock()
+			all = append(all, own...)
+			mu.Unlock()
+		})
+	}
+	wg.Wait()
+	took := time.Since(began)
+	if failed != nil {
+		return failed
+	}
+	after, err := f.controllersCPU()
+	if err != nil {
+		return err
+	}
+	slices.Sort(all)
+	ms := func(q float64) float64 { return float64(all[int(q*float64(len(all)-1))]) / float64(time.Millisecond) }
+	fmt.Fprintf(out, "| %d | %.0f | %.2f | %.2f | %.0f |\n", callers, float64(len(all))/took.Seconds(), ms(0.5), ms(0.99),
+		float64((after-before).Microseconds())/float64(len(all)))
+	return nil
+}
+
+// controllersCPU returns the largest processor time of the controllers, which
+// is the leader's.
+func (f *fleet) controllersCPU() (time.Duration, error) {
+	var most time.Duration
+	for _, name := range []string{"c1", "c2", "c3"} {
+		u, err := f.usage(name)
+		if err != nil {
+			return 0, err
+		}
+		most = max(most, u.cpu)
+	}
+	return most, nil
+}
+
+// measureViews follows the catalogue with many holders and changes it.
+func measureViews(binary, dir string, out *strings.Builder) error {
+	f, err := startFleet(binary, dir, 2)
+	if err != nil {
+		return err
+	}
+	defer f.stop()
+	out.WriteString("### From accept to in force\n\nHolders of a view in one process, spread over three controllers; ten changes.\n\n" +
+		"| holders | median ms until all have it | most ms |\n| --- | --- | --- |\n")
+	for _, n := range []int{10, 50, 200} {
+		if err := views(n, out); err != nil {
+			return err
+		}
+	}
+	out.WriteString("\n")
+	return nil
+}
+
+func views(n int, out *strings.Builder) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := control.NewClient(_controllers)
+	defer client.Close()
+	holders := make([]control.View, n)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	for i := range holders {
+		wg.Go(func() { client.Follow(ctx, fmt.Sprint("h", i), &holders[i], func() {}, func(error) {}) })
+	}
+	time.Sleep(_settle / 2)
+	var took []time.Duration
+	for c := range 10 {
+		o, err := client.Propose(ctx, state.PutEntry{Base: catalogue.AnyVersion, Spec: testSpec(fmt.Sprintf("e%d_%d", n, c))})
+		if err != nil {
+			return err
+		}
+		began := time.Now()
+		for !allHave(holders, o.Revision) {
+			if time.Since(began) > 10*time.Second {
+				return fmt.Errorf("%d holders do not all have revision %d", n, o.Revision)
+			}
+			time.Sleep(100 * time.Microsecond)
+		}
+		took = append(took, time.Since(began))
+	}
+	slices.Sort(took)
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	fmt.Fprintf(out, "| %d | %.1f | %.1f |\n", n, ms(took[len(took)/2]), ms(took[len(took)-1]))
+	return nil
+}
+
+func allHave(holders []control.View, revision uint64) bool {
+	for i := range holders {
+		if holders[i].Revision() < revision {
+			return false
+		}
+	}
+	return true
+}
+
+func testSpec(name string) catalogue.Spec {
+	return catalogue.Spec{
+		Name: name, Owner: "workshop", Class: catalogue.Batch, Target: "sample",
+		Limits: catalogue.Limits{
+			Slots: 8, Connections: 64, RequestTimeout: time.Second, CPUMillis: 500, MemoryBytes: 256 << 20,
+			MostRunningTasks: 200_000, Deadline: time.Hour, MostAttempts: 3,
+		},
+		Objective: catalogue.Objective{Ratio: 0.99, Latency: time.Second},
+	}
+}
+
+// measureState builds states of one kind of thing and measures its memory,
+// its snapshot and the restoring of it.
+func measureState(_, _ string, out *strings.Builder) error {
+	const n = 50_000
+	out.WriteString("### State of a controller\n\n50,000 of each; job bodies and answers of 200 bytes.\n\n" +
+		"| thing | memory bytes each | snapshot bytes each | encode ms for all | restore ms for all |\n| --- | --- | --- | --- | --- |\n")
+	kinds := []struct {
+		name string
+		cmd  func(i int) state.Command
+	}{
+		{"entry", func(i int) state.Command {
+			return state.PutEntry{Base: catalogue.AnyVersion, Spec: testSpec(fmt.Sprint("e", i))}
+		}},
+		{"worker", func(i int) state.Command { return state.RegisterWorker{Worker: testWorker(i)} }},
+		{"job", func(i int) state.Command {
+			return state.SubmitJob{Job: job.Job{ID: fmt.Sprintf("%036d", i), Entry: "e", Body: make([]byte, 200)}}
+		}},
+		{"claim", func(i int) state.Command {
+			return state.BeginClaim{Claim: claim.Claim{Entry: "quotes", Key: fmt.Sprintf("%036d", i), Token: fmt.Sprintf("%050d", i)}, Remaining: time.Hour}
+		}},
+	}
+	for _, k := range kinds {
+		m := &state.Machine{}
+		now := time.Unix(1_000_000, 0)
+		m.Apply(1, now, state.PutEntry{Base: catalogue.AnyVersion, Spec: testSpec("e")})
+		before := heap()
+		for i := range n {
+			if r := m.Apply(uint64(i+2), now, k.cmd(i)); r.Outcome.Err != nil {
+				return r.Outcome.Err
+			}
+		}
+		bytes := heap() - before
+		began := time.Now()
+		data, err := wire.MarshalState(m.Contents())
+		if err != nil {
+			return err
+		}
+		encoded := time.Since(began)
+		began = time.Now()
+		contents, err := wire.UnmarshalState(data)
+		if err != nil {
+			return err
+		}
+		state.Restore(contents)
+		fmt.Fprintf(out, "| %s | %d | %d | %d | %d |\n", k.name, bytes/n, len(data)/n, encoded.Milliseconds(), time.Since(began).Milliseconds())
+		runtime.KeepAlive(m)
+	}
+	out.WriteString("\n")
+	return nil
+}
+
+func testWorker(i int) worker.Worker {
+	return worker.Worker{
+		ID: fmt.Sprintf("worker_%d", i), Incarnation: 1, Address: "127.0.0.1:1", Zone: fmt.Sprint("z", i%12), Rack: fmt.Sprint("r", i/40),
+		Targets:  []string{"sample"},
+		Capacity: worker.Capacity{Slots: 8, Connections: 64, CPUMillis: 64_000, MemoryBytes: 250 << 30, Accelerators: 2},
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// measurePlacement places jobs on workers that run 16 tasks each.
+func measurePlacement(_, _ string, out *strings.Builder) error {
+	out.WriteString("### Placement\n\nOne round for 1,000 queued jobs on workers that are partly full; the best of five rounds.\n\n" +
+		"| workers | placements/s | ms a round |\n| --- | --- | --- |\n")
+	entry := catalogue.Restore(testSpec("e"), 1, 1)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for _, n := range []int{11, 1000, 3000, 5900} {
+		best := time.Duration(1 << 62)
+		placed := 0
+		for range 5 {
+			var nodes []placement.Node
+			for i := range n {
+				nodes = append(nodes, placement.Node{
+					Worker: testWorker(i), Used: worker.Capacity{CPUMillis: int64(500 * rnd.IntN(32)), MemoryBytes: 4 << 30},
+				})
+			}
+			var queue []placement.Candidate
+			for i := range 1000 {
+				queue = append(queue, placement.Candidate{Job: job.Job{ID: fmt.Sprint(i), Sequence: uint64(i)}, Entry: entry})
+			}
+			began := time.Now()
+			placed = len(placement.Place(began, queue, nodes, nil).Placements)
+			best = min(best, time.Since(began))
+		}
+		fmt.Fprintf(out, "| %d | %.0f | %.1f |\n", n, float64(placed)/best.Seconds(), float64(best)/float64(time.Millisecond))
+	}
+	out.WriteString("\n")
+	return nil
+}
