Write the disk in a task of its own

Cause: the core waited for each sync, and a sync took 3 to 12 ms now and then; meanwhile it answered no heartbeat and took in no confirmation.

Conclusion: a slow disk no longer looks like a dead replica.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/gentianrail/gentianrail/fault"
@@ -54,7 +55,11 @@
 type Core struct {
 	log      event.Log
 	replica  *replica.Replica
-	store    *disk.Store
+	store    *disk.Store // owned by the writer while the core runs
+	writer   *writer
+	writes   chan writeDone // size one
+	writing  bool           // a write is under way
+	latest   replica.Snapshot
 	machine  *state.Machine
 	feed     *feed
 	send     func([]replica.Message)
@@ -104,6 +109,9 @@
 	c := &Core{
 		log:             cfg.Log,
 		store:           store,
+		writer:          newWriter(store),
+		writes:          make(chan writeDone, 1),
+		latest:          restored.Snapshot,
 		send:            cfg.Send,
 		messages:        make(chan replica.Message),
 		propose:         make(chan proposal),
@@ -119,7 +127,7 @@
 		return nil, err
 	}
 	c.sched.lease = cfg.Lease
-	c.replica = replica.New(cfg.Replica, restored, store.Snapshot, now)
+	c.replica = replica.New(cfg.Replica, restored, func() replica.Snapshot { return c.latest }, now)
 	c.feed = newFeed(c.machine.Revision())
 	return c, nil
 }
@@ -142,6 +150,9 @@
 // Run carries the core until the context ends.
 func (c *Core) Run(ctx context.Context) {
 	defer close(c.stopped)
+	writerCtx, stopWriter := context.WithCancel(context.Background())
+	var writer sync.WaitGroup
+	writer.Go(func() { c.writer.run(writerCtx) })
 	tick := time.NewTicker(_tick)
 	defer tick.Stop()
 	for {
@@ -152,6 +163,11 @@
 		c.schedule(time.Now())
 		c.carryOut()
 	}
+	if c.writing {
+		<-c.writes
+	}
+	stopWriter()
+	writer.Wait()
 	c.stop()
 }
 
@@ -167,6 +183,8 @@
 		proposals = append(proposals, p)
 	case q := <-c.queries:
 		c.answer(q)
+	case w := <-c.writes:
+		c.written(w)
 	case <-tick:
 		c.tick(time.Now())
 	}
@@ -246,22 +264,20 @@
 	}
 }
 
-// carryOut does what the replica asks until it asks for nothing.
+// carryOut does what the replica asks until it asks for nothing more now.
+// While a write is under way it does what need not wait for it.
 func (c *Core) carryOut() {
 	for c.failed == nil {
-		ready := c.replica.Ready()
+		next := c.replica.Urgent
+		if !c.writing {
+			next = c.replica.Ready
+		}
+		ready := next()
 		if ready.Empty() {
 			break
 		}
 		c.send(ready.Early)
-		if err := c.persist(&ready); err != nil {
-			c.fail(err)
-			return
-		}
-		c.send(ready.Late)
-		if n := len(ready.Entries); n > 0 {
-			c.replica.Persisted(time.Now(), ready.Entries[n-1].Index)
-		}
+		c.persist(ready)
 		for _, e := range ready.Committed {
 			c.apply(e)
 		}
@@ -270,25 +286,62 @@
 	c.maybeSnapshot()
 }
 
-func (c *Core) persist(ready *replica.Ready) error {
+// persist has the writer write what the replica asks for. A snapshot of the
+// leader's is waited for, since nothing can be applied before it.
+func (c *Core) persist(ready replica.Ready) {
+	switch {
+	case ready.Snapshot != nil:
+		if err := c.takeOver(&ready); err != nil {
+			c.fail(err)
+			return
+		}
+		c.send(ready.Late)
+		c.replica.Persisted(time.Now(), ready.Durable())
+	case ready.State != nil || len(ready.Entries) > 0:
+		if ready.State != nil {
+			c.hardState = *ready.State
+		}
+		c.writing = true
+		c.writer.jobs <- writeJob{ready: ready, done: c.writes}
+	default:
+		c.send(ready.Late)
+	}
+}
+
+// takeOver replaces the state by a snapshot of the leader's. No write is under
+// way, so the core may use the disk.
+func (c *Core) takeOver(ready *replica.Ready) error {
 	if ready.State != nil {
 		c.hardState = *ready.State
 	}
-	if ready.Snapshot == nil {
-		return c.store.Save(ready.State, ready.Entries)
-	}
 	if err := c.store.SaveSnapshot(*ready.Snapshot, c.hardState, ready.Entries); err != nil {
 		return err
 	}
 	if err := c.loadSnapshot(*ready.Snapshot); err != nil {
 		return err
 	}
+	c.latest = *ready.Snapshot
 	c.feed.reset(c.machine.Revision())
 	c.sched.reset()
 	c.log.Emit(event.SnapshotLoaded, event.Fields{"index": ready.Snapshot.Index}, "took over the leader's snapshot")
 	return nil
 }
 
+// written takes in the end of a write.
+func (c *Core) written(w writeDone) {
+	c.writing = false
+	if w.err != nil {
+		c.fail(w.err)
+		return
+	}
+	if w.snapshot != nil {
+		c.snapshotWritten(*w.snapshot)
+		return
+	}
+	c.send(w.ready.Late)
+	c.replica.Persisted(time.Now(), w.ready.Durable())
+}
+
 // fail stops the replica: it neither votes nor answers any more, so that
 // nothing is acknowledged that is not on its disk.
 func (c *Core) fail(err error) {
@@ -364,26 +417,29 @@
 	c.role = role
 }
 
+// maybeSnapshot has a snapshot written when the log has grown. The state is
+// copied here; it is encoded and written by the writer.
 func (c *Core) maybeSnapshot() {
-	if c.failed != nil || int(c.lastApplied.Index-c.snapshotIndex) < c.snapshotEntries {
+	if c.failed != nil || c.writing || int(c.lastApplied.Index-c.snapshotIndex) < c.snapshotEntries {
 		return
 	}
-	data, err := wire.MarshalState(c.machine.Contents())
-	if err != nil {
-		c.fail(err)
-		return
-	}
-	snap := replica.Snapshot{Index: c.lastApplied.Index, Term: c.lastApplied.Term, Data: data}
-	tail := c.replica.After(snap.Index)
-	if err := c.store.SaveSnapshot(snap, c.hardState, tail); err != nil {
-		c.fail(err)
-		return
-	}
-	c.snapshotIndex = snap.Index
-	if snap.Index > _keepEntries {
-		c.replica.Compact(snap.Index - _keepEntries)
+	c.writing = true
+	c.writer.jobs <- writeJob{done: c.writes, snapshot: &snapshotJob{
+		index:    c.lastApplied.Index,
+		term:     c.lastApplied.Term,
+		contents: c.machine.Contents(),
+		hard:     c.hardState,
+		tail:     c.replica.After(c.lastApplied.Index),
+	}}
+}
+
+func (c *Core) snapshotWritten(s replica.Snapshot) {
+	c.latest = s
+	c.snapshotIndex = s.Index
+	if s.Index > _keepEntries {
+		c.replica.Compact(s.Index - _keepEntries)
 	}
-	c.log.Emit(event.SnapshotSaved, event.Fields{"index": snap.Index, "bytes": len(data)}, "saved a snapshot")
+	c.log.Emit(event.SnapshotSaved, event.Fields{"index": s.Index, "bytes": len(s.Data)}, "saved a snapshot")
 }
 
 func (c *Core) stop() {
--- a/replica/message.go
+++ b/replica/message.go
@@ -121,9 +121,10 @@
 	_ Body = TimeoutNow{}
 )
 
-// Ready is what the owner of a Replica must carry out, in this order: send
-// Early, write State, Snapshot and Entries to disk and sync them, send Late,
-// call Persisted, install Snapshot in the state machine, apply Committed.
+// Ready is what the owner of a Replica must carry out: send Early at once;
+// write State, Snapshot and Entries to disk and sync them, then send Late and
+// call Persisted; install Snapshot in the state machine; apply Committed. The
+// owner may go on with messages and Urgent while the write is under way.
 type Ready struct {
 	Early     []Message  // may leave before the disk is synced
 	State     *HardState // nil if unchanged
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -112,7 +112,8 @@
 	transferee    ID // follower asked to take over; a transferring leader has no lease
 	transferSince time.Time
 	incoming      *incomingSnap
-	stateDirty    bool
+	stateDirty    bool      // state has changed since the latest Ready
+	durable       HardState // what is on this replica's own disk
 	unsynced      []Entry
 	installed     *Snapshot
 	early         []Message
@@ -135,6 +136,7 @@
 	r := &Replica{
 		cfg:       cfg,
 		state:     from.State,
+		durable:   from.State,
 		role:      Follower,
 		commit:    from.Snapshot.Index,
 		handedOut: from.Snapshot.Index,
@@ -278,34 +280,61 @@
 	}
 }
 
-// Persisted tells that the entries up to index are synced to this replica's
-// own disk.
-func (r *Replica) Persisted(now time.Time, index uint64) {
-	if index > r.synced {
-		r.synced = index
+// Durable names what a write has made durable.
+type Durable struct {
+	State *HardState // nil if the write had none
+	Index uint64     // last entry of the write; 0 if it had none
+	Term  uint64     // term of that entry
+}
+
+// Durable returns what is durable once the Ready's write is done.
+func (r *Ready) Durable() Durable {
+	d := Durable{State: r.State}
+	if n := len(r.Entries); n > 0 {
+		d.Index, d.Term = r.Entries[n-1].Index, r.Entries[n-1].Term
+	}
+	return d
+}
+
+// Persisted tells that a write is done. Entries that were replaced while they
+// were written do not count.
+func (r *Replica) Persisted(now time.Time, d Durable) {
+	if d.State != nil {
+		r.durable = *d.State
+	}
+	if d.Index > r.synced && r.log.term(d.Index) == d.Term {
+		r.synced = d.Index
 	}
 	if r.role == Leader {
 		r.advanceCommit(now)
 	}
 }
 
-// Ready returns what must be carried out and forgets it.
+// Ready returns all that must be carried out and forgets it. It is called
+// only while no write is under way.
 func (r *Replica) Ready() Ready {
-	out := Ready{
-		Early:    r.early,
-		Late:     r.late,
-		Entries:  r.unsynced,
-		Snapshot: r.installed,
-	}
+	out := r.Urgent()
+	out.Late = r.late
+	out.Entries = r.unsynced
+	out.Snapshot = r.installed
 	if r.stateDirty {
 		s := r.state
 		out.State = &s
 	}
-	if r.commit > r.handedOut {
+	r.late, r.unsynced, r.installed, r.stateDirty = nil, nil, nil, false
+	return out
+}
+
+// Urgent returns what need not wait for a write: early messages and committed
+// entries. It may be called while a write is under way.
+func (r *Replica) Urgent() Ready {
+	out := Ready{Early: r.early}
+	r.early = nil
+	// Entries after a snapshot cannot be applied before the snapshot.
+	if r.commit > r.handedOut && r.installed == nil {
 		out.Committed = r.log.slice(r.handedOut+1, r.commit+1)
 		r.handedOut = r.commit
 	}
-	r.early, r.late, r.unsynced, r.installed, r.stateDirty = nil, nil, nil, nil, false
 	return out
 }
 
--- a/replica/step.go
+++ b/replica/step.go
@@ -185,7 +185,10 @@
 	if c := min(a.Commit, reply.Match); c > r.commit {
 		r.commit = c
 	}
-	r.post(m.From, r.state.Term, reply, true)
+	// What is durable already can be confirmed while a write is under way, so
+	// that a slow disk does not look like a dead replica.
+	late := reply.Match > r.synced || r.durable != r.state
+	r.post(m.From, r.state.Term, reply, late)
 }
 
 // acceptEntries appends the entries that the log does not hold yet. It drops
