--- a/catalogue/catalogue.go
+++ b/catalogue/catalogue.go
@@ -77,7 +77,9 @@
 
 // Apply takes in a change at the given revision. The error is a *fault.Error.
 func (c *Catalogue) Apply(ch Change, revision uint64) (Accepted, error) {
-	c.forget(ch.At)
+	if !ch.DryRun {
+		c.forget(ch.At)
+	}
 	if r, ok := c.changes[ch.ID]; ok && ch.ID != "" {
 		return Accepted{Entry: c.entries[ch.Name], Revision: r.Revision, Repeated: true, Deleted: ch.Put == nil}, nil
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -10,33 +10,21 @@
 	"time"
 
 	"github.com/gofrs/flock"
-	"github.com/rcrowley/go-metrics"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
 	"github.com/gentianrail/gentianrail/fault"
-	"github.com/gentianrail/gentianrail/internal/control"
-	"github.com/gentianrail/gentianrail/internal/declaration"
 	"github.com/gentianrail/gentianrail/internal/disk"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/link"
 	"github.com/gentianrail/gentianrail/internal/settings"
-	"github.com/gentianrail/gentianrail/internal/web"
-	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/replica"
 )
 
-func declarationOf(e *pb.CatalogueEntry) declaration.Document {
-	entry := wire.DecodeEntry(e)
-	return declaration.Format(entry.Spec(), entry.Revision())
-}
-
 // Controller is one running controller.
 type Controller struct {
 	core     *Core
-	client   *control.Client
-	web      *web.Server
 	lock     *flock.Flock
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
@@ -44,7 +32,7 @@
 }
 
 // Start locks and reads the data folder and starts the controller's tasks.
-func Start(s *settings.Settings, log event.Log, registry metrics.Registry) (*Controller, error) {
+func Start(s *settings.Settings, log event.Log) (*Controller, error) {
 	cfg := s.Controller
 	files, err := disk.OpenFolder(cfg.DataFolder)
 	if err != nil {
@@ -54,15 +42,15 @@
 	if ok, err := lock.TryLock(); err != nil || !ok {
 		return nil, fault.New(fault.DataLocked, "the data folder is in use by another process")
 	}
-	c := &Controller{lock: lock, client: control.NewClient(s.Controllers)}
-	if err := c.start(s, files, log, registry); err != nil {
+	c := &Controller{lock: lock}
+	if err := c.start(s, files, log); err != nil {
 		_ = lock.Unlock()
 		return nil, err
 	}
 	return c, nil
 }
 
-func (c *Controller) start(s *settings.Settings, files disk.Files, log event.Log, registry metrics.Registry) error {
+func (c *Controller) start(s *settings.Settings, files disk.Files, log event.Log) error {
 	cfg := s.Controller
 	peers, boxes := makePeers(cfg)
 	core, err := NewCore(CoreConfig{
@@ -84,14 +72,6 @@
 	if c.listener, err = net.Listen("tcp", cfg.Address); err != nil {
 		return fault.Wrap(fault.BadSettings, err, "listen on %s", cfg.Address)
 	}
-	op := &operator{id: cfg.ID, core: core, client: c.client, members: cfg.Members, metrics: registry}
-	handler, err := web.Handler("operator", op.routes())
-	if err != nil {
-		return err
-	}
-	if c.web, err = web.Listen(cfg.OperatorAddress, handler); err != nil {
-		return err
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	server := drpcserver.NewWithOptions(mux, link.ServerOptions(nil))
@@ -138,24 +118,18 @@
 	}
 }
 
-// OperatorAddress returns the address of the operator API.
-func (c *Controller) OperatorAddress() string { return c.web.Address() }
+// Core returns the task that owns the controller's state.
+func (c *Controller) Core() *Core { return c.core }
 
 // handOverFor bounds the hand-over of leadership on a planned stop.
 const handOverFor = 2 * time.Second
 
-// Stop hands leadership over, finishes the operator requests in flight and
-// stops the tasks.
+// Stop hands leadership over and stops the tasks.
 func (c *Controller) Stop(ctx context.Context) error {
 	c.handOver(ctx)
-	err := c.web.Shutdown(ctx)
 	c.cancel()
 	c.tasks.Wait()
-	c.client.Close()
-	if unlockErr := c.lock.Unlock(); err == nil {
-		err = unlockErr
-	}
-	return err
+	return c.lock.Unlock()
 }
 
 // handOver waits until this controller does not lead any more, if another
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/gentianrail/gentianrail/internal/controller"
 	"github.com/gentianrail/gentianrail/internal/entry"
 	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/internal/operator"
 	"github.com/gentianrail/gentianrail/internal/sample"
 	"github.com/gentianrail/gentianrail/internal/settings"
 )
@@ -66,11 +67,16 @@
 		d.parts = append(d.parts, samplePart{t})
 	}
 	if s.Controller != nil {
-		c, err := controller.Start(s, d.log.With("role", settings.RoleController), d.metrics)
+		c, err := controller.Start(s, d.log.With("role", settings.RoleController))
 		if err != nil {
 			return err
 		}
 		d.parts = append(d.parts, c)
+		o, err := operator.Start(s, c.Core(), d.metrics)
+		if err != nil {
+			return err
+		}
+		d.parts = append(d.parts, o)
 	}
 	if s.Agent != nil {
 		a, err := agent.Start(s, d.log.With("role", settings.RoleAgent), time.Now())
--- a/internal/controller/operator.go
+++ b/internal/operator/operator.go
@@ -1,4 +1,5 @@
-package controller
+// Package operator serves the operator API of a controller.
+package operator
 
 import (
 	"context"
@@ -18,9 +19,13 @@
 	"github.com/gentianrail/gentianrail/catalogue"
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/controller"
 	"github.com/gentianrail/gentianrail/internal/declaration"
 	"github.com/gentianrail/gentianrail/internal/jobsapi"
+	"github.com/gentianrail/gentianrail/internal/settings"
 	"github.com/gentianrail/gentianrail/internal/web"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/placement"
 	"github.com/gentianrail/gentianrail/state"
 	"github.com/gentianrail/gentianrail/worker"
@@ -41,12 +46,45 @@
 // operator serves the operator API of one controller.
 type operator struct {
 	id      string
-	core    *Core
+	core    *controller.Core
 	client  *control.Client
 	members map[string]string
 	metrics metrics.Registry
 }
 
+// Server is one running operator API.
+type Server struct {
+	web    *web.Server
+	client *control.Client
+}
+
+// Start serves the operator API of a controller.
+func Start(s *settings.Settings, core *controller.Core, registry metrics.Registry) (*Server, error) {
+	client := control.NewClient(s.Controllers)
+	o := &operator{id: s.Controller.ID, core: core, client: client, members: s.Controller.Members, metrics: registry}
+	handler, err := web.Handler("operator", o.routes())
+	if err != nil {
+		return nil, err
+	}
+	server, err := web.Listen(s.Controller.OperatorAddress, handler)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{web: server, client: client}, nil
+}
+
+// Stop finishes the requests in flight.
+func (s *Server) Stop(ctx context.Context) error {
+	err := s.web.Shutdown(ctx)
+	s.client.Close()
+	return err
+}
+
+func formatOf(e *pb.CatalogueEntry) declaration.Document {
+	entry := wire.DecodeEntry(e)
+	return declaration.Format(entry.Spec(), entry.Revision())
+}
+
 func (o *operator) routes() []rest.Route {
 	routes := []rest.Route{
 		{Method: http.MethodGet, Path: "/v1/catalogue/entries", Handler: o.listEntries},
@@ -68,7 +106,7 @@
 
 // read runs a function on a state that includes every change accepted before
 // the call.
-func (o *operator) read(ctx context.Context, run func(c *Core, now time.Time)) error {
+func (o *operator) read(ctx context.Context, run func(rd controller.Reading)) error {
 	ctx, cancel := context.WithTimeout(ctx, _operatorDeadline)
 	defer cancel()
 	revision, err := o.client.Barrier(ctx)
@@ -76,13 +114,7 @@
 		return err
 	}
 	for {
-		done := false
-		err := o.core.Do(ctx, func(c *Core, now time.Time) {
-			if c.lastApplied.Index >= revision {
-				done = true
-				run(c, now)
-			}
-		})
+		done, err := o.core.Read(ctx, revision, run)
 		if err != nil {
 			return fault.Wrap(fault.NoLeader, err, "this controller is behind its leader")
 		}
@@ -116,9 +148,9 @@
 	}
 	after := r.URL.Query().Get("after")
 	out := EntriesDocument{Entries: []declaration.Document{}}
-	err := o.read(r.Context(), func(c *Core, _ time.Time) {
-		out.Revision = c.machine.Revision()
-		for _, e := range c.machine.Catalogue().Entries() {
+	err := o.read(r.Context(), func(rd controller.Reading) {
+		out.Revision = rd.Machine.Revision()
+		for _, e := range rd.Machine.Catalogue().Entries() {
 			if e.Name() <= after {
 				continue
 			}
@@ -154,7 +186,7 @@
 			r.URL.Query().Get("revision")))
 		return
 	}
-	if _, ok, _ := o.core.feed.since(revision); !ok {
+	if _, ok, _ := o.core.Since(revision); !ok {
 		web.WriteFault(w, fault.New(fault.RevisionGone, "changes after revision %d are not kept any more; list again", revision))
 		return
 	}
@@ -163,13 +195,13 @@
 	bookmark := time.NewTicker(time.Second)
 	defer bookmark.Stop()
 	for {
-		u, ok, moved := o.core.feed.since(revision)
+		u, ok, moved := o.core.Since(revision)
 		if !ok {
 			return
 		}
 		var lines []WatchDocument
 		for _, e := range u.GetEntries() {
-			doc := declarationOf(e)
+			doc := formatOf(e)
 			lines = append(lines, WatchDocument{Type: "put", Revision: doc.Revision, Name: doc.Name, Entry: &doc})
 		}
 		for _, name := range u.GetDeletedEntries() {
@@ -191,7 +223,7 @@
 		select {
 		case <-moved:
 		case <-bookmark.C:
-		case <-o.core.stopped:
+		case <-o.core.Stopped():
 			return
 		case <-r.Context().Done():
 			return
@@ -203,8 +235,8 @@
 	name := web.Var(r, "name")
 	var entry catalogue.Entry
 	found := false
-	err := o.read(r.Context(), func(c *Core, _ time.Time) {
-		entry, found = c.machine.Catalogue().Entry(name)
+	err := o.read(r.Context(), func(rd controller.Reading) {
+		entry, found = rd.Machine.Catalogue().Entry(name)
 	})
 	if err == nil && !found {
 		err = fault.New(fault.EntryNotFound, "no entry %q", name)
@@ -307,8 +339,8 @@
 		return nil
 	}
 	reason := ""
-	err := o.read(ctx, func(c *Core, _ time.Time) {
-		reason = placement.NeverFits(catalogue.Restore(spec, 0, 0), c.nodes())
+	err := o.read(ctx, func(rd controller.Reading) {
+		reason = placement.NeverFits(catalogue.Restore(spec, 0, 0), rd.Nodes())
 	})
 	if err != nil {
 		return err
@@ -323,9 +355,9 @@
 	ch.DryRun = true
 	var got catalogue.Accepted
 	var changeErr error
-	err := o.read(r.Context(), func(c *Core, _ time.Time) {
-		ch.At = c.machine.Now()
-		got, changeErr = c.machine.Catalogue().Apply(ch, c.machine.Revision()+1)
+	err := o.read(r.Context(), func(rd controller.Reading) {
+		ch.At = rd.Machine.Now()
+		got, changeErr = rd.Machine.Catalogue().Apply(ch, rd.Machine.Revision()+1)
 	})
 	if err == nil {
 		err = changeErr
@@ -382,10 +414,10 @@
 
 func (o *operator) workers(w http.ResponseWriter, r *http.Request) {
 	out := WorkersDocument{Workers: []WorkerDocument{}}
-	err := o.read(r.Context(), func(c *Core, now time.Time) {
-		out.Revision = c.machine.Revision()
-		for _, wk := range c.machine.Workers().Workers() {
-			out.Workers = append(out.Workers, c.describeWorker(wk, now))
+	err := o.read(r.Context(), func(rd controller.Reading) {
+		out.Revision = rd.Machine.Revision()
+		for _, wk := range rd.Machine.Workers().Workers() {
+			out.Workers = append(out.Workers, describeWorker(rd, wk))
 		}
 	})
 	if err != nil {
@@ -395,7 +427,7 @@
 	web.WriteJSON(w, http.StatusOK, out)
 }
 
-func (c *Core) describeWorker(w worker.Worker, now time.Time) WorkerDocument {
+func describeWorker(rd controller.Reading, w worker.Worker) WorkerDocument {
 	d := WorkerDocument{
 		ID:          w.ID,
 		State:       workerState(w),
@@ -407,12 +439,12 @@
 		Targets:     w.Targets,
 		Slots:       w.Capacity.Slots,
 		Connections: w.Capacity.Connections,
-		Tasks:       len(c.machine.Jobs().RunningOn(w.ID)),
+		Tasks:       len(rd.Machine.Jobs().RunningOn(w.ID)),
 		Revision:    w.Revision,
 	}
-	if s, ok := c.sched.seen[w.ID]; ok {
-		d.SlotsUsed = s.load.GetSlotsUsed()
-		d.SilentMS = now.Sub(s.at).Milliseconds()
+	if s, ok := rd.Sighting(w.ID); ok {
+		d.SlotsUsed = s.SlotsUsed
+		d.SilentMS = rd.Now.Sub(s.At).Milliseconds()
 	}
 	return d
 }
@@ -434,10 +466,10 @@
 
 func (o *operator) tasks(w http.ResponseWriter, r *http.Request) {
 	out := TasksDocument{Tasks: []TaskDocument{}}
-	err := o.read(r.Context(), func(c *Core, _ time.Time) {
-		out.Revision = c.machine.Revision()
-		out.Queued = c.machine.Jobs().QueuedLen()
-		for _, j := range c.machine.Jobs().Running() {
+	err := o.read(r.Context(), func(rd controller.Reading) {
+		out.Revision = rd.Machine.Revision()
+		out.Queued = rd.Machine.Jobs().QueuedLen()
+		for _, j := range rd.Machine.Jobs().Running() {
 			out.Tasks = append(out.Tasks, TaskDocument{JobID: j.ID, Entry: j.Entry, Attempt: j.Attempt, Worker: j.Worker})
 		}
 	})
@@ -501,27 +533,27 @@
 
 func (o *operator) status(w http.ResponseWriter, r *http.Request) {
 	out := StatusDocument{Answering: o.id, Members: []MemberDocument{}, Holders: []HolderDocument{}}
-	err := o.read(r.Context(), func(c *Core, now time.Time) {
-		out.Role = c.replica.Role().String()
-		out.Term = c.replica.Term()
-		out.Revision = c.machine.Revision()
-		out.Entries = c.machine.Catalogue().Len()
-		out.Workers = c.machine.Workers().Len()
-		out.Jobs = c.machine.Jobs().Len()
-		out.Queued = c.machine.Jobs().QueuedLen()
-		out.Claims = c.machine.Claims().Len()
+	err := o.read(r.Context(), func(rd controller.Reading) {
+		out.Role = rd.Role.String()
+		out.Term = rd.Term
+		out.Revision = rd.Machine.Revision()
+		out.Entries = rd.Machine.Catalogue().Len()
+		out.Workers = rd.Machine.Workers().Len()
+		out.Jobs = rd.Machine.Jobs().Len()
+		out.Queued = rd.Machine.Jobs().QueuedLen()
+		out.Claims = rd.Machine.Claims().Len()
 		for id, address := range o.members {
 			out.Members = append(out.Members, MemberDocument{
-				ID: id, Address: address, Leader: id == string(c.replica.Leader()),
+				ID: id, Address: address, Leader: id == rd.Leader,
 			})
 		}
-		for _, h := range c.holders {
+		for _, h := range rd.Holders {
 			out.Holders = append(out.Holders, HolderDocument{
 				Name:     h.Name,
 				Role:     h.Role,
 				Revision: h.Revision,
-				Behind:   c.machine.Revision() - min(h.Revision, c.machine.Revision()),
-				SilentMS: now.Sub(h.Seen).Milliseconds(),
+				Behind:   rd.Machine.Revision() - min(h.Revision, rd.Machine.Revision()),
+				SilentMS: rd.Now.Sub(h.Seen).Milliseconds(),
 			})
 		}
 	})
@@ -565,11 +597,11 @@
 
 func (o *operator) burn(w http.ResponseWriter, r *http.Request) {
 	out := BurnReportDocument{Entries: []BurnDocument{}}
-	err := o.read(r.Context(), func(c *Core, now time.Time) {
-		out.At = now.UTC()
-		for _, e := range c.machine.Catalogue().Entries() {
+	err := o.read(r.Context(), func(rd controller.Reading) {
+		out.At = rd.Now.UTC()
+		for _, e := range rd.Machine.Catalogue().Entries() {
 			obj := e.Objective()
-			out.Entries = append(out.Entries, burnDocument(c.machine.Burn().Report(e.Name(), obj.Ratio, obj.Latency, now)))
+			out.Entries = append(out.Entries, burnDocument(rd.Machine.Burn().Report(e.Name(), obj.Ratio, obj.Latency, rd.Now)))
 		}
 	})
 	if err != nil {
@@ -615,7 +647,7 @@
 }
 
 func (o *operator) readyz(w http.ResponseWriter, r *http.Request) {
-	err := o.read(r.Context(), func(*Core, time.Time) {})
+	err := o.read(r.Context(), func(controller.Reading) {})
 	if err != nil {
 		web.WriteFault(w, fault.Wrap(fault.NotReady, err, "not ready"))
 		return
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -183,11 +183,13 @@
 	select {
 	case <-found.done:
 	case <-timer.C:
-		web.WriteJSON(w, http.StatusOK, platform.StatusDocument{Progress: platform.Running.String()})
-		return
 	case <-r.Context().Done():
 		return
 	}
+	if !found.over() {
+		web.WriteJSON(w, http.StatusOK, platform.StatusDocument{Progress: platform.Running.String()})
+		return
+	}
 	s := found.status
 	web.WriteJSON(w, http.StatusOK, platform.StatusDocument{
 		Progress: s.Progress.String(), Code: s.Code, Result: s.Result, Reason: s.Reason,
--- a/internal/sample/tasks.go
+++ b/internal/sample/tasks.go
@@ -36,6 +36,16 @@
 	status  platform.Status
 }
 
+// over reports whether the task has ended; its status may be read then.
+func (t *task) over() bool {
+	select {
+	case <-t.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // board holds the tasks of the stand-in. Tasks do no work but wait.
 type board struct {
 	mu     sync.Mutex
--- a/internal/tool/catalogue.go
+++ b/internal/tool/catalogue.go
@@ -20,8 +20,8 @@
 	"github.com/gentianrail/gentianrail/catalogue"
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/client"
-	"github.com/gentianrail/gentianrail/internal/controller"
 	"github.com/gentianrail/gentianrail/internal/declaration"
+	"github.com/gentianrail/gentianrail/internal/operator"
 )
 
 const _entriesPath = "/v1/catalogue/entries"
@@ -173,7 +173,7 @@
 	}
 	until := time.Now().Add(wait)
 	for {
-		var status controller.StatusDocument
+		var status operator.StatusDocument
 		if err := c.Get(ctx, "/v1/status", &status); err != nil {
 			return err
 		}
@@ -188,7 +188,7 @@
 	}
 }
 
-func lagging(status controller.StatusDocument, revision uint64) []string {
+func lagging(status operator.StatusDocument, revision uint64) []string {
 	var names []string
 	for _, h := range status.Holders {
 		if h.Revision < revision && milliseconds(h.SilentMS) < _holderGone {
@@ -206,7 +206,7 @@
 	return client.Call{
 		Method: http.MethodPut,
 		Path:   path,
-		Header: http.Header{controller.HeaderChange: {uuid.NewString()}},
+		Header: http.Header{operator.HeaderChange: {uuid.NewString()}},
 		Body:   d.data,
 	}
 }
@@ -224,7 +224,7 @@
 		Name:     d.spec.Name,
 		Result:   outcomeOf(d.spec, before),
 		Version:  doc.Version,
-		Revision: a.Header.Get(controller.HeaderRevision),
+		Revision: a.Header.Get(operator.HeaderRevision),
 	}, nil
 }
 
@@ -301,7 +301,7 @@
 	out := make(map[string]declaration.Document)
 	after := ""
 	for {
-		var page controller.EntriesDocument
+		var page operator.EntriesDocument
 		if err := c.Get(ctx, _entriesPath+"?after="+url.QueryEscape(after), &page); err != nil {
 			return nil, err
 		}
@@ -458,7 +458,7 @@
 	_, err := c.Do(ctx, client.Call{
 		Method: http.MethodDelete,
 		Path:   _entriesPath + "/" + url.PathEscape(name),
-		Header: http.Header{controller.HeaderChange: {uuid.NewString()}, "If-Match": {match}},
+		Header: http.Header{operator.HeaderChange: {uuid.NewString()}, "If-Match": {match}},
 	})
 	return err
 }
--- a/internal/tool/system.go
+++ b/internal/tool/system.go
@@ -12,9 +12,9 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/gentianrail/gentianrail/internal/client"
-	"github.com/gentianrail/gentianrail/internal/controller"
 	"github.com/gentianrail/gentianrail/internal/declaration"
 	"github.com/gentianrail/gentianrail/internal/jobsapi"
+	"github.com/gentianrail/gentianrail/internal/operator"
 )
 
 func statusCommand() *cli.Command {
@@ -22,7 +22,7 @@
 		Name:  "status",
 		Usage: "show the controllers and who lags behind the catalogue",
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			var doc controller.StatusDocument
+			var doc operator.StatusDocument
 			if err := serverOf(cmd).Get(ctx, "/v1/status", &doc); err != nil {
 				return err
 			}
@@ -34,7 +34,7 @@
 	}
 }
 
-func printStatus(w io.Writer, d controller.StatusDocument) error {
+func printStatus(w io.Writer, d operator.StatusDocument) error {
 	fmt.Fprintf(w, "answered by %s (%s), term %d, revision %d\n", d.Answering, d.Role, d.Term, d.Revision)
 	fmt.Fprintf(w, "%d entries, %d workers, %d jobs (%d queued), %d claims\n\n", d.Entries, d.Workers, d.Jobs, d.Queued, d.Claims)
 	t := newTable(w, "CONTROLLER\tADDRESS\tROLE")
@@ -63,7 +63,7 @@
 		Name:  "workers",
 		Usage: "list the workers",
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			var doc controller.WorkersDocument
+			var doc operator.WorkersDocument
 			if err := serverOf(cmd).Get(ctx, "/v1/workers", &doc); err != nil {
 				return err
 			}
@@ -86,7 +86,7 @@
 		Name:  "tasks",
 		Usage: "list the running tasks",
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			var doc controller.TasksDocument
+			var doc operator.TasksDocument
 			if err := serverOf(cmd).Get(ctx, "/v1/tasks", &doc); err != nil {
 				return err
 			}
@@ -149,7 +149,7 @@
 	if err := c.Get(ctx, _entriesPath+"/"+url.PathEscape(name), &doc); err != nil {
 		return err
 	}
-	var report controller.BurnReportDocument
+	var report operator.BurnReportDocument
 	if err := c.Get(ctx, "/v1/report/burn", &report); err != nil {
 		return err
 	}
@@ -159,7 +159,7 @@
 	}
 	for _, b := range report.Entries {
 		if b.Entry == name {
-			return printBurn(w, []controller.BurnDocument{b})
+			return printBurn(w, []operator.BurnDocument{b})
 		}
 	}
 	return nil
@@ -185,7 +185,7 @@
 			Name:  "burn",
 			Usage: "show how fast each entry spends its error budget",
 			Action: func(ctx context.Context, cmd *cli.Command) error {
-				var doc controller.BurnReportDocument
+				var doc operator.BurnReportDocument
 				if err := serverOf(cmd).Get(ctx, "/v1/report/burn", &doc); err != nil {
 					return err
 				}
@@ -198,7 +198,7 @@
 	}
 }
 
-func printBurn(w io.Writer, entries []controller.BurnDocument) error {
+func printBurn(w io.Writer, entries []operator.BurnDocument) error {
 	t := newTable(w, "ENTRY\tVERDICT\tBUDGET LEFT\tWINDOW\tREQUESTS\tBAD\tBURN\tP50 MS\tP99 MS")
 	for _, e := range entries {
 		for i, win := range e.Windows {
