Hold the tool's exit codes, the data folder's lock and the signals to tests

Cause: exit codes, the lock, the second signal, pages of jobs and the watch of the catalogue had only been tried by hand. Change: 32 calls of the tool with exit code and output; a second process on the data folder, and its state after a kill; one and two signals; keys and pages of jobs; a watch of the catalogue.

--- /dev/null
+++ b/e2e/tool_test.go
@@ -0,0 +1,244 @@
+package e2e
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// single is the embedded default as a process.
+type single struct {
+	t   *testing.T
+	dir string
+	cmd *exec.Cmd
+}
+
+func startSingle(t *testing.T) *single {
+	t.Helper()
+	s := &single{t: t, dir: copyTree(t)}
+	build := exec.Command("go", "build", "-o", "bin/", "./cmd/...")
+	build.Dir = s.dir
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	s.start()
+	t.Cleanup(func() { _ = s.cmd.Process.Kill() })
+	return s
+}
+
+func (s *single) daemon(settings string) *exec.Cmd {
+	return exec.Command(filepath.Join(s.dir, "bin/gentianraild"), "--config", filepath.Join(s.dir, "examples", settings))
+}
+
+func (s *single) start() {
+	s.t.Helper()
+	s.cmd = s.daemon("single.json")
+	s.cmd.Stderr = logFile(s.t)
+	if err := s.cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	waitReady(s.t, _entries[0]+"/readyz", _operators[0]+"/readyz")
+}
+
+// tool runs the command-line tool and returns its exit code and output.
+func (s *single) tool(args ...string) (int, string) {
+	s.t.Helper()
+	cmd := exec.Command(filepath.Join(s.dir, "bin/gentianrail"), args...)
+	cmd.Dir = s.dir
+	out, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		s.t.Fatal(err)
+	}
+	return cmd.ProcessState.ExitCode(), string(out)
+}
+
+func (s *single) write(name, text string) {
+	s.t.Helper()
+	if err := os.WriteFile(filepath.Join(s.dir, name), []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+const _entryText = `{"name": "quotes", "owner": "workshop", "class": "%s", "target": "sample", "version": %d,
+	"limits": {"cpu": "%s"}, "objective": {"ratio": 0.99, "latency": "1s"}}`
+
+// TestTool tells what scripts get from the tool, in order.
+func TestTool(t *testing.T) {
+	s := startSingle(t)
+	s.write("new.json", fmt.Sprintf(_entryText, "service", 9, "1"))
+	s.write("racing.json", fmt.Sprintf(_entryText, "service", 9, "2"))
+	s.write("bad.json", fmt.Sprintf(_entryText, "cron", 9, "one"))
+	s.write("huge.json", strings.Replace(fmt.Sprintf(_entryText, "batch", 1, "200"), "quotes", "huge", 1))
+	for _, tc := range []struct {
+		args string
+		exit int
+		want string
+	}{
+		{"version", 0, "0."},
+		{"validate -f examples/catalogue", 0, "3 declarations are sound"},
+		{"validate -f bad.json", 2, `bad.json: limits.cpu: "one" is not a count of cores`},
+		{"validate -f none.json", 2, "none.json"},
+		{"diff -f examples/catalogue", 6, "quotes (examples/catalogue/quotes.json):"},
+		{"apply -f examples/catalogue --dry-run", 0, "created (dry run)"},
+		{"get quotes", 4, "entry_not_found"},
+		{"apply -f examples/catalogue", 0, "created"},
+		{"apply -f examples/catalogue", 0, "unchanged"},
+		{"diff -f examples/catalogue", 0, ""},
+		{"apply -f new.json", 0, "changed"},
+		{"apply -f racing.json", 3, "racing.json: entry \"quotes\": version 9 was declared with other content than version 9"},
+		{"apply -f huge.json", 2, "found a task that could never run"},
+		{"-o json get", 0, `"name": "batting_stock"`},
+		{"describe entry quotes", 0, "VERDICT"},
+		{"status", 0, "controller_1"},
+		{"-o json workers", 0, `"id": "worker_1"`},
+		{"tasks", 0, "ATTEMPT"},
+		{"drain worker_9", 4, "worker_not_found"},
+		{"drain", 2, "expected one worker"},
+		{"jobs submit none", 4, "entry_not_found"},
+		{"jobs submit quotes", 2, "wrong_class"},
+		{"jobs result none", 4, "job_not_found"},
+		{"jobs cancel none", 4, "job_not_found"},
+		{"delete quotes --version 3", 3, "version_conflict"},
+		{"apply -f new.json --prune", 0, "deleted"},
+		{"delete quotes", 0, "deleted"},
+		{"apply -f new.json", 3, "version 9 was deleted"},
+		{"load http://198.51.100.1/", 2, "loopback"},
+		{"load --rate 50 --duration 1s http://127.0.0.1:8630/price", 0, "sent 50, answered 50"},
+		{"--server 127.0.0.1:1 status", 5, "no_leader"},
+		{"-o xml status", 1, "allowed are table and json"},
+	} {
+		exit, out := s.tool(strings.Fields(tc.args)...)
+		if exit != tc.exit || !strings.Contains(out, tc.want) {
+			t.Errorf("gentianrail %s: exit code %d, want %d; printed\n%swant %q", tc.args, exit, tc.exit, out, tc.want)
+		}
+	}
+}
+
+// TestSecondProcess checks that a data folder has one user, and that its state
+// outlives the process.
+func TestSecondProcess(t *testing.T) {
+	s := startSingle(t)
+	if exit, out := s.tool("apply", "-f", "examples/catalogue"); exit != 0 {
+		t.Fatal(out)
+	}
+	text, err := os.ReadFile(filepath.Join(s.dir, "examples/single.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.write("examples/other_ports.json", strings.ReplaceAll(string(text), "127.0.0.1:86", "127.0.0.1:87"))
+	out, err := s.daemon("other_ports.json").CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "data_locked") {
+		t.Errorf("a second process on the data folder: %v\n%s", err, out)
+	}
+	_ = s.cmd.Process.Kill()
+	_ = s.cmd.Wait()
+	s.start()
+	if exit, out := s.tool("get", "quotes"); exit != 0 || !strings.Contains(out, `"version": 1`) {
+		t.Errorf("after a kill: exit code %d\n%s", exit, out)
+	}
+}
+
+// TestSecondSignal checks that one signal waits for a request in flight and
+// that a second one does not.
+func TestSecondSignal(t *testing.T) {
+	s := startSingle(t)
+	if exit, out := s.tool("apply", "-f", "examples/catalogue"); exit != 0 {
+		t.Fatal(out)
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := _client.Get(_entries[0] + "/v1/services/quotes/price?delay_ms=1500")
+		done <- err
+	}()
+	time.Sleep(500 * time.Millisecond)
+	_ = s.cmd.Process.Signal(syscall.SIGTERM)
+	if err := <-done; err != nil {
+		t.Errorf("a request in flight at the signal: %v", err)
+	}
+	if err := s.cmd.Wait(); err != nil {
+		t.Errorf("the daemon ended with %v", err)
+	}
+	s.start()
+	go func() {
+		resp, err := _client.Get(_entries[0] + "/v1/watches/batting_stock/cotton")
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	ended := make(chan error, 1)
+	go func() { ended <- s.cmd.Wait() }()
+	_ = s.cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	_ = s.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(time.Minute):
+		t.Error("the daemon did not end at the second signal")
+	}
+}
+
+// TestJobsAndWatch checks keys of submissions, pages of jobs, and the watch of
+// the catalogue.
+func TestJobsAndWatch(t *testing.T) {
+	s := startSingle(t)
+	var list struct{ Revision uint64 }
+	if err := getJSON(_operators[0]+"/v1/catalogue/entries", &list); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Get(fmt.Sprintf("%s/v1/catalogue/entries?watch&revision=%d", _operators[0], list.Revision))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if exit, out := s.tool("apply", "-f", "examples/catalogue"); exit != 0 {
+		t.Fatal(out)
+	}
+	seen := 0
+	for lines := bufio.NewScanner(resp.Body); seen < 3 && lines.Scan(); {
+		if strings.Contains(lines.Text(), `"type":"put"`) {
+			seen++
+		}
+	}
+	if seen != 3 {
+		t.Errorf("the watch showed %d declarations, want 3", seen)
+	}
+	submit := func(key, body string) (int, string) {
+		return s.tool("jobs", "submit", "--key", key, "--body", body, "cutting_plans")
+	}
+	_, first := submit("k1", "{}")
+	if _, again := submit("k1", "{}"); again != first {
+		t.Errorf("a resend got job %q, the first was %q", again, first)
+	}
+	if exit, out := submit("k1", `{"work_ms": 1}`); exit != 3 {
+		t.Errorf("another job with the key: exit code %d\n%s", exit, out)
+	}
+	for i := range 4 {
+		submit(fmt.Sprint("p", i), "{}")
+	}
+	after, pages, jobs := "", 0, 0
+	for {
+		var page struct {
+			Jobs []struct{ State string }
+			Next string
+		}
+		if err := getJSON(_entries[0]+"/v1/jobs?limit=2&entry=cutting_plans&after="+after, &page); err != nil {
+			t.Fatal(err)
+		}
+		pages, jobs = pages+1, jobs+len(page.Jobs)
+		if after = page.Next; after == "" {
+			break
+		}
+	}
+	if jobs != 5 || pages != 3 {
+		t.Errorf("%d jobs on %d pages, want 5 on 3", jobs, pages)
+	}
+}
--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -14,6 +14,8 @@
 	"path/filepath"
 	"strings"
 	"time"
+
+	"github.com/zeromicro/go-zero/core/logx"
 )
 
 const (
@@ -23,6 +25,7 @@
 )
 
 func main() {
+	logx.Disable()
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
 		os.Exit(1)
