Weigh at most 64 fitting workers for a job; place only when something changed

Cause: each job was weighed on every worker, and every 10 ms round looked at the whole queue again although nothing had changed. Change: a round weighs the best of 64 fitting workers and goes on from where it stopped; an entry that fits nowhere is skipped for the rest of the round; a round comes only after a change, or 200 ms after the last for delayed retries.

--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -19,6 +19,9 @@
 // _placeEvery is the least time between two placement rounds.
 const _placeEvery = 10 * time.Millisecond
 
+// _retryEvery is the longest time between two rounds while jobs wait.
+const _retryEvery = 200 * time.Millisecond
+
 // _lookEvery is the time between two looks at the leases of all workers.
 const _lookEvery = 500 * time.Millisecond
 
@@ -42,6 +45,8 @@
 	jobWaits  map[string][]chan struct{}
 	lastPlace time.Time
 	lastLook  time.Time // at the leases of all workers
+	lastRound time.Time // of placement
+	changed   bool      // jobs, workers or declarations have changed since the last round
 }
 
 func (s *scheduler) lead(now time.Time, _ *state.Machine) {
@@ -76,6 +81,7 @@
 
 // applied keeps the soft state in step with the log.
 func (s *scheduler) applied(m *state.Machine, cmd state.Command, r state.Result) {
+	s.changed = s.changed || r.Job != "" || len(r.Events) > 0
 	switch c := cmd.(type) {
 	case state.PlaceJob:
 		delete(s.placing, c.ID)
@@ -121,7 +127,9 @@
 		c.sched.lastLook = now
 		commands = c.lostWorkers(now)
 	}
-	if len(c.sched.placing) == 0 && c.machine.Jobs().QueuedLen() > 0 {
+	if c.sched.worthARound(now) && c.machine.Jobs().QueuedLen() > 0 {
+		c.sched.changed = false
+		c.sched.lastRound = now
 		commands = append(commands, c.placements(now)...)
 	}
 	proposals := make([]proposal, 0, len(commands))
@@ -131,6 +139,12 @@
 	c.proposeAll(now, proposals)
 }
 
+// worthARound reports whether a placement round could decide otherwise than
+// the last one: something has changed, or a delayed retry may be due.
+func (s *scheduler) worthARound(now time.Time) bool {
+	return len(s.placing) == 0 && (s.changed || now.Sub(s.lastRound) >= _retryEvery)
+}
+
 func (c *Core) lostWorkers(now time.Time) []state.Command {
 	limit := c.sched.lease + c.sched.lease/_driftDivisor
 	var out []state.Command
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -53,18 +53,27 @@
 func Place(now time.Time, candidates []Candidate, nodes []Node, running map[string]int) Decision {
 	order(candidates)
 	var d Decision
+	s := search{nodes: nodes}
+	never := make(map[string]string) // what NeverFits says of an entry
+	full := make(map[string]bool)    // entries that fit nowhere in what is left of this round
 	placed := make(map[string]int)
 	for _, c := range candidates {
-		if reason := NeverFits(c.Entry, nodes); reason != "" {
+		reason, known := never[c.Entry.Name()]
+		if !known {
+			reason = NeverFits(c.Entry, nodes)
+			never[c.Entry.Name()] = reason
+		}
+		if reason != "" {
 			d.Refusals = append(d.Refusals, Refusal{JobID: c.Job.ID, Reason: reason})
 			continue
 		}
 		name := c.Entry.Name()
-		if now.Before(c.Job.RetryAt) || running[name]+placed[name] >= c.Entry.Limits().MostRunningTasks {
+		if full[name] || now.Before(c.Job.RetryAt) || running[name]+placed[name] >= c.Entry.Limits().MostRunningTasks {
 			continue
 		}
-		n := choose(c, nodes)
+		n := s.choose(c)
 		if n == nil {
+			full[name] = true
 			continue
 		}
 		take(n, c.Entry.Limits())
@@ -123,17 +132,27 @@
 		used.Accelerators+l.Accelerators <= holds.Accelerators
 }
 
+// mostWeighed is how many fitting nodes are weighed for one job. Where there
+// are more, the best of this many is close to the best of all.
+const mostWeighed = 64
+
+// search looks for nodes, each time from where it stopped the last time, so
+// that all nodes get their turn.
+type search struct {
+	nodes []Node
+	next  int
+}
+
 // choose returns the open node with the largest share of free processors
-// after the task, leaving out nodes on which the job has failed while another
-// one fits.
-func choose(c Candidate, nodes []Node) *Node {
+// among those weighed, leaving out nodes on which the job has failed while
+// another one fits.
+func (s *search) choose(c Candidate) *Node {
 	var best, bestFailed *Node
-	for i := range nodes {
-		n := &nodes[i]
-		if !n.Worker.Open() || !n.Worker.Serves(c.Entry.Target()) {
-			continue
-		}
-		if !fits(c.Entry.Limits(), n.Worker.Capacity, n.Used) {
+	weighed := 0
+	for range s.nodes {
+		n := &s.nodes[s.next%len(s.nodes)]
+		s.next++
+		if !n.Worker.Open() || !n.Worker.Serves(c.Entry.Target()) || !fits(c.Entry.Limits(), n.Worker.Capacity, n.Used) {
 			continue
 		}
 		slot := &best
@@ -143,6 +162,9 @@
 		if *slot == nil || freeShare(n) > freeShare(*slot) {
 			*slot = n
 		}
+		if weighed++; weighed >= mostWeighed && best != nil {
+			break
+		}
 	}
 	if best != nil {
 		return best
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -137,3 +137,25 @@
 	}, gen.SliceOfN(40, gen.UInt8()), gen.SliceOfN(6, gen.UInt8())))
 	props.TestingRun(t)
 }
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{11, 1000, 5900} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var queue []Candidate
+			for i := range 1000 {
+				queue = append(queue, candidate(fmt.Sprint("j", i), entryOf("e", 10, 1, 0, 1_000_000, 0)))
+			}
+			for b.Loop() {
+				b.StopTimer()
+				var nodes []Node
+				for i := range n {
+					nodes = append(nodes, node(fmt.Sprint("w", i), 64_000, 1<<40, 0))
+					nodes[i].Used.CPUMillis = int64(i * 7919 % 16_000)
+				}
+				b.StartTimer()
+				Place(_now, queue, nodes, nil)
+			}
+			b.ReportMetric(float64(len(queue)*b.N)/b.Elapsed().Seconds(), "placements/s")
+		})
+	}
+}
