Give a report's connection back under the address that it was taken for

An entry instance's report asked twice for the leader's address; while no leader is known the two answers differ, and the connection to one controller was kept as one to another. Calls to the leader then went to a follower until their deadline of 10 s. Ruled out by the logs: a change of leader, lost renewals, a stall of the machine. Change: the address is asked for once.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -211,7 +211,8 @@
 
 // Report tells the leader which revision a holder has in force.
 func (c *Client) Report(ctx context.Context, holder, role string, revision uint64) error {
-	conn, err := c.pool.Take(ctx, time.Now(), c.LeaderAddress())
+	address := c.LeaderAddress()
+	conn, err := c.pool.Take(ctx, time.Now(), address)
 	if err != nil {
 		return err
 	}
@@ -220,6 +221,6 @@
 		_ = conn.Close()
 		return err
 	}
-	c.pool.Give(time.Now(), c.LeaderAddress(), conn)
+	c.pool.Give(time.Now(), address, conn)
 	return nil
 }
