--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,7 +24,7 @@
 	"github.com/gentianrail/gentianrail/internal/settings"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
-	"github.com/gentianrail/gentianrail/platform"
+	"github.com/gentianrail/gentianrail/internal/workerapi"
 	"github.com/gentianrail/gentianrail/state"
 	"github.com/gentianrail/gentianrail/worker"
 )
@@ -46,7 +46,7 @@
 	announce    worker.Worker
 	gate        *gate
 	target      *targetClient
-	worker      *platform.Client
+	worker      *workerapi.Client
 	controllers *control.Client
 	lease       lease
 	tasks       taskSet
@@ -75,7 +75,7 @@
 		incarnation: uint64(now.UnixNano()),
 		gate:        newGate(cfg.Slots, cfg.Connections),
 		target:      newTargetClient(cfg.TargetAddress),
-		worker:      platform.NewClient(cfg.TargetAddress),
+		worker:      workerapi.NewClient(cfg.TargetAddress),
 		controllers: control.NewClient(s.Controllers),
 		leaving:     make(chan struct{}),
 		wake:        make(chan struct{}, 1),
@@ -241,7 +241,7 @@
 	a.announce.Drained = reply.GetDrained()
 	a.gate.setClosing(a.isLeaving() && a.noticed.Load() || reply.GetDrained())
 	for _, t := range reply.GetStop() {
-		if running := a.tasks.find(platform.TaskID{Job: t.GetJob(), Attempt: t.GetAttempt()}); running != nil {
+		if running := a.tasks.find(workerapi.TaskID{Job: t.GetJob(), Attempt: t.GetAttempt()}); running != nil {
 			running.askStop()
 		}
 	}
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -11,7 +11,7 @@
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/job"
-	"github.com/gentianrail/gentianrail/platform"
+	"github.com/gentianrail/gentianrail/internal/workerapi"
 	"github.com/gentianrail/gentianrail/state"
 )
 
@@ -25,7 +25,7 @@
 
 // runningTask is one attempt that this agent has.
 type runningTask struct {
-	id     platform.TaskID
+	id     workerapi.TaskID
 	cancel context.CancelFunc // ends its goroutine without settling
 	stop   chan struct{}      // closed when the attempt is to be stopped
 	once   sync.Once
@@ -39,10 +39,10 @@
 	tasks map[string]*runningTask // by job
 }
 
-func (s *taskSet) list() []platform.TaskID {
+func (s *taskSet) list() []workerapi.TaskID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]platform.TaskID, 0, len(s.tasks))
+	out := make([]workerapi.TaskID, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		out = append(out, t.id)
 	}
@@ -70,7 +70,7 @@
 	}
 }
 
-func (s *taskSet) find(id platform.TaskID) *runningTask {
+func (s *taskSet) find(id workerapi.TaskID) *runningTask {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t, ok := s.tasks[id.Job]; ok && t.id == id {
@@ -101,7 +101,7 @@
 func (a *Agent) assign(as *pb.Assignment) {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &runningTask{
-		id:     platform.TaskID{Job: as.GetJob(), Attempt: as.GetAttempt()},
+		id:     workerapi.TaskID{Job: as.GetJob(), Attempt: as.GetAttempt()},
 		cancel: cancel,
 		stop:   make(chan struct{}),
 	}
@@ -179,7 +179,7 @@
 		if !ok {
 			return fault.New(fault.StaleAttempt, "the lease ran out before the task was started")
 		}
-		_, err := a.worker.Start(ctx, platform.Task{
+		_, err := a.worker.Start(ctx, workerapi.Task{
 			ID: t.id, Target: as.GetTarget(), Body: as.GetBody(), Checkpoint: as.GetCheckpoint(), Until: until,
 		})
 		if err == nil || time.Now().After(limit) || ctx.Err() != nil {
@@ -220,14 +220,14 @@
 			continue
 		}
 		switch status.Progress {
-		case platform.Running:
-		case platform.Finished:
+		case workerapi.Running:
+		case workerapi.Finished:
 			return job.Finished{Status: status.Code, Result: status.Result}
-		case platform.Failed:
+		case workerapi.Failed:
 			return job.AttemptFailed{Reason: status.Reason}
-		case platform.Stopped:
+		case workerapi.Stopped:
 			return job.Lost{Reason: status.Reason}
-		case platform.Unknown:
+		case workerapi.Unknown:
 			return job.Lost{Reason: "the worker does not know the task any more"}
 		}
 	}
@@ -239,7 +239,7 @@
 func (a *Agent) stopTask(ctx context.Context, t *runningTask) job.Outcome {
 	for ctx.Err() == nil {
 		status, err := a.worker.Wait(ctx, t.id, 0)
-		if err == nil && status.Progress == platform.Finished {
+		if err == nil && status.Progress == workerapi.Finished {
 			return job.Finished{Status: status.Code, Result: status.Result}
 		}
 		checkpoint, err := a.worker.Stop(ctx, t.id)
--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/settings"
-	"github.com/gentianrail/gentianrail/platform"
+	"github.com/gentianrail/gentianrail/internal/workerapi"
 )
 
 // faulty is a target whose paths misbehave each in their own way.
@@ -47,7 +47,7 @@
 }
 
 func (f *faulty) serve(w http.ResponseWriter, r *http.Request) {
-	if strings.HasPrefix(r.URL.Path, platform.Prefix) {
+	if strings.HasPrefix(r.URL.Path, workerapi.Prefix) {
 		fmt.Fprint(w, `{"clock_ms": 1000}`)
 		return
 	}
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -17,7 +17,7 @@
 
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/web"
-	"github.com/gentianrail/gentianrail/platform"
+	"github.com/gentianrail/gentianrail/internal/workerapi"
 )
 
 const (
@@ -64,17 +64,17 @@
 func (t *Target) Server() *web.Server { return t.server }
 
 func (t *Target) routes() []rest.Route {
-	task := platform.Prefix + "/tasks/{job}/{attempt}"
+	task := workerapi.Prefix + "/tasks/{job}/{attempt}"
 	return []rest.Route{
-		{Method: http.MethodGet, Path: platform.Prefix + "/clock", Handler: t.clock},
+		{Method: http.MethodGet, Path: workerapi.Prefix + "/clock", Handler: t.clock},
 		{Method: http.MethodPut, Path: task, Handler: t.startTask},
 		{Method: http.MethodGet, Path: task, Handler: t.waitTask},
 		{Method: http.MethodDelete, Path: task, Handler: t.stopTask},
 		{Method: http.MethodPost, Path: task + "/checkpoint", Handler: t.checkpoint},
 		{Method: http.MethodPost, Path: task + "/throttle", Handler: t.throttle},
-		{Method: http.MethodDelete, Path: platform.Prefix + "/tasks", Handler: t.stopAll},
-		{Method: http.MethodPost, Path: platform.Prefix + "/renew", Handler: t.renew},
-		{Method: http.MethodGet, Path: platform.Prefix + "/usage", Handler: t.usage},
+		{Method: http.MethodDelete, Path: workerapi.Prefix + "/tasks", Handler: t.stopAll},
+		{Method: http.MethodPost, Path: workerapi.Prefix + "/renew", Handler: t.renew},
+		{Method: http.MethodGet, Path: workerapi.Prefix + "/usage", Handler: t.usage},
 		{Method: web.AnyMethod, Path: "/{path...}", Handler: t.request},
 	}
 }
@@ -125,24 +125,24 @@
 }
 
 func (t *Target) writeClock(w http.ResponseWriter) {
-	web.WriteJSON(w, http.StatusOK, platform.ClockDocument{ClockMS: t.board.clock(time.Now()).Milliseconds()})
+	web.WriteJSON(w, http.StatusOK, workerapi.ClockDocument{ClockMS: t.board.clock(time.Now()).Milliseconds()})
 }
 
 func (t *Target) clock(w http.ResponseWriter, _ *http.Request) { t.writeClock(w) }
 
 var errBadAttempt = errors.New("the attempt is not a number")
 
-func taskID(r *http.Request) (platform.TaskID, error) {
+func taskID(r *http.Request) (workerapi.TaskID, error) {
 	n, err := strconv.ParseUint(web.Var(r, "attempt"), 10, 32)
 	if err != nil {
-		return platform.TaskID{}, errBadAttempt
+		return workerapi.TaskID{}, errBadAttempt
 	}
-	return platform.TaskID{Job: web.Var(r, "job"), Attempt: uint32(n)}, nil
+	return workerapi.TaskID{Job: web.Var(r, "job"), Attempt: uint32(n)}, nil
 }
 
 func (t *Target) startTask(w http.ResponseWriter, r *http.Request) {
 	id, err := taskID(r)
-	var doc platform.StartDocument
+	var doc workerapi.StartDocument
 	if err == nil {
 		err = json.UnmarshalRead(r.Body, &doc)
 	}
@@ -167,7 +167,7 @@
 	}
 	found := t.board.find(id)
 	if found == nil {
-		web.WriteJSON(w, http.StatusOK, platform.StatusDocument{Progress: platform.Unknown.String()})
+		web.WriteJSON(w, http.StatusOK, workerapi.StatusDocument{Progress: workerapi.Unknown.String()})
 	}
 	return found
 }
@@ -187,11 +187,11 @@
 		return
 	}
 	if !found.over() {
-		web.WriteJSON(w, http.StatusOK, platform.StatusDocument{Progress: platform.Running.String()})
+		web.WriteJSON(w, http.StatusOK, workerapi.StatusDocument{Progress: workerapi.Running.String()})
 		return
 	}
 	s := found.status
-	web.WriteJSON(w, http.StatusOK, platform.StatusDocument{
+	web.WriteJSON(w, http.StatusOK, workerapi.StatusDocument{
 		Progress: s.Progress.String(), Code: s.Code, Result: s.Result, Reason: s.Reason,
 	})
 }
@@ -202,12 +202,12 @@
 		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
 		return
 	}
-	web.WriteJSON(w, http.StatusOK, platform.CheckpointDocument{Checkpoint: t.board.stop(id, time.Now())})
+	web.WriteJSON(w, http.StatusOK, workerapi.CheckpointDocument{Checkpoint: t.board.stop(id, time.Now())})
 }
 
 func (t *Target) checkpoint(w http.ResponseWriter, r *http.Request) {
 	if found := t.task(w, r); found != nil {
-		web.WriteJSON(w, http.StatusOK, platform.CheckpointDocument{Checkpoint: t.board.checkpoint(found, time.Now())})
+		web.WriteJSON(w, http.StatusOK, workerapi.CheckpointDocument{Checkpoint: t.board.checkpoint(found, time.Now())})
 	}
 }
 
@@ -224,24 +224,24 @@
 }
 
 func (t *Target) renew(w http.ResponseWriter, r *http.Request) {
-	var doc platform.RenewDocument
+	var doc workerapi.RenewDocument
 	if err := json.UnmarshalRead(r.Body, &doc); err != nil {
 		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
 		return
 	}
-	ids := make([]platform.TaskID, 0, len(doc.Tasks))
+	ids := make([]workerapi.TaskID, 0, len(doc.Tasks))
 	for _, d := range doc.Tasks {
-		ids = append(ids, platform.TaskID(d))
+		ids = append(ids, workerapi.TaskID(d))
 	}
 	t.board.renew(ids, time.Duration(doc.UntilMS)*time.Millisecond, time.Now())
 	t.writeClock(w)
 }
 
 func (t *Target) usage(w http.ResponseWriter, _ *http.Request) {
-	docs := []platform.UsageDocument{}
+	docs := []workerapi.UsageDocument{}
 	at := t.board.clock(time.Now()).Milliseconds()
 	for _, id := range t.board.live() {
-		docs = append(docs, platform.UsageDocument{Job: id.Job, Attempt: id.Attempt, AtMS: at})
+		docs = append(docs, workerapi.UsageDocument{Job: id.Job, Attempt: id.Attempt, AtMS: at})
 	}
 	web.WriteJSON(w, http.StatusOK, docs)
 }
--- a/internal/sample/tasks.go
+++ b/internal/sample/tasks.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-json-experiment/json"
 
-	"github.com/gentianrail/gentianrail/platform"
+	"github.com/gentianrail/gentianrail/internal/workerapi"
 )
 
 // work is the part of a job's body that the stand-in understands.
@@ -26,14 +26,14 @@
 
 // task is one attempt. It is over when done is closed.
 type task struct {
-	id      platform.TaskID
+	id      workerapi.TaskID
 	body    work
 	resumed time.Duration // work that was done by earlier attempts
 	started time.Time
 	lease   *time.Timer
 	finish  *time.Timer
 	done    chan struct{}
-	status  platform.Status
+	status  workerapi.Status
 }
 
 // over reports whether the task has ended; its status may be read then.
@@ -61,14 +61,14 @@
 func (b *board) clock(now time.Time) time.Duration { return now.Sub(b.begun) }
 
 // start begins an attempt. It reports whether the attempt is the latest.
-func (b *board) start(id platform.TaskID, body, checkpoint []byte, until time.Duration, now time.Time) bool {
+func (b *board) start(id workerapi.TaskID, body, checkpoint []byte, until time.Duration, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if old, ok := b.tasks[id.Job]; ok {
 		if old.id.Attempt >= id.Attempt {
 			return old.id.Attempt == id.Attempt
 		}
-		b.end(old, platform.Status{Progress: platform.Stopped, Reason: "a later attempt was started"})
+		b.end(old, workerapi.Status{Progress: workerapi.Stopped, Reason: "a later attempt was started"})
 	}
 	t := &task{id: id, started: now, done: make(chan struct{})}
 	// A body that is not JSON is a job without work.
@@ -84,7 +84,7 @@
 }
 
 // end makes a task over once.
-func (b *board) end(t *task, s platform.Status) {
+func (b *board) end(t *task, s workerapi.Status) {
 	if t.status.Progress != 0 {
 		return
 	}
@@ -97,7 +97,7 @@
 func (b *board) expire(t *task) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.end(t, platform.Status{Progress: platform.Stopped, Reason: "the lease ran out"})
+	b.end(t, workerapi.Status{Progress: workerapi.Stopped, Reason: "the lease ran out"})
 }
 
 func (b *board) complete(t *task) {
@@ -114,13 +114,13 @@
 		Resumed: t.resumed.Milliseconds(),
 	})
 	if err != nil {
-		b.end(t, platform.Status{Progress: platform.Failed, Reason: err.Error()})
+		b.end(t, workerapi.Status{Progress: workerapi.Failed, Reason: err.Error()})
 		return
 	}
-	b.end(t, platform.Status{Progress: platform.Finished, Code: 200, Result: data})
+	b.end(t, workerapi.Status{Progress: workerapi.Finished, Code: 200, Result: data})
 }
 
-func (b *board) find(id platform.TaskID) *task {
+func (b *board) find(id workerapi.TaskID) *task {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t, ok := b.tasks[id.Job]
@@ -130,7 +130,7 @@
 	return t
 }
 
-func (b *board) renew(ids []platform.TaskID, until time.Duration, now time.Time) {
+func (b *board) renew(ids []workerapi.TaskID, until time.Duration, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, id := range ids {
@@ -148,7 +148,7 @@
 
 // stop ends an attempt. An attempt that was never started is noted as
 // stopped, so that a start order that was delayed on the way is refused.
-func (b *board) stop(id platform.TaskID, now time.Time) []byte {
+func (b *board) stop(id workerapi.TaskID, now time.Time) []byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t, ok := b.tasks[id.Job]
@@ -160,7 +160,7 @@
 		b.tasks[id.Job] = t
 	}
 	point := b.checkpoint(t, now)
-	b.end(t, platform.Status{Progress: platform.Stopped, Reason: "stopped on order"})
+	b.end(t, workerapi.Status{Progress: workerapi.Stopped, Reason: "stopped on order"})
 	return point
 }
 
@@ -168,15 +168,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, t := range b.tasks {
-		b.end(t, platform.Status{Progress: platform.Stopped, Reason: "all tasks were stopped"})
+		b.end(t, workerapi.Status{Progress: workerapi.Stopped, Reason: "all tasks were stopped"})
 	}
 }
 
 // live returns the attempts that run.
-func (b *board) live() []platform.TaskID {
+func (b *board) live() []workerapi.TaskID {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []platform.TaskID
+	var out []workerapi.TaskID
 	for _, t := range b.tasks {
 		if t.status.Progress == 0 {
 			out = append(out, t.id)
--- a/platform/http.go
+++ b/internal/workerapi/http.go
@@ -1,4 +1,4 @@
-package platform
+package workerapi
 
 import (
 	"bytes"
@@ -105,7 +105,7 @@
 
 // NewClient returns the worker that listens on address.
 func NewClient(address string) *Client {
-	const name = "platform"
+	const name = "worker"
 	breaker.NoBreakerFor(name)
 	raw := &http.Client{Transport: &http.Transport{IdleConnTimeout: _idleFor}}
 	return &Client{
@@ -125,13 +125,13 @@
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
-			return fault.Wrap(fault.Internal, err, "encode a platform request")
+			return fault.Wrap(fault.Internal, err, "encode a worker request")
 		}
 		body = bytes.NewReader(data)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
-		return fault.Wrap(fault.Internal, err, "make a platform request")
+		return fault.Wrap(fault.Internal, err, "make a worker request")
 	}
 	resp, err := c.service.DoRequest(req)
 	if err != nil {
--- a/platform/platform.go
+++ b/internal/workerapi/workerapi.go
@@ -1,11 +1,11 @@
-// Package platform is the interface to a worker's tasks.
+// Package workerapi is the interface to a worker's tasks.
 //
 // A worker runs each task under a lease and stops it by itself when the lease
 // ends. Leases end at an instant of the worker's own monotonic clock, which
 // each answer of the worker states. The agent derives the instant from an
 // earlier answer, so a renewal that is delayed on the way never extends a
 // lease beyond what the controllers granted.
-package platform
+package workerapi
 
 import (
 	"context"
