--- a/cmd/gentianraild/main.go
+++ b/cmd/gentianraild/main.go
@@ -51,7 +51,7 @@
 	if s.Log.Format == "json" {
 		format = event.JSON
 	}
-	log := event.NewLog(os.Stderr, format, s.Level()).With("name", s.Name)
+	log := event.NewLog(os.Stdout, format, s.Level()).With("name", s.Name)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	d, err := daemon.Start(&s, log)
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,309 @@
+// Package dispatch decides which waiting tasks start on which workers.
+//
+// A Dispatcher performs no I/O and reads no clock. It is given the record of
+// submissions, the workers that can be reached and the time, and returns the
+// starts to record. It never gives a worker more than its capacity, counting
+// every run whose end is not recorded.
+package dispatch
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// Weights of a worker's cost. Only their order of size matters: a rule with a
+// larger weight goes before one with a smaller.
+const (
+	_costSuspect    = 8.0 // the worker has lately failed what it was given
+	_costOffRack    = 4.0 // data or the step's other tasks are on another rack
+	_costDisturb    = 2.0 // a task that serves would share the worker with one that fills
+	_costSpread     = 0.5 // a task that serves would open a worker that has none yet
+	_costLoad       = 1.0 // full use of the worker
+	_urgentPriority = 0   // queues whose tasks may take the headroom
+)
+
+// Headroom is the share of each worker's CPU that only tasks of urgent queues
+// may take, so that a short urgent task starts while batch work fills the
+// pool. The urgent work of both users' pages takes about 6% of their pools.
+const Headroom = 0.06
+
+// LateFactor is how many times its objective a submission may take until its
+// completion is of no use any more.
+const LateFactor = 3
+
+// Worker is one life of a worker that can be reached.
+type Worker struct {
+	Life     string
+	Service  string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Capacity submission.Resources
+	Open     bool // takes new tasks
+	Suspect  bool // has lately failed most of what it was given
+}
+
+// node is a worker while a round lasts.
+type node struct {
+	Worker
+	free    submission.Resources
+	serving int
+	filling int
+}
+
+// Objective returns how long after its acceptance a submission should be
+// completed.
+func Objective(s *submission.Submission) time.Duration {
+	return time.Duration(s.Slack*float64(s.Chain(-1))) + s.Target
+}
+
+// item is a step of one occurrence that has tasks to start.
+type item struct {
+	s          *submission.Submission
+	occurrence int
+	step       int
+	class      int // 0: can meet its objective; 1: can be late; 2: too late to be of use
+	deadline   time.Time
+}
+
+// Starts returns the starts to record now. wall is the time of day, which the
+// start times of occurrences are given in.
+func Starts(now, wall time.Time, book *submission.Book, workers []Worker) []submission.Start {
+	r := round{now: now, nodes: makeNodes(book, workers)}
+	if len(r.nodes) == 0 {
+		return nil
+	}
+	for _, it := range waiting(now, wall, book) {
+		r.place(it)
+	}
+	return r.starts
+}
+
+func makeNodes(book *submission.Book, workers []Worker) []*node {
+	var out []*node
+	for _, w := range workers {
+		if !w.Open {
+			continue
+		}
+		n := &node{Worker: w, free: w.Capacity}
+		if u := book.Usage(w.Life); u != nil {
+			n.free = w.Capacity.Sub(u.Taken)
+			n.serving, n.filling = u.Serving, u.Filling
+		}
+		out = append(out, n)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Life < out[j].Life })
+	return out
+}
+
+// waiting returns the steps whose turn has come, the most urgent first.
+func waiting(now, wall time.Time, book *submission.Book) []item {
+	var out []item
+	for _, s := range book.Unended() {
+		if s.Waiting() == 0 {
+			continue
+		}
+		objective := Objective(s)
+		for k := range s.Progress {
+			accepted := s.Accepted
+			if due := s.DueAt(k); !due.IsZero() {
+				accepted = now.Add(due.Sub(wall)) // the due time on the clock of now
+			}
+			for i := range s.Steps {
+				if !hasWaiting(&s.Progress[k][i]) || !s.Ready(k, i, wall) {
+					continue
+				}
+				it := item{s: s, occurrence: k, step: i, deadline: accepted.Add(objective)}
+				finish := now.Add(s.Chain(i))
+				switch {
+				case s.Steps[i].LongRunning || !finish.After(it.deadline):
+				case !finish.After(accepted.Add(LateFactor * objective)):
+					it.class = 1
+				default:
+					it.class = 2
+				}
+				out = append(out, it)
+			}
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return before(out[i], out[j]) })
+	return out
+}
+
+func hasWaiting(p *submission.Progress) bool {
+	for i := range p.Tasks {
+		if !p.Tasks[i].Done && len(p.Tasks[i].Runs) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func before(a, b item) bool {
+	if a.class != b.class {
+		return a.class < b.class
+	}
+	if a.s.Priority != b.s.Priority {
+		return a.s.Priority < b.s.Priority
+	}
+	return a.deadline.Before(b.deadline)
+}
+
+// round is one pass over all waiting steps.
+type round struct {
+	now    time.Time
+	nodes  []*node
+	starts []submission.Start
+}
+
+// place gives the waiting tasks of a step to workers. A gang is placed as a
+// whole or not at all.
+func (r *round) place(it item) {
+	step := &it.s.Steps[it.step]
+	p := &it.s.Progress[it.occurrence][it.step]
+	onWorker, onRack := r.spread(it, p)
+	number := uint32(0)
+	if step.Gang {
+		for i := range p.Tasks {
+			if len(p.Tasks[i].Runs) > 0 {
+				return // an earlier run of the gang is not over
+			}
+			number = max(number, p.Tasks[i].Last)
+		}
+	}
+	mark := len(r.starts)
+	for i := range p.Tasks {
+		t := &p.Tasks[i]
+		if t.Done || len(t.Runs) > 0 {
+			continue
+		}
+		n := r.best(it, onWorker, onRack)
+		if n == nil {
+			if step.Gang {
+				r.undo(mark, it)
+			}
+			return // the step's tasks are alike, so the others do not fit either
+		}
+		id := submission.TaskID{Submission: it.s.ID, Occurrence: it.occurrence, Step: it.step, Index: i}
+		run := submission.RunID{Task: id, Number: max(number, t.Last) + 1}
+		r.starts = append(r.starts, submission.Start{Run: run, Worker: n.Life})
+		n.take(step, 1)
+		onWorker[n.Life]++
+		onRack[n.Rack]++
+	}
+}
+
+func (r *round) undo(mark int, it item) {
+	for _, st := range r.starts[mark:] {
+		for _, n := range r.nodes {
+			if n.Life == st.Worker {
+				n.take(&it.s.Steps[it.step], -1)
+			}
+		}
+	}
+	r.starts = r.starts[:mark]
+}
+
+func (n *node) take(step *submission.Step, count int) {
+	room := step.Room()
+	for range max(count, -count) {
+		if count > 0 {
+			n.free = n.free.Sub(room)
+		} else {
+			n.free = n.free.Add(room)
+		}
+	}
+	if step.Serves() {
+		n.serving += count
+	} else {
+		n.filling += count
+	}
+}
+
+// spread returns where the active runs of a step are, by worker and by rack.
+func (r *round) spread(it item, p *submission.Progress) (onWorker, onRack map[string]int) {
+	onWorker, onRack = make(map[string]int), make(map[string]int)
+	racks := make(map[string]string, len(r.nodes))
+	for _, n := range r.nodes {
+		racks[n.Life] = n.Rack
+	}
+	for i := range p.Tasks {
+		for _, run := range p.Tasks[i].Runs {
+			onWorker[run.Worker]++
+			onRack[racks[run.Worker]]++
+		}
+	}
+	return onWorker, onRack
+}
+
+// best returns the worker that suits a task of the step best, or nil.
+func (r *round) best(it item, onWorker, onRack map[string]int) *node {
+	step := &it.s.Steps[it.step]
+	var best *node
+	var bestCost float64
+	for _, n := range r.nodes {
+		if !n.admits(it.s, step, onWorker[n.Life]) {
+			continue
+		}
+		cost := n.cost(step, onRack)
+		if best == nil || cost < bestCost {
+			best, bestCost = n, cost
+		}
+	}
+	return best
+}
+
+// admits reports whether a task of the step may start on the worker.
+func (n *node) admits(s *submission.Submission, step *submission.Step, already int) bool {
+	if n.Service != s.Service {
+		return false
+	}
+	if step.Requirement != "" && !slices.Contains(n.Labels, step.Requirement) {
+		return false
+	}
+	if step.MostPerWorker > 0 && already >= step.MostPerWorker {
+		return false
+	}
+	room := n.free
+	if s.Priority > _urgentPriority && !step.Gang {
+		room.CPU -= int64(Headroom * float64(n.Capacity.CPU))
+	}
+	return step.Room().Fits(room) || step.Room().CPU > room.CPU && n.empty() && step.Room().Fits(n.free)
+}
+
+func (n *node) empty() bool { return n.serving == 0 && n.filling == 0 }
+
+// cost ranks workers for a task of the step; the lowest is best.
+func (n *node) cost(step *submission.Step, onRack map[string]int) float64 {
+	cost := _costLoad * n.load()
+	if n.Suspect {
+		cost += _costSuspect
+	}
+	if step.DataRack != "" && step.DataRack != n.Rack {
+		cost += _costOffRack
+	}
+	if step.RackLocal && len(onRack) > 0 && onRack[n.Rack] == 0 {
+		cost += _costOffRack
+	}
+	switch {
+	case step.Serves() && n.filling > 0 || !step.Serves() && n.serving > 0:
+		cost += _costDisturb
+	case step.Serves() && n.serving == 0:
+		cost += _costSpread
+	}
+	return cost
+}
+
+// load returns the larger share of CPU and memory in use.
+func (n *node) load() float64 {
+	share := func(free, all int64) float64 {
+		if all == 0 {
+			return 0
+		}
+		return 1 - float64(free)/float64(all)
+	}
+	return max(share(n.free.CPU, n.Capacity.CPU), share(n.free.Memory, n.Capacity.Memory))
+}
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -10,8 +10,8 @@
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
-	"github.com/gentianrail/gentianrail/job"
 	"github.com/gentianrail/gentianrail/internal/workerapi"
+	"github.com/gentianrail/gentianrail/job"
 	"github.com/gentianrail/gentianrail/state"
 )
 
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -26,14 +27,34 @@
 
 // Client calls whichever controller leads.
 type Client struct {
-	addresses []string
+	seeds     []string                 // from the settings
+	addresses atomic.Pointer[[]string] // of the members, as learnt last, and the seeds
 	pool      link.Pool
 	leader    atomic.Pointer[string] // address that led at the last call
 	turn      atomic.Uint32
 }
 
 // NewClient returns a client of the controllers at the given addresses.
-func NewClient(addresses []string) *Client { return &Client{addresses: addresses} }
+func NewClient(addresses []string) *Client {
+	c := &Client{seeds: addresses}
+	c.addresses.Store(&addresses)
+	return c
+}
+
+// Learn notes the addresses of the group's members. The seeds are kept beside
+// them, since all members may be replaced while this client hears nothing.
+func (c *Client) Learn(members []string) {
+	if len(members) == 0 {
+		return
+	}
+	all := slices.Clone(members)
+	for _, s := range c.seeds {
+		if !slices.Contains(all, s) {
+			all = append(all, s)
+		}
+	}
+	c.addresses.Store(&all)
+}
 
 // Close closes the idle connections.
 func (c *Client) Close() { c.pool.Close() }
@@ -43,7 +64,8 @@
 
 // Any returns one of the controllers' addresses, another one with each call.
 func (c *Client) Any() string {
-	return c.addresses[int(c.turn.Add(1))%len(c.addresses)]
+	all := *c.addresses.Load()
+	return all[int(c.turn.Add(1))%len(all)]
 }
 
 // LeaderAddress returns the address that led at the last call, or any.
--- /dev/null
+++ b/internal/control/submissions.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/link"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/queue"
+	"github.com/gentianrail/gentianrail/state"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// Verb is what a caller asks for at a queue's path.
+type Verb uint8
+
+const (
+	// Submit hands a submission in.
+	Submit Verb = iota + 1
+	// Describe asks for a submission's state.
+	Describe
+	// Cancel ends a submission.
+	Cancel
+	// Count asks how many of the queue's submissions have not started.
+	Count
+)
+
+// Call is one call of a caller.
+type Call struct {
+	Host      string
+	Path      string
+	Verb      Verb
+	Spec      submission.Spec // of a Submit
+	Malformed string          // why the body of a Submit could not be read; empty if it could
+}
+
+// CallAnswer is the answer to a Call that succeeded.
+type CallAnswer struct {
+	State   submission.State // of a Describe
+	Pending int              // of a Count
+}
+
+// Call has the leader carry out a caller's call. An error is NoLeader if the
+// call certainly had no effect, and MaybeApplied if that is not known.
+func (c *Client) Call(ctx context.Context, call Call) (CallAnswer, error) {
+	in := &pb.CallRequest{Host: call.Host, Path: call.Path, Verb: uint32(call.Verb), Malformed: call.Malformed}
+	if call.Verb == Submit {
+		in.Spec = wire.EncodeSubmissionSpec(call.Spec)
+	}
+	var out *pb.CallReply
+	uncertain := false
+	maybe, err := c.call(ctx, _attemptTimeout, func(ctx context.Context, client pb.DRPCControllerClient) (reply, error) {
+		r, err := client.Call(ctx, in)
+		if err == nil && fault.Code(r.GetCode()) == fault.MaybeApplied {
+			uncertain = true
+			r.NotLeader = true // ask again, which is safe
+		}
+		out = r
+		return r, err
+	})
+	switch {
+	case err != nil && (maybe || uncertain):
+		return CallAnswer{}, fault.Wrap(fault.MaybeApplied, err, "no controller confirmed the call")
+	case err != nil:
+		return CallAnswer{}, fault.Wrap(fault.NoLeader, err, "no controller leads")
+	}
+	if code := fault.Code(out.GetCode()); code != fault.OK && code != 0 {
+		return CallAnswer{}, fault.New(code, "%s", out.GetMessage()).WithRetry(time.Duration(out.GetRetryAfter()))
+	}
+	return CallAnswer{State: submission.State(out.GetState()), Pending: int(out.GetPending())}, nil
+}
+
+// ReplaceQueues puts a table of queues in force.
+func (c *Client) ReplaceQueues(ctx context.Context, t queue.Table) error {
+	_, err := c.Propose(ctx, state.ReplaceQueues{Table: t})
+	return err
+}
+
+// Queues returns the table of queues in force as of now.
+func (c *Client) Queues(ctx context.Context) (queue.Table, error) {
+	var out *pb.QueuesReply
+	_, err := c.call(ctx, _attemptTimeout, func(ctx context.Context, client pb.DRPCControllerClient) (reply, error) {
+		r, err := client.Queues(ctx, &pb.Empty{})
+		out = r
+		return r, err
+	})
+	if err != nil {
+		return queue.Table{}, fault.Wrap(fault.NoLeader, err, "no controller leads")
+	}
+	return wire.DecodeTable(out.GetTable()), nil
+}
+
+// Join tells the leader that a controller asks to become a member.
+func (c *Client) Join(ctx context.Context, id, address string) error {
+	_, err := c.call(ctx, _attemptTimeout, func(ctx context.Context, client pb.DRPCControllerClient) (reply, error) {
+		r, err := client.Join(ctx, &pb.JoinRequest{Id: id, Address: address})
+		c.Learn(r.GetControllers())
+		return r, err
+	})
+	return err
+}
+
+// Refresh asks one controller for the members' addresses.
+func (c *Client) Refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, _attemptTimeout)
+	defer cancel()
+	address := c.Any()
+	conn, err := c.pool.Take(ctx, time.Now(), address)
+	if err != nil {
+		return err
+	}
+	out, err := pb.NewDRPCControllerClient(conn).Members(ctx, &pb.Empty{})
+	if err != nil {
+		_ = conn.Close()
+		return err
+	}
+	c.pool.Give(time.Now(), address, conn)
+	c.Learn(out.GetControllers())
+	return nil
+}
+
+// AgentStream is an agent's stream to one controller.
+type AgentStream struct {
+	conn   *link.Conn
+	stream pb.DRPCController_AttachClient
+}
+
+// Attach opens an agent's stream to a controller. The stream ends with ctx;
+// dial bounds the opening.
+func (c *Client) Attach(ctx, dial context.Context, address string) (*AgentStream, error) {
+	conn, err := link.Dial(dial, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := pb.NewDRPCControllerClient(conn).Attach(ctx)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &AgentStream{conn: conn, stream: stream}, nil
+}
+
+// Send sends a report.
+func (s *AgentStream) Send(r *pb.AgentReport) error { return s.stream.Send(r) }
+
+// Recv waits for an order.
+func (s *AgentStream) Recv() (*pb.AgentOrder, error) { return s.stream.Recv() }
+
+// Close ends the stream.
+func (s *AgentStream) Close() { _ = s.conn.Close() }
--- /dev/null
+++ b/internal/controller/calls.go
@@ -0,0 +1,202 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/replica"
+	"github.com/gentianrail/gentianrail/state"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// Call carries out one call of a caller on a queue's path.
+func (s *service) Call(ctx context.Context, in *pb.CallRequest) (*pb.CallReply, error) {
+	out := &pb.CallReply{}
+	var cmd state.Command
+	err := s.core.Do(ctx, func(c *Core, now time.Time) {
+		if c.failed != nil || !c.replica.HoldsLease(now) {
+			out.NotLeader = true
+			out.LeaderAddress = c.leaderAddress()
+			return
+		}
+		cmd = c.call(in, out)
+	})
+	if err != nil || cmd == nil {
+		return out, err
+	}
+	o, err := s.core.Propose(ctx, cmd)
+	if err == nil {
+		err = o.Err
+	}
+	if fault.CodeOf(err) == fault.NoLeader {
+		return &pb.CallReply{NotLeader: true, LeaderAddress: s.leaderAddress(ctx)}, nil
+	}
+	setFault(out, err)
+	return out, nil
+}
+
+// call answers from the state, or returns the command that the answer waits
+// for.
+func (c *Core) call(in *pb.CallRequest, out *pb.CallReply) state.Command {
+	table := c.machine.Queues()
+	if table.Version == 0 {
+		setFault(out, fault.New(fault.NotReady, "no table of queues is in force"))
+		return nil
+	}
+	q, id, ok := table.Match(in.GetHost(), in.GetPath())
+	if !ok {
+		setFault(out, fault.New(fault.EntryNotFound, "no queue at %s%s", in.GetHost(), in.GetPath()))
+		return nil
+	}
+	book := c.machine.Submissions()
+	known, exists := book.Submission(id)
+	switch control.Verb(in.GetVerb()) {
+	case control.Count:
+		out.Pending = int64(book.Pending(q.Name))
+	case control.Describe:
+		if !exists {
+			setFault(out, fault.New(fault.JobNotFound, "no submission %q", id))
+			return nil
+		}
+		out.State = uint32(known.State)
+	case control.Cancel:
+		if !exists {
+			setFault(out, fault.New(fault.JobNotFound, "no submission %q", id))
+			return nil
+		}
+		return state.CancelSubmission{ID: id}
+	case control.Submit:
+		return c.submit(in, out, q.Name, id, exists)
+	default:
+		setFault(out, fault.New(fault.BadRequest, "found the verb %d", in.GetVerb()))
+	}
+	return nil
+}
+
+func (c *Core) submit(in *pb.CallRequest, out *pb.CallReply, queue, id string, exists bool) state.Command {
+	if exists {
+		return nil // a resend of what was accepted
+	}
+	if in.GetMalformed() != "" {
+		setFault(out, fault.New(fault.BadRequest, "%s", in.GetMalformed()))
+		return nil
+	}
+	spec := wire.DecodeSubmissionSpec(in.GetSpec())
+	spec.ID, spec.Queue = id, queue
+	if err := spec.Validate(); err != nil {
+		setFault(out, fault.New(fault.BadRequest, "%s", err))
+		return nil
+	}
+	return state.Submit{Submission: submission.Submission{Spec: spec}}
+}
+
+func setFault(out *pb.CallReply, err error) {
+	if err == nil {
+		return
+	}
+	f := fault.From(err)
+	out.Code = int32(f.Code())
+	out.Message = f.Message()
+	out.RetryAfter = int64(f.RetryAfter())
+}
+
+// Queues returns the table of queues in force.
+func (s *service) Queues(ctx context.Context, _ *pb.Empty) (*pb.QueuesReply, error) {
+	out := &pb.QueuesReply{}
+	err := s.core.Do(ctx, func(c *Core, now time.Time) {
+		if c.failed != nil || !c.replica.HoldsLease(now) {
+			out.NotLeader = true
+			out.LeaderAddress = c.leaderAddress()
+			return
+		}
+		out.Table = wire.EncodeTable(*c.machine.Queues())
+	})
+	return out, err
+}
+
+// Join takes in that a controller asks to become a member.
+func (s *service) Join(ctx context.Context, in *pb.JoinRequest) (*pb.JoinReply, error) {
+	out := &pb.JoinReply{}
+	err := s.core.Do(ctx, func(c *Core, now time.Time) {
+		out.LeaderAddress = c.leaderAddress()
+		out.Controllers = c.controllers()
+		if c.failed != nil || !c.replica.HoldsLease(now) {
+			out.NotLeader = true
+			return
+		}
+		c.applyFor(now, replica.ID(in.GetId()), in.GetAddress())
+	})
+	return out, err
+}
+
+// Members returns the addresses of the group's members.
+func (s *service) Members(ctx context.Context, _ *pb.Empty) (*pb.MembersReply, error) {
+	out := &pb.MembersReply{}
+	err := s.core.Do(ctx, func(c *Core, _ time.Time) {
+		out.LeaderAddress = c.leaderAddress()
+		out.Controllers = c.controllers()
+	})
+	return out, err
+}
+
+// Attach serves an agent's stream: its reports come in, orders go out.
+func (s *service) Attach(stream pb.DRPCController_AttachStream) error {
+	ctx := stream.Context()
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	var p *post
+	leader := ""
+	if err := s.core.Do(ctx, func(c *Core, now time.Time) {
+		p = c.attach(now, first)
+		leader = c.leaderAddress()
+	}); err != nil {
+		return err
+	}
+	if p == nil {
+		return stream.Send(&pb.AgentOrder{NotLeader: true, LeaderAddress: leader})
+	}
+	done := make(chan struct{})
+	var sender sync.WaitGroup
+	sender.Go(func() { sendOrders(stream, p.out, done) })
+	defer sender.Wait()
+	defer close(done)
+	defer func() { _ = s.core.Do(context.WithoutCancel(ctx), func(c *Core, _ time.Time) { c.detach(p) }) }()
+	for {
+		in, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if err := s.core.Do(ctx, func(c *Core, now time.Time) { c.report(now, p, in) }); err != nil {
+			return err
+		}
+	}
+}
+
+// sendOrders sends what the outbox holds until it is closed or done is.
+func sendOrders(stream pb.DRPCController_AttachStream, out *outbox, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-out.signal:
+		}
+		orders, closed := out.takeAll()
+		for _, o := range orders {
+			if err := stream.Send(o); err != nil {
+				return
+			}
+		}
+		if closed {
+			// The agent looks for the leader again.
+			_ = stream.Send(&pb.AgentOrder{NotLeader: true})
+			return
+		}
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/disk"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/link"
@@ -26,6 +27,7 @@
 type Controller struct {
 	core     *Core
 	lock     *flock.Flock
+	peers    *transport
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
 	listener net.Listener
@@ -52,72 +54,51 @@
 
 func (c *Controller) start(s *settings.Settings, files disk.Files, log event.Log) error {
 	cfg := s.Controller
-	peers, boxes := makePeers(cfg)
+	id, founders, err := identify(files, cfg)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	c.peers = newTransport(ctx, cfg.Address)
 	core, err := NewCore(CoreConfig{
-		Replica:         replicaConfig(cfg),
+		Replica: replica.Config{
+			ID:              id,
+			Founders:        founders,
+			ElectionTimeout: time.Duration(cfg.ElectionTimeout),
+			Heartbeat:       time.Duration(cfg.Heartbeat),
+			Rand:            rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid()))),
+		},
 		Files:           files,
 		Log:             log,
-		Send:            func(ms []replica.Message) { post(boxes, ms) },
+		Send:            c.peers.send,
 		SnapshotEntries: cfg.SnapshotEntries,
 		Lease:           time.Duration(cfg.Lease),
-	}, time.Now())
+		RunLease:        time.Duration(cfg.RunLease),
+		Replicas:        cfg.Replicas,
+		Keep:            func(members []replica.Member) { c.peers.keep(id, members) },
+		Address:         c.peers.address,
+	}, clock.Now())
 	if err != nil {
 		return err
 	}
 	c.core = core
 	mux := drpcmux.New()
-	if err := pb.DRPCRegisterController(mux, &service{core: core, members: cfg.Members}); err != nil {
+	if err := pb.DRPCRegisterController(mux, &service{core: core, peers: c.peers}); err != nil {
 		return fault.Wrap(fault.Internal, err, "register the controller's service")
 	}
 	if c.listener, err = net.Listen("tcp", cfg.Address); err != nil {
 		return fault.Wrap(fault.BadSettings, err, "listen on %s", cfg.Address)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	c.cancel = cancel
 	server := drpcserver.NewWithOptions(mux, link.ServerOptions(nil))
 	c.tasks.Go(func() { _ = server.Serve(ctx, c.listener) })
 	c.tasks.Go(func() { core.Run(ctx) })
-	for _, p := range peers {
-		c.tasks.Go(func() { p.run(ctx) })
+	if cfg.Replicas > 0 {
+		c.tasks.Go(func() { c.seekGroup(ctx, id, s) })
 	}
 	return nil
 }
 
-func replicaConfig(cfg *settings.Controller) replica.Config {
-	rc := replica.Config{
-		ID:              replica.ID(cfg.ID),
-		ElectionTimeout: time.Duration(cfg.ElectionTimeout),
-		Heartbeat:       time.Duration(cfg.Heartbeat),
-		Rand:            rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), uint64(os.Getpid()))),
-	}
-	for id := range cfg.Members {
-		rc.Voters = append(rc.Voters, replica.ID(id))
-	}
-	return rc
-}
-
-func makePeers(cfg *settings.Controller) ([]*peer, map[replica.ID]*mailbox) {
-	var peers []*peer
-	boxes := make(map[replica.ID]*mailbox)
-	for id, address := range cfg.Members {
-		if id == cfg.ID {
-			continue
-		}
-		p := &peer{address: address, box: newMailbox()}
-		peers = append(peers, p)
-		boxes[replica.ID(id)] = p.box
-	}
-	return peers, boxes
-}
-
-func post(boxes map[replica.ID]*mailbox, ms []replica.Message) {
-	for _, m := range ms {
-		if b, ok := boxes[m.To]; ok {
-			b.put(m)
-		}
-	}
-}
-
 // Core returns the task that owns the controller's state.
 func (c *Controller) Core() *Core { return c.core }
 
@@ -129,6 +110,7 @@
 	c.handOver(ctx)
 	c.cancel()
 	c.tasks.Wait()
+	c.peers.wait()
 	return c.lock.Unlock()
 }
 
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/disk"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/wire"
@@ -73,8 +74,11 @@
 	hardState       replica.HardState
 	lastApplied     replica.Entry
 	snapshotIndex   uint64
+	members         []replica.Member // as of the last entry that was applied
+	group           group
 	role            replica.Role
 	sched           scheduler
+	posts           posts
 	holders         map[string]Holder
 	failed          error // disk failure; the core refuses everything after it
 }
@@ -95,6 +99,10 @@
 	Send            func([]replica.Message)
 	SnapshotEntries int
 	Lease           time.Duration
+	RunLease        time.Duration           // of the runs on a worker
+	Replicas        int                     // voters that the group should have; 0 for a fixed group
+	Keep            func([]replica.Member)  // called when the members change
+	Address         func(replica.ID) string // where a replica is; "" if unknown
 }
 
 // NewCore reads the disk back and returns a core that is not running yet.
@@ -127,6 +135,8 @@
 		return nil, err
 	}
 	c.sched.lease = cfg.Lease
+	c.posts.lease = cfg.RunLease
+	c.group = group{replicas: cfg.Replicas, keep: cfg.Keep, address: cfg.Address}
 	c.replica = replica.New(cfg.Replica, restored, func() replica.Snapshot { return c.latest }, now)
 	c.feed = newFeed(c.machine.Revision())
 	return c, nil
@@ -135,6 +145,7 @@
 func (c *Core) loadSnapshot(s replica.Snapshot) error {
 	c.machine = &state.Machine{}
 	c.snapshotIndex = s.Index
+	c.members = s.Members
 	if s.Index == 0 {
 		return nil
 	}
@@ -160,7 +171,7 @@
 			break
 		}
 		c.carryOut()
-		c.schedule(time.Now())
+		c.schedule(clock.Now())
 		c.carryOut()
 	}
 	if c.writing {
@@ -178,7 +189,7 @@
 	case <-ctx.Done():
 		return false
 	case m := <-c.messages:
-		c.replica.Step(time.Now(), m)
+		c.replica.Step(clock.Now(), m)
 	case p := <-c.propose:
 		proposals = append(proposals, p)
 	case q := <-c.queries:
@@ -186,12 +197,12 @@
 	case w := <-c.writes:
 		c.written(w)
 	case <-tick:
-		c.tick(time.Now())
+		c.tick(clock.Now())
 	}
 	for n := 0; n < _mostRound; n++ {
 		select {
 		case m := <-c.messages:
-			c.replica.Step(time.Now(), m)
+			c.replica.Step(clock.Now(), m)
 			continue
 		case p := <-c.propose:
 			proposals = append(proposals, p)
@@ -203,17 +214,18 @@
 		}
 		break
 	}
-	c.proposeAll(time.Now(), proposals)
+	c.proposeAll(clock.Now(), proposals)
 	return true
 }
 
 func (c *Core) answer(q query) {
-	q.run(c, time.Now())
+	q.run(c, clock.Now())
 	close(q.done)
 }
 
 func (c *Core) tick(now time.Time) {
 	c.replica.Tick(now)
+	c.changeMembers(now)
 	c.feed.setInTouch(c.failed == nil && c.replica.InTouch(now))
 	for index, p := range c.waiting {
 		if now.Sub(p.since) >= _proposalLimit {
@@ -283,6 +295,7 @@
 		}
 	}
 	c.noteRole()
+	c.noteMembers()
 	c.maybeSnapshot()
 }
 
@@ -296,7 +309,7 @@
 			return
 		}
 		c.send(ready.Late)
-		c.replica.Persisted(time.Now(), ready.Durable())
+		c.replica.Persisted(clock.Now(), ready.Durable())
 	case ready.State != nil || len(ready.Entries) > 0:
 		if ready.State != nil {
 			c.hardState = *ready.State
@@ -323,6 +336,7 @@
 	c.latest = *ready.Snapshot
 	c.feed.reset(c.machine.Revision())
 	c.sched.reset()
+	c.posts.reset(clock.Now())
 	c.log.Emit(event.SnapshotLoaded, event.Fields{"index": ready.Snapshot.Index}, "took over the leader's snapshot")
 	return nil
 }
@@ -339,7 +353,7 @@
 		return
 	}
 	c.send(w.ready.Late)
-	c.replica.Persisted(time.Now(), w.ready.Durable())
+	c.replica.Persisted(clock.Now(), w.ready.Durable())
 }
 
 // fail stops the replica: it neither votes nor answers any more, so that
@@ -356,6 +370,9 @@
 func (c *Core) apply(e replica.Entry) {
 	c.lastApplied = e
 	var r state.Result
+	if e.Kind == replica.KindMembers {
+		c.members = e.Members
+	}
 	if e.Kind == replica.KindCommand {
 		cmd, err := wire.UnmarshalCommand(e.Data)
 		if err != nil {
@@ -364,6 +381,7 @@
 		} else {
 			r = c.machine.Apply(e.Index, e.Time, cmd)
 			c.sched.applied(c.machine, cmd, r)
+			c.applied(cmd, r)
 			c.note(cmd, r)
 		}
 		c.feed.advance(e.Index, r.Events)
@@ -408,10 +426,12 @@
 		"from": c.role.String(), "to": role.String(), "term": c.replica.Term(), "leader": string(c.replica.Leader()),
 	}, "the controller's role changed")
 	if role == replica.Leader {
-		c.sched.lead(time.Now(), c.machine)
+		c.sched.lead(clock.Now(), c.machine)
+		c.posts.reset(clock.Now())
 	}
 	if c.role == replica.Leader {
 		c.sched.reset()
+		c.posts.reset(clock.Now())
 		c.holders = make(map[string]Holder)
 	}
 	c.role = role
@@ -429,6 +449,7 @@
 		term:     c.lastApplied.Term,
 		contents: c.machine.Contents(),
 		hard:     c.hardState,
+		members:  c.members,
 		tail:     c.replica.After(c.lastApplied.Index),
 	}}
 }
@@ -447,6 +468,7 @@
 		p.settle(result{err: fault.New(fault.MaybeApplied, "the controller stopped before the change was confirmed")})
 	}
 	c.sched.reset()
+	c.posts.reset(clock.Now())
 	if err := c.store.Close(); err != nil {
 		c.log.Emit(event.DiskFailed, event.Fields{"error": err.Error()}, "the log could not be closed")
 	}
--- /dev/null
+++ b/internal/controller/identity.go
@@ -0,0 +1,146 @@
+package controller
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/clock"
+	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/disk"
+	"github.com/gentianrail/gentianrail/internal/settings"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/replica"
+)
+
+const (
+	_identityFile  = "identity"
+	_identityBytes = 8                      // of randomness in the identifier of a controller that joins
+	_seekEvery     = 200 * time.Millisecond // between two requests to join
+	_seekAfter     = time.Second            // without a leader until a member asks whether it still is one
+)
+
+// identify returns this controller's identifier and the founders of its
+// group. In a fixed group both are in the settings. Otherwise they are decided
+// at the first start and kept on disk: a seed of a group that is being founded
+// is named by its address, so that the founders know each other; any other
+// controller, one that lost its disk among them, has a new name and joins.
+func identify(files disk.Files, cfg *settings.Controller) (replica.ID, []replica.Member, error) {
+	if cfg.Replicas == 0 {
+		return replica.ID(cfg.ID), founders(cfg.Members), nil
+	}
+	names, err := files.List()
+	if err != nil {
+		return "", nil, fault.Wrap(fault.DataUnusable, err, "list the data folder")
+	}
+	if slices.Contains(names, _identityFile) {
+		data, err := files.Read(_identityFile)
+		if err != nil {
+			return "", nil, fault.Wrap(fault.DataUnusable, err, "read %s", _identityFile)
+		}
+		return wire.UnmarshalIdentity(data)
+	}
+	id, members := replica.ID(cfg.Address), []replica.Member(nil)
+	if cfg.Bootstrap && slices.Contains(cfg.Seeds, cfg.Address) {
+		for _, s := range cfg.Seeds {
+			members = append(members, replica.Member{ID: replica.ID(s), Address: s})
+		}
+	} else {
+		var b [_identityBytes]byte
+		if _, err := rand.Read(b[:]); err != nil {
+			return "", nil, fault.Wrap(fault.Internal, err, "draw an identifier")
+		}
+		id += replica.ID("#" + hex.EncodeToString(b[:]))
+	}
+	return id, members, keepIdentity(files, id, members)
+}
+
+func founders(addresses map[string]string) []replica.Member {
+	var out []replica.Member
+	for id, address := range addresses {
+		out = append(out, replica.Member{ID: replica.ID(id), Address: address})
+	}
+	slices.SortFunc(out, func(a, b replica.Member) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func keepIdentity(files disk.Files, id replica.ID, members []replica.Member) error {
+	data, err := wire.MarshalIdentity(id, members)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "encode the identity")
+	}
+	temporary := "new_" + _identityFile
+	f, err := files.Create(temporary)
+	if err != nil {
+		return fault.Wrap(fault.DataUnusable, err, "create %s", temporary)
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil {
+		err = files.Rename(temporary, _identityFile)
+	}
+	if err == nil {
+		err = files.SyncFolder()
+	}
+	if err != nil {
+		return fault.Wrap(fault.DataUnusable, err, "write %s", _identityFile)
+	}
+	return nil
+}
+
+// seekGroup asks to become a member for as long as no leader is heard: at the
+// first start, after a lost disk, and when the group went on without this
+// controller.
+func (c *Controller) seekGroup(ctx context.Context, id replica.ID, s *settings.Settings) {
+	client := control.NewClient(s.Controllers)
+	defer client.Close()
+	heard := clock.Now()
+	joined := false
+	for ctx.Err() == nil {
+		pause(ctx, _seekEvery)
+		var known []string
+		quiet, member := false, false
+		err := c.core.Do(ctx, func(c *Core, now time.Time) {
+			if c.replica.InTouch(now) {
+				heard = now
+			}
+			quiet = now.Sub(heard) >= _seekAfter
+			known = c.controllers()
+			member = slices.ContainsFunc(c.replica.Members(), func(m replica.Member) bool { return m.ID == id })
+		})
+		if err != nil {
+			return
+		}
+		client.Learn(known)
+		joined = joined || member
+		if joined && !quiet {
+			continue
+		}
+		try, cancel := context.WithTimeout(ctx, _seekAfter)
+		// A request that fails is repeated.
+		_ = client.Join(try, string(id), s.Controller.Address)
+		cancel()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/controller/peer.go
+++ b/internal/controller/peer.go
@@ -52,7 +52,9 @@
 // peer is the task that sends to one other replica.
 type peer struct {
 	address string
+	self    string // own address, for a receiver that does not know it
 	box     *mailbox
+	cancel  context.CancelFunc
 }
 
 func (p *peer) run(ctx context.Context) {
@@ -108,7 +110,9 @@
 		case <-p.box.signal:
 		}
 		for _, m := range p.box.takeAll() {
-			if err := stream.Send(wire.EncodeMessage(m)); err != nil {
+			out := wire.EncodeMessage(m)
+			out.FromAddress = p.self
+			if err := stream.Send(out); err != nil {
 				return
 			}
 		}
--- /dev/null
+++ b/internal/controller/posts.go
@@ -0,0 +1,480 @@
+package controller
+
+import (
+	"sync"
+	"time"
+
+	"github.com/gentianrail/gentianrail/dispatch"
+	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/replica"
+	"github.com/gentianrail/gentianrail/state"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// Bounds of the leader's hold on the workers' runs.
+const (
+	_grantMargin  = 200 * time.Millisecond // between a lease's end and the end of trust in it
+	_grantDrift   = 20                     // a lease is trusted to end only after another 1/20 of it
+	_lapseEvery   = 50 * time.Millisecond  // between two looks for leases that ran out
+	_mostRunEnds  = 500                    // ends in one command
+	_proposedMost = 3 * time.Second        // until a proposal whose fate is unknown is made anew
+)
+
+// outbox holds the orders for one agent.
+type outbox struct {
+	mu     sync.Mutex
+	orders []*pb.AgentOrder
+	signal chan struct{} // size one
+	closed bool
+}
+
+func newOutbox() *outbox { return &outbox{signal: make(chan struct{}, 1)} }
+
+func (o *outbox) put(order *pb.AgentOrder) {
+	o.mu.Lock()
+	o.orders = append(o.orders, order)
+	o.mu.Unlock()
+	o.wake()
+}
+
+func (o *outbox) wake() {
+	select {
+	case o.signal <- struct{}{}:
+	default:
+	}
+}
+
+// close ends the outbox after the orders that it holds.
+func (o *outbox) close() {
+	o.mu.Lock()
+	o.closed = true
+	o.mu.Unlock()
+	o.wake()
+}
+
+func (o *outbox) takeAll() (orders []*pb.AgentOrder, closed bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	orders, o.orders = o.orders, nil
+	return orders, o.closed
+}
+
+// post is one life of a worker as its agent tells of it.
+type post struct {
+	worker  dispatch.Worker
+	leaving bool
+	out     *outbox
+	ends    map[uint64]submission.RunID // listed, not recorded yet
+	highest uint64                      // number of the latest listed end
+	refused map[submission.RunID]bool   // refused starts, not recorded yet
+	stops   map[submission.RunID]bool   // stop orders that were sent
+	saved   map[submission.RunID]string // latest checkpoints that were listed
+}
+
+// posts is the leader's own state of the workers, which a new leader builds
+// anew from what the agents report.
+type posts struct {
+	lease     time.Duration
+	leadSince time.Time
+	byLife    map[string]*post
+	granted   map[string]time.Time // when the latest lease of a life is over for certain
+	lapsing   map[string]time.Time // lives whose runs are proposed as lapsed, since when
+	starting  time.Time            // when the StartRuns under way was proposed; zero if none is
+	changed   bool                 // something has changed since the last dispatch
+	wakeAt    time.Time            // when a dispatch is due without a change
+	lastLook  time.Time
+}
+
+// reset forgets everything and ends the agents' streams.
+func (p *posts) reset(now time.Time) {
+	for _, q := range p.byLife {
+		q.out.close()
+	}
+	p.leadSince = now
+	p.byLife = make(map[string]*post)
+	p.granted = make(map[string]time.Time)
+	p.lapsing = make(map[string]time.Time)
+	p.starting = time.Time{}
+	p.changed = true
+}
+
+// leaseOver returns when no lease of the life's runs can last any more. A
+// leader that is new counts from when it began to lead.
+func (p *posts) leaseOver(life string) time.Time {
+	if t, ok := p.granted[life]; ok {
+		return t
+	}
+	return p.leadSince.Add(p.trust())
+}
+
+func (p *posts) trust() time.Duration { return p.lease + p.lease/_grantDrift + _grantMargin }
+
+// attach takes in an agent's first report and returns the post with its first
+// orders, or nil if this controller cannot be sure that it leads.
+func (c *Core) attach(now time.Time, in *pb.AgentReport) *post {
+	if c.failed != nil || !c.replica.HoldsLease(now) || in.GetTerm() > c.replica.Term() {
+		return nil
+	}
+	life := in.GetWorker().GetLife()
+	if old := c.posts.byLife[life]; old != nil {
+		old.out.close()
+	}
+	p := &post{
+		out:     newOutbox(),
+		ends:    make(map[uint64]submission.RunID),
+		refused: make(map[submission.RunID]bool),
+		stops:   make(map[submission.RunID]bool),
+		saved:   make(map[submission.RunID]string),
+	}
+	c.posts.byLife[life] = p
+	c.log.Emit(event.AgentAttached, event.Fields{"worker": life, "term": c.replica.Term(), "runs": len(in.GetActive())},
+		"an agent reports to this leader")
+	c.report(now, p, in)
+	return p
+}
+
+// detach forgets a post whose stream has ended. Its runs keep their leases.
+func (c *Core) detach(p *post) {
+	if c.posts.byLife[p.worker.Life] == p {
+		delete(c.posts.byLife, p.worker.Life)
+		c.log.Emit(event.AgentDetached, event.Fields{"worker": p.worker.Life}, "an agent's stream ended")
+	}
+}
+
+// report takes in what an agent tells of its worker and answers with orders.
+func (c *Core) report(now time.Time, p *post, in *pb.AgentReport) {
+	if w := in.GetWorker(); w != nil {
+		p.describe(w)
+		c.posts.changed = true
+	}
+	if c.posts.byLife[p.worker.Life] != p {
+		return // replaced by a newer stream
+	}
+	order := &pb.AgentOrder{Term: c.replica.Term()}
+	c.grant(now, p, in, order)
+	for _, r := range in.GetActive() {
+		if r.GetSaved() != "" {
+			p.saved[wire.DecodeRun(r.GetRun())] = r.GetSaved()
+		}
+	}
+	c.takeEnds(now, p, in)
+	if in.GetComplete() {
+		c.reconcile(p, in, order)
+		order.Controllers = c.controllers()
+	}
+	order.Taken = p.taken()
+	order.Settled = p.takeSettled(c.machine.Submissions())
+	p.out.put(order)
+}
+
+func (p *post) describe(w *pb.WorkerLife) {
+	p.leaving = w.GetLeaving()
+	p.worker = dispatch.Worker{
+		Life:     w.GetLife(),
+		Service:  w.GetService(),
+		Zone:     w.GetZone(),
+		Rack:     w.GetRack(),
+		Labels:   w.GetLabels(),
+		Capacity: wire.DecodeResources(w.GetCapacity()),
+		Open:     !w.GetLeaving(),
+	}
+}
+
+// grant renews the lease of the worker's runs, unless they are given up.
+func (c *Core) grant(now time.Time, p *post, in *pb.AgentReport, order *pb.AgentOrder) {
+	life := p.worker.Life
+	if _, lapsing := c.posts.lapsing[life]; lapsing || in.GetGone() || !c.replica.HoldsLease(now) {
+		return
+	}
+	order.Sent = in.GetSent()
+	order.Lease = int64(c.posts.lease)
+	if over := now.Add(c.posts.trust()); over.After(c.posts.granted[life]) {
+		c.posts.granted[life] = over
+	}
+}
+
+// takeEnds proposes the ends that an agent lists.
+func (c *Core) takeEnds(now time.Time, p *post, in *pb.AgentReport) {
+	book := c.machine.Submissions()
+	var ends []submission.End
+	for _, e := range in.GetEnds() {
+		run := wire.DecodeRun(e.GetRun())
+		if e.GetNumber() <= p.highest {
+			continue
+		}
+		p.highest = e.GetNumber()
+		if !isActive(book, p.worker.Life, run) {
+			continue
+		}
+		p.ends[e.GetNumber()] = run
+		ends = append(ends, submission.End{Run: run, Worker: p.worker.Life, How: submission.How(e.GetHow()), Saved: e.GetSaved()})
+	}
+	for _, e := range in.GetRefused() {
+		end := wire.DecodeRunEnd(e)
+		if p.refused[end.Run] {
+			continue
+		}
+		p.refused[end.Run] = true
+		if isActive(book, p.worker.Life, end.Run) {
+			ends = append(ends, end)
+		}
+	}
+	if in.GetGone() {
+		ends = append(ends, c.lostRuns(p.worker.Life, submission.Lost)...)
+	}
+	c.proposeEnds(now, ends)
+}
+
+func isActive(book *submission.Book, life string, run submission.RunID) bool {
+	u := book.Usage(life)
+	return u != nil && u.Runs[run] != nil
+}
+
+func (c *Core) proposeEnds(now time.Time, ends []submission.End) {
+	for len(ends) > 0 {
+		n := min(len(ends), _mostRunEnds)
+		c.proposeOwn(now, state.EndRuns{Ends: ends[:n]})
+		ends = ends[n:]
+	}
+}
+
+// proposeOwn proposes a command whose outcome shows in the state.
+func (c *Core) proposeOwn(now time.Time, cmd state.Command) {
+	c.proposeAll(now, []proposal{{cmd: cmd, reply: make(chan result, 1)}})
+}
+
+// lostRuns returns the ends of all active runs of a life, in a fixed order.
+func (c *Core) lostRuns(life string, how submission.How) []submission.End {
+	u := c.machine.Submissions().Usage(life)
+	if u == nil {
+		return nil
+	}
+	p := c.posts.byLife[life]
+	var out []submission.End
+	for run := range u.Runs {
+		e := submission.End{Run: run, Worker: life, How: how}
+		if p != nil {
+			e.Saved = p.saved[run]
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// reconcile compares an agent's whole lists with the record. Runs that the
+// agent does not know are ordered again; runs that are not recorded are
+// stopped.
+func (c *Core) reconcile(p *post, in *pb.AgentReport, order *pb.AgentOrder) {
+	book := c.machine.Submissions()
+	known := make(map[submission.RunID]bool)
+	for _, e := range in.GetEnds() {
+		known[wire.DecodeRun(e.GetRun())] = true
+	}
+	for _, e := range in.GetRefused() {
+		known[wire.DecodeRun(e.GetRun())] = true
+	}
+	var held []submission.RunID
+	for _, r := range in.GetActive() {
+		held = append(held, wire.DecodeRun(r.GetRun()))
+	}
+	for _, r := range in.GetOrdered() {
+		held = append(held, wire.DecodeRun(r))
+	}
+	for _, run := range held {
+		known[run] = true
+		if !isActive(book, p.worker.Life, run) {
+			p.stops[run] = true
+			order.Stops = append(order.Stops, wire.EncodeRun(run))
+		}
+	}
+	u := book.Usage(p.worker.Life)
+	if u == nil {
+		return
+	}
+	for run, s := range u.Runs {
+		switch {
+		case s.Surplus(run):
+			p.stops[run] = true
+			order.Stops = append(order.Stops, wire.EncodeRun(run))
+		case !known[run]:
+			order.Starts = append(order.Starts, startOrder(s, run))
+		}
+	}
+}
+
+func startOrder(s *submission.Submission, run submission.RunID) *pb.StartOrder {
+	step := &s.Steps[run.Task.Step]
+	return &pb.StartOrder{
+		Run:        wire.EncodeRun(run),
+		Text:       s.Text,
+		Saved:      s.Task(run.Task).Saved,
+		Serves:     step.Serves(),
+		TailTarget: int64(step.TailTarget),
+		Gang:       step.Gang,
+	}
+}
+
+// taken returns the number up to which all listed ends are recorded.
+func (p *post) taken() uint64 {
+	taken := p.highest
+	for n := range p.ends {
+		taken = min(taken, n-1)
+	}
+	return taken
+}
+
+// takeSettled returns the refused starts that are recorded.
+func (p *post) takeSettled(book *submission.Book) []*pb.Run {
+	var out []*pb.Run
+	for run := range p.refused {
+		if !isActive(book, p.worker.Life, run) {
+			delete(p.refused, run)
+			out = append(out, wire.EncodeRun(run))
+		}
+	}
+	return out
+}
+
+// applied tells the agents what a command has changed for them.
+func (c *Core) applied(cmd state.Command, r state.Result) {
+	switch cmd := cmd.(type) {
+	case state.StartRuns:
+		c.posts.starting = time.Time{}
+		c.posts.changed = true
+		if c.replica.Role() == replica.Leader {
+			c.orderStarts(r.Outcome.Starts)
+		}
+	case state.EndRuns:
+		c.posts.changed = true
+		if c.replica.Role() == replica.Leader {
+			c.noteEnds(cmd.Ends)
+		}
+	case state.Submit, state.ReplaceQueues:
+		c.posts.changed = true
+	case state.CancelSubmission:
+		c.posts.changed = true
+		if s, ok := c.machine.Submissions().Submission(cmd.ID); ok {
+			c.stopSurplus(s)
+		}
+	}
+}
+
+func (c *Core) orderStarts(starts []submission.Start) {
+	orders := make(map[*post]*pb.AgentOrder)
+	for _, st := range starts {
+		p := c.posts.byLife[st.Worker]
+		s, ok := c.machine.Submissions().Submission(st.Run.Task.Submission)
+		if p == nil || !ok {
+			continue // the agent is told when it attaches
+		}
+		if orders[p] == nil {
+			orders[p] = &pb.AgentOrder{Term: c.replica.Term()}
+		}
+		orders[p].Starts = append(orders[p].Starts, startOrder(s, st.Run))
+		c.log.Emit(event.RunPlaced, event.Fields{
+			"submission": st.Run.Task.Submission, "task": st.Run.Task.String(), "run": st.Run.Number, "worker": st.Worker,
+		}, "a task was given to a worker")
+	}
+	for p, o := range orders {
+		p.out.put(o)
+	}
+}
+
+// noteEnds has the agents forget recorded ends and stops what is not wanted
+// any more.
+func (c *Core) noteEnds(ends []submission.End) {
+	book := c.machine.Submissions()
+	for _, e := range ends {
+		delete(c.posts.lapsing, e.Worker)
+		s, ok := book.Submission(e.Run.Task.Submission)
+		if ok && (s.State.Ended() || e.How == submission.Done) {
+			c.stopSurplus(s)
+		}
+		c.log.Emit(event.RunEnded, event.Fields{
+			"submission": e.Run.Task.Submission, "task": e.Run.Task.String(), "run": e.Run.Number, "worker": e.Worker, "how": e.How.String(),
+		}, "a run ended")
+		p := c.posts.byLife[e.Worker]
+		if p == nil {
+			continue
+		}
+		delete(p.stops, e.Run)
+		delete(p.saved, e.Run)
+	}
+	for _, p := range c.posts.byLife {
+		settled := false
+		for n, run := range p.ends {
+			if !isActive(book, p.worker.Life, run) {
+				delete(p.ends, n)
+				settled = true
+			}
+		}
+		if settled || len(p.refused) > 0 {
+			p.out.put(&pb.AgentOrder{Term: c.replica.Term(), Taken: p.taken(), Settled: p.takeSettled(book)})
+		}
+	}
+}
+
+// stopSurplus orders the stop of a submission's runs that are not wanted.
+func (c *Core) stopSurplus(s *submission.Submission) {
+	if c.replica.Role() != replica.Leader || s.ActiveRuns() == 0 {
+		return
+	}
+	for _, r := range s.Runs() {
+		if s.Surplus(r.Run) {
+			c.orderStop(r.Worker, r.Run)
+		}
+	}
+}
+
+func (c *Core) orderStop(life string, run submission.RunID) {
+	p := c.posts.byLife[life]
+	if p == nil || p.stops[run] {
+		return
+	}
+	p.stops[run] = true
+	p.out.put(&pb.AgentOrder{Term: c.replica.Term(), Stops: []*pb.Run{wire.EncodeRun(run)}})
+}
+
+// dispatch gives up the runs whose leases are over and starts waiting tasks.
+func (c *Core) dispatch(now time.Time) {
+	if now.Sub(c.posts.lastLook) >= _lapseEvery {
+		c.posts.lastLook = now
+		c.giveUpLapsed(now)
+	}
+	if !c.posts.starting.IsZero() && now.Sub(c.posts.starting) < _proposedMost || !c.replica.HoldsLease(now) {
+		return
+	}
+	if !c.posts.changed && now.Before(c.posts.wakeAt) {
+		return
+	}
+	c.posts.changed = false
+	c.posts.wakeAt = now.Add(_retryEvery)
+	workers := make([]dispatch.Worker, 0, len(c.posts.byLife))
+	for life, p := range c.posts.byLife {
+		if _, lapsing := c.posts.lapsing[life]; !lapsing {
+			workers = append(workers, p.worker)
+		}
+	}
+	starts := dispatch.Starts(now, time.Now(), c.machine.Submissions(), workers)
+	if len(starts) == 0 {
+		return
+	}
+	c.posts.starting = now
+	c.proposeOwn(now, state.StartRuns{Starts: starts})
+}
+
+func (c *Core) giveUpLapsed(now time.Time) {
+	for _, life := range c.machine.Submissions().Lives() {
+		if now.Before(c.posts.leaseOver(life)) {
+			continue
+		}
+		if since, ok := c.posts.lapsing[life]; ok && now.Sub(since) < _proposedMost {
+			continue
+		}
+		c.posts.lapsing[life] = now
+		c.log.Emit(event.WorkerLost, event.Fields{"worker": life}, "the leases of the worker's runs are over; its tasks are placed anew")
+		c.proposeEnds(now, c.lostRuns(life, submission.Lapsed))
+	}
+}
--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -122,6 +122,7 @@
 		return
 	}
 	c.sched.lastPlace = now
+	c.dispatch(now)
 	var commands []state.Command
 	if now.Sub(c.sched.lastLook) >= _lookEvery {
 		c.sched.lastLook = now
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -21,15 +21,15 @@
 
 // service answers other processes over drpc.
 type service struct {
-	core    *Core
-	members map[string]string // address by replica
+	core  *Core
+	peers *transport
 }
 
 var _ pb.DRPCControllerServer = (*service)(nil)
 
 func (s *service) leaderAddress(ctx context.Context) string {
 	address := ""
-	_ = s.core.Do(ctx, func(c *Core, _ time.Time) { address = s.members[string(c.replica.Leader())] })
+	_ = s.core.Do(ctx, func(c *Core, _ time.Time) { address = c.leaderAddress() })
 	return address
 }
 
@@ -54,7 +54,7 @@
 func (s *service) Barrier(ctx context.Context, _ *pb.Empty) (*pb.BarrierReply, error) {
 	out := &pb.BarrierReply{NotLeader: true}
 	err := s.core.Do(ctx, func(c *Core, now time.Time) {
-		out.LeaderAddress = s.members[string(c.replica.Leader())]
+		out.LeaderAddress = c.leaderAddress()
 		if c.failed == nil && c.replica.HoldsLease(now) {
 			out.NotLeader = false
 			out.Revision = c.replica.Commit()
@@ -208,7 +208,7 @@
 	err := s.core.Do(ctx, func(c *Core, now time.Time) {
 		if c.failed != nil || !c.replica.HoldsLease(now) {
 			out.NotLeader = true
-			out.LeaderAddress = s.members[string(c.replica.Leader())]
+			out.LeaderAddress = c.leaderAddress()
 			return
 		}
 		if in.GetId() == "" {
@@ -272,9 +272,7 @@
 		if err != nil {
 			return err
 		}
-		if s.members[string(m.From)] == "" {
-			return fault.New(fault.BadRequest, "replica %q is not a member", m.From)
-		}
+		s.peers.learn(m.From, in.GetFromAddress())
 		if err := s.core.Deliver(stream.Context(), m); err != nil {
 			return err
 		}
--- a/internal/controller/writer.go
+++ b/internal/controller/writer.go
@@ -23,6 +23,7 @@
 	term     uint64
 	contents state.Contents
 	hard     replica.HardState
+	members  []replica.Member
 	tail     []replica.Entry // log after the snapshot
 }
 
@@ -65,6 +66,6 @@
 	if err != nil {
 		return writeDone{err: err}
 	}
-	snap := replica.Snapshot{Index: s.index, Term: s.term, Data: data}
+	snap := replica.Snapshot{Index: s.index, Term: s.term, Data: data, Members: s.members}
 	return writeDone{snapshot: &snap, err: w.store.SaveSnapshot(snap, s.hard, s.tail)}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -72,12 +72,23 @@
 			return err
 		}
 		d.parts = append(d.parts, c)
+		if s.Controller.OperatorAddress == "" {
+			return d.startRest(s)
+		}
 		o, err := operator.Start(s, c.Core(), d.metrics)
 		if err != nil {
 			return err
 		}
 		d.parts = append(d.parts, o)
 	}
+	return d.startRest(s)
+}
+
+// startRest starts the roles that are no controller's.
+func (d *Daemon) startRest(s *settings.Settings) error {
+	if s.Platform != nil {
+		return d.startPlatform(s)
+	}
 	if s.Agent != nil {
 		a, err := agent.Start(s, d.log.With("role", settings.RoleAgent), time.Now())
 		if err != nil {
--- /dev/null
+++ b/internal/daemon/platform.go
@@ -0,0 +1,88 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/front"
+	"github.com/gentianrail/gentianrail/internal/runner"
+	"github.com/gentianrail/gentianrail/internal/settings"
+	"github.com/gentianrail/gentianrail/internal/web"
+	"github.com/gentianrail/gentianrail/platform"
+)
+
+// servers is a part that serves the platform's interfaces.
+type servers struct {
+	before func(ctx context.Context) // called before the servers are stopped; nil for nothing
+	list   []*web.Server
+}
+
+func (s *servers) listen(address string, h http.Handler) error {
+	server, err := web.Listen(address, h)
+	if err != nil {
+		return err
+	}
+	s.list = append(s.list, server)
+	return nil
+}
+
+// Stop implements part. Requests in flight are answered before it returns.
+func (s *servers) Stop(ctx context.Context) error {
+	if s.before != nil {
+		s.before(ctx)
+	}
+	var errs []error
+	for _, server := range s.list {
+		errs = append(errs, server.Shutdown(ctx))
+	}
+	return errors.Join(errs...)
+}
+
+// clientPart closes a client of the controllers last.
+type clientPart struct{ client *control.Client }
+
+// Stop implements part.
+func (p clientPart) Stop(context.Context) error {
+	p.client.Close()
+	return nil
+}
+
+// startPlatform starts what serves the users' platform.
+func (d *Daemon) startPlatform(s *settings.Settings) error {
+	if s.Holds(settings.RoleController) {
+		client := control.NewClient(s.Controllers)
+		d.parts = append(d.parts, clientPart{client})
+		if err := d.serve(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.OperatorHandler(client)}); err != nil {
+			return err
+		}
+	}
+	if s.Holds(settings.RoleAgent) {
+		r := runner.Start(d.log.With("role", settings.RoleAgent), platform.NewWorker(s.Platform.Worker), control.NewClient(s.Controllers))
+		d.parts = append(d.parts, r)
+		if err := d.serve(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.RegistryHandler(r)}); err != nil {
+			return err
+		}
+	}
+	if s.Holds(settings.RoleEntry) {
+		f := front.Start(d.log.With("role", settings.RoleEntry), control.NewClient(s.Controllers))
+		d.parts = append(d.parts, f)
+		return d.serve(f.Drain, map[string]http.Handler{
+			s.Platform.Frontend:  platform.CallerHandler(f),
+			s.Platform.Readiness: platform.ReadyHandler(f),
+		})
+	}
+	return nil
+}
+
+func (d *Daemon) serve(before func(context.Context), handlers map[string]http.Handler) error {
+	part := &servers{before: before}
+	d.parts = append(d.parts, part)
+	for address, h := range handlers {
+		if err := part.listen(address, h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -32,6 +32,11 @@
 	JobEnded       Number = 208
 	JobUnplaceable Number = 209
 	SnapshotLoaded Number = 210
+	MembersChanged Number = 211
+	AgentAttached  Number = 212
+	AgentDetached  Number = 213
+	RunPlaced      Number = 214
+	RunEnded       Number = 215
 	AgentJoined    Number = 301
 	ControllerLost Number = 302
 	TaskStarted    Number = 303
@@ -40,12 +45,17 @@
 	TargetSilent   Number = 306
 	ClaimUnsettled Number = 307
 	TargetBack     Number = 308
+	WorkerDraining Number = 309
+	StartAnswered  Number = 310
+	RunPaced       Number = 311
 	ViewLost       Number = 401
 	ConnectionDead Number = 402
 	WorkerEjected  Number = 403
 	AnswerCut      Number = 404
 	BurnNotSent    Number = 405
 	WatchMoved     Number = 406
+	LeaderLost     Number = 407
+	LeaderBack     Number = 408
 )
 
 // Definition describes an event.
@@ -72,6 +82,11 @@
 	{JobEnded, "job_ended", logrus.DebugLevel},
 	{JobUnplaceable, "job_unplaceable", logrus.WarnLevel},
 	{SnapshotLoaded, "snapshot_loaded", logrus.InfoLevel},
+	{MembersChanged, "members_changed", logrus.InfoLevel},
+	{AgentAttached, "agent_attached", logrus.InfoLevel},
+	{AgentDetached, "agent_detached", logrus.InfoLevel},
+	{RunPlaced, "run_placed", logrus.DebugLevel},
+	{RunEnded, "run_ended", logrus.DebugLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
@@ -80,12 +95,17 @@
 	{TargetSilent, "target_silent", logrus.WarnLevel},
 	{ClaimUnsettled, "claim_unsettled", logrus.WarnLevel},
 	{TargetBack, "target_back", logrus.InfoLevel},
+	{WorkerDraining, "worker_draining", logrus.InfoLevel},
+	{StartAnswered, "start_answered", logrus.DebugLevel},
+	{RunPaced, "run_paced", logrus.DebugLevel},
 	{ViewLost, "view_lost", logrus.WarnLevel},
 	{ConnectionDead, "connection_dead", logrus.WarnLevel},
 	{WorkerEjected, "worker_ejected", logrus.WarnLevel},
 	{AnswerCut, "answer_cut", logrus.WarnLevel},
 	{BurnNotSent, "burn_not_sent", logrus.WarnLevel},
 	{WatchMoved, "watch_moved", logrus.InfoLevel},
+	{LeaderLost, "leader_lost", logrus.WarnLevel},
+	{LeaderBack, "leader_back", logrus.InfoLevel},
 }
 
 var _byNumber = func() map[Number]Definition {
--- /dev/null
+++ b/internal/runner/hold.go
@@ -0,0 +1,215 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
+	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/pacing"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// _vanishAfter is how long a confirmed run must be missing from the listings
+// until it counts as lost. The other members of a gang that has ended as done
+// are not listed, and the leader hears of the end within that time.
+const _vanishAfter = time.Second
+
+// holdLoop renews the worker's lease and takes in its lists.
+func (r *Runner) holdLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		life, h, ok := r.nextHold()
+		if !ok {
+			r.awaitHold(ctx, _holdWait)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, h.Wait+_callLimit)
+		sent := clock.Now()
+		list, err := r.worker.Hold(callCtx, life.ID, h)
+		cancel()
+		r.held(ctx, life, sent, list, err)
+		if err != nil {
+			pause(ctx, _retryPause)
+		}
+	}
+}
+
+func (r *Runner) awaitHold(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.wakeHold:
+	case <-t.C:
+	}
+}
+
+// nextHold returns the next hold. ok is false if there is no worker.
+func (r *Runner) nextHold() (Life, Hold, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.life == (Life{}) || r.departed && r.lease.over(clock.Now()) {
+		return Life{}, Hold{}, false
+	}
+	h := Hold{Term: r.term, LastSeen: r.taken, Wait: r.holdWait()}
+	// A worker that does not answer must not keep its runs for longer.
+	if !r.silent && !r.departed {
+		h.Until, _ = r.lease.next(clock.Now())
+	}
+	return r.life, h, true
+}
+
+// holdWait returns how long a listing may wait for an end. The lock is held.
+func (r *Runner) holdWait() time.Duration {
+	switch {
+	case !r.listed || r.silent || !r.lease.known:
+		return 0
+	case r.unconfirmed():
+		return 0
+	case r.pacer.Watching():
+		return _holdWatch
+	}
+	return _holdWait
+}
+
+// unconfirmed reports whether a run has to be looked for. The lock is held.
+func (r *Runner) unconfirmed() bool {
+	for _, o := range r.orders {
+		if o.started && !o.gone.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// held takes in the answer to a hold that was sent at the given time.
+func (r *Runner) held(ctx context.Context, life Life, sent time.Time, list Listing, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.life != life {
+		return
+	}
+	now := clock.Now()
+	if err != nil {
+		r.unanswered(now, err)
+		return
+	}
+	if list.Born != 0 && list.Born != life.Born {
+		return // the next life, which has not announced itself yet
+	}
+	if r.silent {
+		r.log.Emit(event.TargetBack, event.Fields{"worker": life.key()}, "the worker answers again")
+	}
+	r.tries, r.silent = 0, false
+	r.lease.read(list.Clock, now)
+	first := !r.listed
+	r.listed = true
+	r.takeLists(now, sent, list)
+	r.pace(ctx, life, now, list)
+	if first {
+		wake(r.wakeReport)
+	}
+}
+
+// unanswered notes a listing without an answer. Once the worker's lease is
+// over for certain, its runs are. The lock is held.
+func (r *Runner) unanswered(now time.Time, err error) {
+	r.tries++
+	if r.tries >= _silentTries && !r.silent {
+		r.silent = true
+		r.log.Emit(event.TargetSilent, event.Fields{"worker": r.life.key(), "error": err.Error()},
+			"the worker does not answer; its lease is not renewed")
+	}
+	if !r.silent || !r.lease.over(now) {
+		return
+	}
+	for _, o := range r.orders {
+		r.refuse(o, submission.Lapsed)
+	}
+}
+
+// takeLists compares the worker's lists with the orders. The lock is held.
+func (r *Runner) takeLists(now, sent time.Time, list Listing) {
+	active := make(map[submission.RunID]bool, len(list.Active))
+	for _, a := range list.Active {
+		active[a.Run] = true
+		o := r.orders[a.Run]
+		if o == nil {
+			if _, refused := r.refused[a.Run]; refused {
+				continue
+			}
+			o = &order{run: a.Run, since: now}
+			r.orders[a.Run] = o
+		}
+		o.started, o.gone = true, time.Time{}
+		if a.Saved != "" && a.Saved != r.saved[a.Run] {
+			r.saved[a.Run] = a.Saved
+			r.unsent[a.Run] = true
+		}
+	}
+	for _, e := range list.Ends {
+		delete(active, e.Run)
+		if e.Number <= r.highest {
+			continue
+		}
+		r.highest = e.Number
+		r.forget(e.Run)
+		r.ends = append(r.ends, e)
+		wake(r.wakeReport)
+	}
+	r.findVanished(now, sent, active)
+}
+
+func (r *Runner) forget(run submission.RunID) {
+	delete(r.orders, run)
+	delete(r.saved, run)
+	delete(r.unsent, run)
+}
+
+// findVanished gives up confirmed runs that the worker lists neither as active
+// nor as ended. A listing that was asked for before the confirmation does not
+// count. The lock is held.
+func (r *Runner) findVanished(now, sent time.Time, active map[submission.RunID]bool) {
+	for run, o := range r.orders {
+		if active[run] || !o.started || !sent.After(o.since) {
+			continue
+		}
+		switch {
+		case o.stop:
+			r.refuse(o, submission.Stopped)
+		case o.gone.IsZero():
+			o.gone = now
+		case now.Sub(o.gone) >= _vanishAfter:
+			r.refuse(o, submission.Lost)
+		}
+	}
+}
+
+// pace carries out what the pacer decides on the latest figures. The lock is
+// held.
+func (r *Runner) pace(ctx context.Context, life Life, now time.Time, list Listing) {
+	tasks := make([]pacing.Task, 0, len(list.Active))
+	runs := make([]submission.RunID, 0, len(list.Active))
+	for _, a := range list.Active {
+		o := r.orders[a.Run]
+		if o == nil {
+			continue
+		}
+		t := o.pacing
+		t.Name, t.Percent, t.Figure = a.Run.Task.String(), a.Percent, a.Figure
+		tasks = append(tasks, t)
+		runs = append(runs, a.Run)
+	}
+	term := r.term
+	for _, d := range r.pacer.Decide(now, tasks) {
+		run := runs[d.Index]
+		r.log.Emit(event.RunPaced, event.Fields{"task": run.Task.String(), "run": run.Number, "percent": d.Percent, "worst": d.Worst},
+			"a run was paced")
+		r.tasks.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, _callLimit)
+			defer cancel()
+			// A call without an answer is repeated with the next figures.
+			_ = r.worker.Pace(callCtx, life.ID, run, d.Percent, term)
+		})
+	}
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,361 @@
+// Package runner is the agent of a worker that runs the tasks of submissions.
+//
+// A Runner is the only one that talks to its worker. It passes the leader's
+// orders on, keeps the lease of what runs there and reports every end. Orders
+// and ends are repeated until they are answered: a start or a stop whose
+// answer was lost counts as possibly carried out until the worker's lists or
+// the end of its lease settle it.
+//
+// All state is behind one lock; each task of the Runner owns one kind of I/O:
+// the stream to the leader, the listing of the worker's runs, and one task for
+// each start or stop that is not answered yet.
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
+	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/pacing"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// Times of calls and pauses.
+const (
+	_callLimit   = 500 * time.Millisecond // of a call to the worker beside its wait
+	_holdWait    = time.Second            // a listing waits this long for an end
+	_holdWatch   = 250 * time.Millisecond // the same while a task that serves is watched
+	_retryPause  = 50 * time.Millisecond  // between two tries of one order
+	_silentTries = 2                      // listings without an answer until the worker counts as silent
+)
+
+// order is one run that the leader has ordered, or that the worker lists.
+type order struct {
+	run     submission.RunID
+	start   StartOrder
+	pacing  pacing.Task // what the pacer has to know of it
+	unsure  bool        // a start went unanswered
+	started bool        // the worker has confirmed it
+	since   time.Time   // when it was confirmed
+	stop    bool        // it is to be stopped
+	gone    time.Time   // when a listing first lacked it; zero if none does
+}
+
+// Runner is the agent of one worker.
+type Runner struct {
+	log     event.Log
+	worker  Worker
+	leaders *control.Client
+
+	mu       sync.Mutex
+	announce Announcement // latest
+	life     Life         // zero until the worker has announced itself
+	departed bool         // the worker has taken its leave
+	term     uint64       // highest that a leader has named
+	lease    lease
+	orders   map[submission.RunID]*order
+	ends     []ListedEnd // not recorded yet, rising
+	highest  uint64      // number of the latest end that was listed
+	taken    uint64      // ends up to this number are recorded
+	refused  map[submission.RunID]submission.End
+	saved    map[submission.RunID]string // latest checkpoints
+	unsent   map[submission.RunID]bool   // checkpoints that the leader was not told of
+	listed   bool                        // the worker has listed its runs in this life
+	tries    int                         // listings without an answer, in a row
+	silent   bool
+	pacer    pacing.Pacer
+
+	wakeReport chan struct{} // size one
+	wakeHold   chan struct{} // size one
+	cancel     context.CancelFunc
+	tasks      sync.WaitGroup
+}
+
+// Start starts the tasks of a runner.
+func Start(log event.Log, worker Worker, leaders *control.Client) *Runner {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Runner{
+		log:        log,
+		worker:     worker,
+		leaders:    leaders,
+		wakeReport: make(chan struct{}, 1),
+		wakeHold:   make(chan struct{}, 1),
+		cancel:     cancel,
+	}
+	r.reset()
+	r.tasks.Go(func() { r.reportLoop(ctx) })
+	r.tasks.Go(func() { r.holdLoop(ctx) })
+	return r
+}
+
+// Stop ends the tasks. What runs on the worker goes on under its lease, and
+// the agent that starts next adopts it.
+func (r *Runner) Stop(context.Context) error {
+	r.cancel()
+	r.tasks.Wait()
+	r.leaders.Close()
+	return nil
+}
+
+// reset forgets everything of a life. The lock is held.
+func (r *Runner) reset() {
+	r.orders = make(map[submission.RunID]*order)
+	r.refused = make(map[submission.RunID]submission.End)
+	r.saved = make(map[submission.RunID]string)
+	r.unsent = make(map[submission.RunID]bool)
+	r.ends, r.highest, r.taken = nil, 0, 0
+	r.lease = lease{until: r.lease.until}
+	r.listed, r.silent, r.tries, r.departed = false, false, 0, false
+	r.pacer = pacing.Pacer{}
+}
+
+// Heard takes in what the worker tells of itself. Late news of an earlier life,
+// or news that a later one has overtaken, change nothing.
+func (r *Runner) Heard(a Announcement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	life := Life{ID: a.ID, Born: a.Born}
+	switch {
+	case life == r.life && a.Sequence <= r.announce.Sequence:
+		return
+	case a.Born < r.life.Born:
+		return
+	case life != r.life:
+		r.log.Emit(event.WorkerAdded, event.Fields{"worker": life.key(), "before": r.life.key()}, "the worker has begun a life")
+		r.reset()
+		r.life = life
+	case a.Draining && !r.announce.Draining:
+		r.log.Emit(event.WorkerDraining, event.Fields{"worker": life.key(), "remaining_ms": a.Remaining.Milliseconds()},
+			"the worker is about to leave; it gets no more tasks")
+	}
+	r.announce = a
+	wake(r.wakeReport)
+	wake(r.wakeHold)
+}
+
+// Left notes that the worker has taken its leave. Its runs end with it, or at
+// the latest with their lease, which is not renewed any more.
+func (r *Runner) Left(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if id == r.life.ID {
+		r.departed = true
+		wake(r.wakeReport)
+	}
+}
+
+func (l Life) key() string {
+	if l == (Life{}) {
+		return ""
+	}
+	return l.ID + "/" + time.UnixMilli(l.Born).UTC().Format("150405.000")
+}
+
+func wake(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// obey takes in the leader's orders. The lock is held.
+func (r *Runner) obey(ctx context.Context, o *pb.AgentOrder) {
+	if o.GetTerm() < r.term {
+		return
+	}
+	r.term = o.GetTerm()
+	if o.GetSent() != 0 {
+		r.lease.granted(time.Unix(0, o.GetSent()), time.Duration(o.GetLease()))
+	}
+	r.leaders.Learn(o.GetControllers())
+	for _, run := range o.GetSettled() {
+		delete(r.refused, wire.DecodeRun(run))
+	}
+	r.take(o.GetTaken())
+	for _, s := range o.GetStarts() {
+		r.orderStart(ctx, s)
+	}
+	for _, run := range o.GetStops() {
+		r.orderStop(ctx, wire.DecodeRun(run))
+	}
+}
+
+func (r *Runner) take(taken uint64) {
+	if taken <= r.taken {
+		return
+	}
+	r.taken = taken
+	for len(r.ends) > 0 && r.ends[0].Number <= taken {
+		r.ends = r.ends[1:]
+	}
+	wake(r.wakeHold)
+}
+
+// known reports whether an order for the run needs no action. The lock is held.
+func (r *Runner) known(run submission.RunID) bool {
+	if r.orders[run] != nil {
+		return true
+	}
+	if _, ok := r.refused[run]; ok {
+		return true
+	}
+	for _, e := range r.ends {
+		if e.Run == run {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Runner) orderStart(ctx context.Context, s *pb.StartOrder) {
+	run := wire.DecodeRun(s.GetRun())
+	if r.known(run) {
+		return
+	}
+	o := &order{
+		run:    run,
+		start:  StartOrder{Run: run, Text: s.GetText(), Saved: s.GetSaved(), Ticket: s.GetTicket()},
+		pacing: pacing.Task{Serves: s.GetServes(), TailTarget: time.Duration(s.GetTailTarget())},
+	}
+	if r.announce.Draining || r.departed {
+		r.refuse(o, submission.Refused)
+		return
+	}
+	r.orders[run] = o
+	life := r.life
+	r.tasks.Go(func() { r.startRun(ctx, life, o) })
+}
+
+func (r *Runner) orderStop(ctx context.Context, run submission.RunID) {
+	o := r.orders[run]
+	if o == nil {
+		if r.known(run) {
+			return // it has ended
+		}
+		o = &order{run: run}
+		r.orders[run] = o
+	}
+	if o.stop {
+		return
+	}
+	o.stop = true
+	life := r.life
+	r.tasks.Go(func() { r.stopRun(ctx, life, o) })
+}
+
+// refuse records that the worker does not have the run. The lock is held.
+func (r *Runner) refuse(o *order, how submission.How) {
+	delete(r.orders, o.run)
+	r.refused[o.run] = submission.End{Run: o.run, Worker: r.life.key(), How: how, Saved: r.saved[o.run]}
+	wake(r.wakeReport)
+}
+
+// startRun tries a start until the worker has answered or it is not wanted.
+func (r *Runner) startRun(ctx context.Context, life Life, o *order) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		if r.life != life || r.orders[o.run] != o || o.started || o.stop {
+			r.mu.Unlock()
+			return
+		}
+		until, ok := r.lease.next(clock.Now())
+		o.start.Until, o.start.Term = until, r.term
+		start := o.start
+		r.mu.Unlock()
+		if !ok {
+			pause(ctx, _retryPause)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, _callLimit)
+		answer, at, err := r.worker.Start(callCtx, life.ID, start)
+		cancel()
+		if r.startAnswered(ctx, life, o, answer, at, err) {
+			return
+		}
+		pause(ctx, _retryPause)
+	}
+}
+
+// startAnswered takes in a start's answer and reports whether it is settled.
+func (r *Runner) startAnswered(ctx context.Context, life Life, o *order, answer StartAnswer, at time.Duration, err error) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.life != life || r.orders[o.run] != o {
+		return true
+	}
+	if err != nil {
+		o.unsure = true
+		return false
+	}
+	now := clock.Now()
+	if at > 0 {
+		r.lease.read(at, now)
+	}
+	r.log.Emit(event.StartAnswered, event.Fields{"task": o.run.Task.String(), "run": o.run.Number, "answer": int(answer), "unsure": o.unsure},
+		"the worker answered a start")
+	switch answer {
+	case Started, Superseded:
+		// A run that has been there before shows in the next listing, or
+		// counts as lost if it does not.
+		o.started, o.since = true, now
+		wake(r.wakeHold)
+		return true
+	case TooLate:
+		return false
+	case Fenced:
+		delete(r.orders, o.run) // the newer leader orders anew what it wants
+		return true
+	case OtherLife:
+		return false
+	default:
+		if o.unsure {
+			// An unanswered start may still be carried out; a stop forbids it.
+			o.stop = true
+			r.tasks.Go(func() { r.stopRun(ctx, life, o) })
+			return true
+		}
+		r.refuse(o, submission.Refused)
+		return true
+	}
+}
+
+// stopRun tries a stop until the worker has answered. The end shows in the
+// worker's list; a run that was never there is reported as refused.
+func (r *Runner) stopRun(ctx context.Context, life Life, o *order) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		wanted := r.life == life && r.orders[o.run] == o
+		term := r.term
+		r.mu.Unlock()
+		if !wanted {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, _callLimit)
+		err := r.worker.Stop(callCtx, life.ID, o.run, term)
+		cancel()
+		if err == nil {
+			r.mu.Lock()
+			o.started, o.since = true, clock.Now()
+			r.mu.Unlock()
+			wake(r.wakeHold)
+			return
+		}
+		pause(ctx, _retryPause)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -37,6 +38,11 @@
 	Heartbeat       unit.Duration     `json:"heartbeat"`
 	Lease           unit.Duration     `json:"lease"`
 	SnapshotEntries int               `json:"snapshot_entries"`
+	Seeds           []string          `json:"seeds,omitempty"`
+	Bootstrap       bool              `json:"bootstrap,omitempty"`
+	Losses          *int              `json:"tolerated_losses,omitempty"`
+	Replicas        int               `json:"replicas,omitempty"`
+	RunLease        unit.Duration     `json:"run_lease"`
 }
 
 // Entry settings.
@@ -74,6 +80,15 @@
 	Level  string `json:"level"`
 }
 
+// Platform settings have the roles serve the users' platform in place of the
+// product's own interfaces.
+type Platform struct {
+	Frontend     string `json:"frontend,omitempty"`      // callers, at an entry
+	Readiness    string `json:"readiness,omitempty"`     // the balancer's probes, at an entry
+	ControlPlane string `json:"control_plane,omitempty"` // the operator at a controller, the worker at an agent
+	Worker       string `json:"worker,omitempty"`        // the worker of an agent
+}
+
 // Settings is the whole file. A role's part is nil if it is left out.
 type Settings struct {
 	Name         string        `json:"name"`
@@ -86,6 +101,8 @@
 	Entry        *Entry        `json:"entry,omitempty"`
 	Agent        *Agent        `json:"agent,omitempty"`
 	Sample       *Sample       `json:"sample,omitempty"`
+	Platform     *Platform     `json:"platform,omitempty"`
+	Port         int           `json:"controllers_port,omitempty"`
 	Log          Log           `json:"log"`
 	DrainTimeout unit.Duration `json:"drain_timeout"`
 	MemoryLimit  unit.Bytes    `json:"memory_limit"`
@@ -97,6 +114,7 @@
 	_heartbeat       = unit.Duration(50 * time.Millisecond)
 	_lease           = unit.Duration(10 * time.Second)
 	_snapshotEntries = 20_000
+	_runLease        = unit.Duration(4 * time.Second)
 	_retries         = 2
 	_retryRatio      = 0.1
 	_watchHeartbeat  = unit.Duration(5 * time.Second)
@@ -158,7 +176,33 @@
 	}
 }
 
+// withPort returns the address with the port in place of its own.
+func withPort(address string, port int) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || port == 0 {
+		return address
+	}
+	return net.JoinHostPort(host, strconv.Itoa(port))
+}
+
+// setPorts replaces the ports of addresses that name the controllers by
+// another of their interfaces.
+func (s *Settings) setPorts() {
+	for i, a := range s.Controllers {
+		s.Controllers[i] = withPort(a, s.Port)
+	}
+	if s.Controller != nil {
+		for i, a := range s.Controller.Seeds {
+			s.Controller.Seeds[i] = withPort(a, s.Port)
+		}
+	}
+}
+
 func (s *Settings) setDefaults() {
+	s.setPorts()
+	if c := s.Controller; c != nil && c.Losses != nil && c.Replicas == 0 {
+		c.Replicas = 2**c.Losses + 1
+	}
 	setDefault(&s.Log.Format, "text")
 	setDefault(&s.Log.Level, "info")
 	setDefault(&s.DrainTimeout, _drainTimeout)
@@ -171,7 +215,8 @@
 		setDefault(&c.Heartbeat, _heartbeat)
 		setDefault(&c.Lease, _lease)
 		setDefault(&c.SnapshotEntries, _snapshotEntries)
-		if len(c.Members) == 0 {
+		setDefault(&c.RunLease, _runLease)
+		if len(c.Members) == 0 && c.Replicas == 0 {
 			c.Members = map[string]string{c.ID: c.Address}
 		}
 	}
@@ -191,6 +236,7 @@
 		}
 	}
 	if len(s.Controllers) == 0 && s.Controller != nil {
+		s.Controllers = slices.Clone(s.Controller.Seeds)
 		for _, address := range s.Controller.Members {
 			s.Controllers = append(s.Controllers, address)
 		}
@@ -253,8 +299,12 @@
 	}
 	c.span("drain_timeout", s.DrainTimeout)
 	c.role(s.Holds(RoleController), s.Controller != nil, RoleController)
-	c.role(s.Holds(RoleEntry), s.Entry != nil, RoleEntry)
-	c.role(s.Holds(RoleAgent), s.Agent != nil, RoleAgent)
+	if s.Platform == nil {
+		c.role(s.Holds(RoleEntry), s.Entry != nil, RoleEntry)
+		c.role(s.Holds(RoleAgent), s.Agent != nil, RoleAgent)
+	} else {
+		c.platform(s)
+	}
 	c.controller(s.Controller)
 	c.entry(s.Entry)
 	c.agent(s.Agent)
@@ -282,10 +332,14 @@
 	if s == nil {
 		return
 	}
-	c.text("controller.id", s.ID)
+	if s.Replicas == 0 {
+		c.text("controller.id", s.ID)
+	}
 	c.text("controller.data_folder", s.DataFolder)
 	c.address("controller.address", s.Address)
-	c.address("controller.operator_address", s.OperatorAddress)
+	if s.OperatorAddress != "" || s.Replicas == 0 {
+		c.address("controller.operator_address", s.OperatorAddress)
+	}
 	c.span("controller.election_timeout", s.ElectionTimeout)
 	c.span("controller.heartbeat", s.Heartbeat)
 	c.span("controller.lease", s.Lease)
@@ -294,6 +348,11 @@
 		c.add("controller.election_timeout", "found %s, allowed is at least 4 times controller.heartbeat",
 			time.Duration(s.ElectionTimeout))
 	}
+	c.span("controller.run_lease", s.RunLease)
+	if s.Replicas != 0 {
+		c.joining(s)
+		return
+	}
 	for id, address := range s.Members {
 		c.address("controller.members."+id, address)
 	}
@@ -302,6 +361,40 @@
 	}
 }
 
+// platform checks the addresses that the roles serve on the users' platform.
+func (c *checker) platform(s *Settings) {
+	if s.Holds(RoleEntry) {
+		c.address("platform.frontend", s.Platform.Frontend)
+		c.address("platform.readiness", s.Platform.Readiness)
+	}
+	if s.Holds(RoleAgent) {
+		c.address("platform.worker", s.Platform.Worker)
+	}
+	if s.Holds(RoleAgent) || s.Holds(RoleController) {
+		c.address("platform.control_plane", s.Platform.ControlPlane)
+	}
+	if s.Entry != nil || s.Agent != nil {
+		c.add("platform", "present, but so are entry or agent, whose interfaces it replaces")
+	}
+}
+
+// joining checks the settings of a controller that founds a group with the
+// seeds or joins one.
+func (c *checker) joining(s *Controller) {
+	if s.Replicas < 1 || s.Replicas%2 == 0 {
+		c.add("controller.replicas", "found %d, allowed is an odd number", s.Replicas)
+	}
+	if len(s.Seeds) == 0 {
+		c.add("controller.seeds", "missing, allowed is a list of controllers' addresses")
+	}
+	for i, a := range s.Seeds {
+		c.address(fmt.Sprintf("controller.seeds.%d", i), a)
+	}
+	if len(s.Members) > 0 {
+		c.add("controller.members", "present, but controller.replicas names a group that forms by itself")
+	}
+}
+
 func (c *checker) entry(s *Entry) {
 	if s == nil {
 		return
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -68,6 +68,16 @@
 		return &pb.Command{Kind: &pb.Command_ReleaseClaim{ReleaseClaim: &pb.ReleaseClaim{
 			Entry: c.Entry, Key: c.Key, Token: c.Token,
 		}}}
+	case state.ReplaceQueues:
+		return &pb.Command{Kind: &pb.Command_ReplaceQueues{ReplaceQueues: &pb.ReplaceQueues{Table: EncodeTable(c.Table)}}}
+	case state.Submit:
+		return &pb.Command{Kind: &pb.Command_Submit{Submit: &pb.Submit{Submission: EncodeSubmission(&c.Submission)}}}
+	case state.CancelSubmission:
+		return &pb.Command{Kind: &pb.Command_CancelSubmission{CancelSubmission: &pb.CancelSubmission{Id: c.ID}}}
+	case state.StartRuns:
+		return &pb.Command{Kind: &pb.Command_StartRuns{StartRuns: encodeStarts(c.Starts)}}
+	case state.EndRuns:
+		return &pb.Command{Kind: &pb.Command_EndRuns{EndRuns: encodeEnds(c.Ends)}}
 	case state.RecordBurn:
 		return &pb.Command{Kind: &pb.Command_RecordBurn{RecordBurn: encodeBurn(c)}}
 	default:
@@ -164,6 +174,20 @@
 		return state.ReleaseClaim{
 			Entry: k.ReleaseClaim.GetEntry(), Key: k.ReleaseClaim.GetKey(), Token: k.ReleaseClaim.GetToken(),
 		}, nil
+	case *pb.Command_ReplaceQueues:
+		return state.ReplaceQueues{Table: DecodeTable(k.ReplaceQueues.GetTable())}, nil
+	case *pb.Command_Submit:
+		s, err := DecodeSubmission(k.Submit.GetSubmission())
+		if err != nil {
+			return nil, err
+		}
+		return state.Submit{Submission: *s}, nil
+	case *pb.Command_CancelSubmission:
+		return state.CancelSubmission{ID: k.CancelSubmission.GetId()}, nil
+	case *pb.Command_StartRuns:
+		return state.StartRuns{Starts: decodeStarts(k.StartRuns)}, nil
+	case *pb.Command_EndRuns:
+		return state.EndRuns{Ends: decodeEnds(k.EndRuns)}, nil
 	case *pb.Command_RecordBurn:
 		return state.RecordBurn{
 			Source: k.RecordBurn.GetSource(), Sequence: k.RecordBurn.GetSequence(), Counts: decodeCounts(k.RecordBurn.GetCounts()),
--- a/internal/wire/replica.go
+++ b/internal/wire/replica.go
@@ -15,6 +15,7 @@
 	for _, e := range entries {
 		out = append(out, &pb.LogEntry{
 			Index: e.Index, Term: e.Term, Kind: uint32(e.Kind), Time: nanos(e.Time), Data: e.Data,
+			Members: encodeMembers(e.Members),
 		})
 	}
 	return out
@@ -25,7 +26,7 @@
 	for _, m := range ms {
 		out = append(out, replica.Entry{
 			Index: m.GetIndex(), Term: m.GetTerm(), Kind: replica.EntryKind(m.GetKind()),
-			Time: instant(m.GetTime()), Data: m.GetData(),
+			Time: instant(m.GetTime()), Data: m.GetData(), Members: decodeMembers(m.GetMembers()),
 		})
 	}
 	return out
@@ -53,6 +54,7 @@
 	case replica.InstallSnapshot:
 		out.Body = &pb.ReplicaMessage_InstallSnapshot{InstallSnapshot: &pb.InstallSnapshot{
 			Index: b.Index, Term: b.Term, Offset: b.Offset, Last: b.Last, Data: b.Data, Sent: nanos(b.Sent),
+			Members: encodeMembers(b.Members),
 		}}
 	case replica.SnapshotProgress:
 		out.Body = &pb.ReplicaMessage_SnapshotProgress{SnapshotProgress: &pb.SnapshotProgress{
@@ -91,6 +93,7 @@
 		out.Body = replica.InstallSnapshot{
 			Index: b.GetIndex(), Term: b.GetTerm(), Offset: b.GetOffset(), Last: b.GetLast(),
 			Data: b.GetData(), Sent: instant(b.GetSent()),
+			Members: decodeMembers(b.GetMembers()),
 		}
 	case *pb.ReplicaMessage_SnapshotProgress:
 		b := k.SnapshotProgress
@@ -128,7 +131,7 @@
 
 // MarshalSnapshot returns the bytes of a snapshot file.
 func MarshalSnapshot(s replica.Snapshot) ([]byte, error) {
-	return proto.Marshal(&pb.DiskSnapshot{Index: s.Index, Term: s.Term, Data: s.Data})
+	return proto.Marshal(&pb.DiskSnapshot{Index: s.Index, Term: s.Term, Data: s.Data, Members: encodeMembers(s.Members)})
 }
 
 // UnmarshalSnapshot returns what MarshalSnapshot wrote.
@@ -137,5 +140,21 @@
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return replica.Snapshot{}, fault.Wrap(fault.DataDamaged, err, "decode snapshot file")
 	}
-	return replica.Snapshot{Index: m.GetIndex(), Term: m.GetTerm(), Data: m.GetData()}, nil
+	return replica.Snapshot{
+		Index: m.GetIndex(), Term: m.GetTerm(), Data: m.GetData(), Members: decodeMembers(m.GetMembers()),
+	}, nil
+}
+
+// MarshalIdentity returns the bytes of a controller's identity file.
+func MarshalIdentity(id replica.ID, founders []replica.Member) ([]byte, error) {
+	return proto.Marshal(&pb.DiskIdentity{Id: string(id), Founders: encodeMembers(founders)})
+}
+
+// UnmarshalIdentity returns what MarshalIdentity wrote.
+func UnmarshalIdentity(data []byte) (replica.ID, []replica.Member, error) {
+	var m pb.DiskIdentity
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return "", nil, fault.Wrap(fault.DataDamaged, err, "decode identity file")
+	}
+	return replica.ID(m.GetId()), decodeMembers(m.GetFounders()), nil
 }
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -45,6 +45,10 @@
 	for _, s := range c.Sources {
 		m.BurnSources = append(m.BurnSources, &pb.BurnSource{Source: s.Name, Sequence: s.Sequence, Seen: nanos(s.Seen)})
 	}
+	m.Queues = EncodeTable(c.Queues)
+	for _, s := range c.Submissions {
+		m.Submissions = append(m.Submissions, EncodeSubmission(s))
+	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
 }
 
@@ -84,5 +88,13 @@
 	for _, s := range m.GetBurnSources() {
 		c.Sources = append(c.Sources, state.Source{Name: s.GetSource(), Sequence: s.GetSequence(), Seen: instant(s.GetSeen())})
 	}
+	c.Queues = DecodeTable(m.GetQueues())
+	for _, e := range m.GetSubmissions() {
+		s, err := DecodeSubmission(e)
+		if err != nil {
+			return c, err
+		}
+		c.Submissions = append(c.Submissions, s)
+	}
 	return c, nil
 }
--- a/replica/message.go
+++ b/replica/message.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// ID names one controller replica. It is chosen by the operator and never
-// reused for a replica that lost its disk.
+// ID names one controller replica. It is never reused for a replica that lost
+// its disk.
 type ID string
 
 // EntryKind tells what a log entry carries.
@@ -15,15 +15,27 @@
 	// KindBarrier entries carry nothing. A new leader appends one to commit
 	// the entries of earlier terms.
 	KindBarrier
+	// KindMembers entries carry the group's members. They are in force from
+	// the moment that they stand in a replica's log.
+	KindMembers
 )
 
+// Member is one replica of the group.
+type Member struct {
+	ID      ID
+	Address string // where its messages are sent; opaque to this package
+	Learner bool   // it takes entries, but neither votes nor counts for a commit
+}
+
 // Entry is one record of the replicated log.
 type Entry struct {
 	Index uint64    // position in the log, from 1, without gaps
 	Term  uint64    // term of the leader that appended it
 	Kind  EntryKind // what Data holds
 	Time  time.Time // leader's clock when it appended the entry
-	Data  []byte    // encoded command; empty for a barrier
+	Data  []byte    // encoded command; empty for other kinds
+
+	Members []Member // set for KindMembers alone; never changed
 }
 
 // HardState is what a replica must have on disk before it answers.
@@ -37,6 +49,8 @@
 	Index uint64 // last entry that the state includes
 	Term  uint64 // term of that entry
 	Data  []byte // encoded state
+
+	Members []Member // as of Index; empty if the group never changed them
 }
 
 // Message is sent from one replica to another.
@@ -90,6 +104,8 @@
 	Last   bool   // Data is the final chunk
 	Data   []byte
 	Sent   time.Time
+
+	Members []Member // of the snapshot
 }
 
 // SnapshotProgress answers an InstallSnapshot that did not complete the
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -22,6 +22,7 @@
 	ErrNotLeader    = errors.New("replica: not the leader")
 	ErrTransferring = errors.New("replica: leadership is being transferred")
 	ErrNoPeer       = errors.New("replica: no follower to transfer leadership to")
+	ErrChanging     = errors.New("replica: the latest change of members is not committed")
 )
 
 // Role is what a replica is at present.
@@ -64,7 +65,8 @@
 // Config is fixed for the life of a Replica.
 type Config struct {
 	ID              ID
-	Voters          []ID          // all members, this one included
+	Voters          []ID          // members while the log names none, this one included; empty for one that joins
+	Founders        []Member      // the same with addresses; goes before Voters if set
 	ElectionTimeout time.Duration // least silence before an election; also the lease length
 	Heartbeat       time.Duration // interval between a leader's heartbeats
 	Rand            *rand.Rand    // spreads election timeouts; owned by the Replica
@@ -84,16 +86,21 @@
 }
 
 type incomingSnap struct {
-	index uint64
-	term  uint64
-	data  []byte
+	index   uint64
+	term    uint64
+	members []Member
+	data    []byte
 }
 
 // Replica is one member's state. It is not safe for concurrent use.
 type Replica struct {
 	cfg   Config
-	peers []ID // voters without this one, sorted
+	peers []ID // members without this one, sorted
 
+	founders    []Member // members while the log names none
+	baseMembers []Member // members as of log.base
+	members     []Member // latest in the log, committed or not; never changed in place
+	changedAt   uint64   // index of the entry that members come from; 0 if none in the log
 	state HardState
 	log   tail // entries after the latest snapshot
 
@@ -145,12 +152,17 @@
 	r.log.reset(from.Snapshot.Index, from.Snapshot.Term)
 	r.log.append(from.Entries)
 	r.synced = r.log.last()
-	for _, id := range cfg.Voters {
-		if id != cfg.ID {
-			r.peers = append(r.peers, id)
+	r.founders = cfg.Founders
+	if len(r.founders) == 0 {
+		for _, id := range cfg.Voters {
+			r.founders = append(r.founders, Member{ID: id})
 		}
 	}
-	sort.Slice(r.peers, func(i, j int) bool { return r.peers[i] < r.peers[j] })
+	r.baseMembers = r.founders
+	if len(from.Snapshot.Members) > 0 {
+		r.baseMembers = from.Snapshot.Members
+	}
+	r.readMembers(now)
 	r.contact = now // a restarted voter must not break a lease that it has forgotten
 	r.resetDeadline(now)
 	if len(r.peers) == 0 {
@@ -159,6 +171,104 @@
 	return r
 }
 
+// readMembers sets the members to the latest that the log names.
+func (r *Replica) readMembers(now time.Time) {
+	members, at := r.baseMembers, uint64(0)
+	for i := len(r.log.entries) - 1; i >= 0; i-- {
+		if e := r.log.entries[i]; e.Kind == KindMembers {
+			members, at = e.Members, e.Index
+			break
+		}
+	}
+	r.members, r.changedAt = members, at
+	r.peers = nil
+	for _, m := range members {
+		if m.ID != r.cfg.ID {
+			r.peers = append(r.peers, m.ID)
+		}
+	}
+	sort.Slice(r.peers, func(i, j int) bool { return r.peers[i] < r.peers[j] })
+	if r.role != Leader {
+		return
+	}
+	for _, id := range r.peers {
+		if r.progress[id] == nil {
+			r.progress[id] = &progress{next: r.log.last() + 1, acked: now}
+		}
+	}
+	for id := range r.progress {
+		if _, ok := r.memberOf(id); !ok {
+			delete(r.progress, id)
+		}
+	}
+}
+
+func (r *Replica) memberOf(id ID) (Member, bool) {
+	for _, m := range r.members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func (r *Replica) isVoter(id ID) bool {
+	m, ok := r.memberOf(id)
+	return ok && !m.Learner
+}
+
+// Members returns the latest members in the log. The caller may not change
+// the slice.
+func (r *Replica) Members() []Member { return r.members }
+
+// Standing is what a leader knows of another member.
+type Standing struct {
+	Member
+	Match uint64    // highest index known to be on its disk
+	Acked time.Time // when the latest message that it has answered was sent
+}
+
+// Standings returns what this leader knows of the other members; nil if it
+// does not lead.
+func (r *Replica) Standings() []Standing {
+	if r.role != Leader {
+		return nil
+	}
+	out := make([]Standing, 0, len(r.peers))
+	for _, m := range r.members {
+		if p := r.progress[m.ID]; p != nil {
+			out = append(out, Standing{Member: m, Match: p.match, Acked: p.acked})
+		}
+	}
+	return out
+}
+
+// ProposeMembers changes the members. One change is made at a time: it is
+// refused until the one before is committed and until this leader has
+// committed an entry of its own term. The caller keeps the majorities of two
+// successive sets overlapping.
+func (r *Replica) ProposeMembers(now time.Time, members []Member) error {
+	if r.role != Leader {
+		return ErrNotLeader
+	}
+	if r.transferee != "" {
+		return ErrTransferring
+	}
+	if r.changedAt > r.commit || r.log.term(r.commit) != r.state.Term {
+		return ErrChanging
+	}
+	r.appendLocal([]Entry{{
+		Index:   r.log.last() + 1,
+		Term:    r.state.Term,
+		Kind:    KindMembers,
+		Time:    now,
+		Members: append([]Member(nil), members...),
+	}})
+	r.readMembers(now)
+	r.sendAll(now)
+	return nil
+}
+
 // Role returns the present role.
 func (r *Replica) Role() Role { return r.role }
 
@@ -232,6 +342,9 @@
 	var best ID
 	for _, id := range r.peers {
 		p := r.progress[id]
+		if !r.isVoter(id) {
+			continue
+		}
 		if best == "" || p.match > r.progress[best].match {
 			best = id
 		}
@@ -252,7 +365,7 @@
 		r.tickLeader(now)
 		return
 	}
-	if !now.Before(r.deadline) {
+	if !now.Before(r.deadline) && r.isVoter(r.cfg.ID) {
 		r.startElection(now, true, false)
 	}
 }
@@ -264,7 +377,7 @@
 		r.becomeFollower(now, r.state.Term, "")
 		return
 	}
-	if len(r.peers) > 0 {
+	if r.quorum() > 1 {
 		lost := r.quorumContact(now).Add(quorumLossFactor * r.cfg.ElectionTimeout)
 		if !now.Before(lost) {
 			r.becomeFollower(now, r.state.Term, "")
@@ -344,18 +457,37 @@
 	if index > r.handedOut {
 		index = r.handedOut
 	}
+	for i := len(r.log.entries) - 1; i >= 0; i-- {
+		if e := r.log.entries[i]; e.Kind == KindMembers && e.Index <= index {
+			r.baseMembers = e.Members
+			break
+		}
+	}
 	r.log.compact(index)
 }
 
-func (r *Replica) quorum() int { return (len(r.peers)+1)/2 + 1 }
+// quorum returns how many voters are a majority.
+func (r *Replica) quorum() int {
+	voters := 0
+	for _, m := range r.members {
+		if !m.Learner {
+			voters++
+		}
+	}
+	return voters/2 + 1
+}
 
 // quorumContact returns the latest time at which a quorum, this leader
 // included, is known to have accepted this leader.
 func (r *Replica) quorumContact(now time.Time) time.Time {
 	times := make([]time.Time, 0, len(r.peers)+1)
-	times = append(times, now)
+	if r.isVoter(r.cfg.ID) {
+		times = append(times, now)
+	}
 	for _, id := range r.peers {
-		times = append(times, r.progress[id].acked)
+		if r.isVoter(id) {
+			times = append(times, r.progress[id].acked)
+		}
 	}
 	sort.Slice(times, func(i, j int) bool { return times[i].After(times[j]) })
 	return times[r.quorum()-1]
@@ -429,9 +561,13 @@
 // has on disk. It is called only after this leader's own entries are synced.
 func (r *Replica) advanceCommit(now time.Time) {
 	match := make([]uint64, 0, len(r.peers)+1)
-	match = append(match, r.synced)
+	if r.isVoter(r.cfg.ID) {
+		match = append(match, r.synced)
+	}
 	for _, id := range r.peers {
-		match = append(match, r.progress[id].match)
+		if r.isVoter(id) {
+			match = append(match, r.progress[id].match)
+		}
 	}
 	sort.Slice(match, func(i, j int) bool { return match[i] > match[j] })
 	index := match[r.quorum()-1]
--- a/replica/step.go
+++ b/replica/step.go
@@ -7,8 +7,8 @@
 
 // Step takes in one message from another replica.
 func (r *Replica) Step(now time.Time, m Message) {
-	if !r.member(m.From) {
-		return
+	if m.To != r.cfg.ID {
+		return // meant for a replica that was at this address before
 	}
 	if req, ok := m.Body.(VoteRequest); ok {
 		r.stepVoteRequest(now, m, req)
@@ -44,15 +44,6 @@
 	return ok && v.Pre && v.Granted
 }
 
-func (r *Replica) member(id ID) bool {
-	for _, p := range r.peers {
-		if p == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (r *Replica) post(to ID, term uint64, body Body, late bool) {
 	m := Message{From: r.cfg.ID, To: to, Term: term, Body: body}
 	if late {
@@ -73,6 +64,9 @@
 	r.votes = map[ID]bool{r.cfg.ID: true}
 	r.resetDeadline(now)
 	for _, id := range r.peers {
+		if !r.isVoter(id) {
+			continue
+		}
 		r.post(id, term, VoteRequest{
 			Pre:       pre,
 			Transfer:  transfer,
@@ -85,8 +79,8 @@
 
 func (r *Replica) countVotes(now time.Time) {
 	granted := 0
-	for _, ok := range r.votes {
-		if ok {
+	for id, ok := range r.votes {
+		if ok && r.isVoter(id) {
 			granted++
 		}
 	}
@@ -180,7 +174,7 @@
 		r.post(m.From, r.state.Term, reply, true)
 		return
 	}
-	r.acceptEntries(a.Entries)
+	r.acceptEntries(now, a.Entries)
 	reply.Match = a.PrevIndex + uint64(len(a.Entries))
 	if c := min(a.Commit, reply.Match); c > r.commit {
 		r.commit = c
@@ -194,7 +188,7 @@
 // acceptEntries appends the entries that the log does not hold yet. It drops
 // the log's end only where a term differs, since a late message may carry a
 // prefix of what is held.
-func (r *Replica) acceptEntries(entries []Entry) {
+func (r *Replica) acceptEntries(now time.Time, entries []Entry) {
 	for i, e := range entries {
 		if e.Index <= r.log.last() && r.log.term(e.Index) == e.Term {
 			continue
@@ -202,11 +196,24 @@
 		if e.Index <= r.commit {
 			panic(fmt.Sprintf("replica: leader would replace committed entry %d", e.Index))
 		}
+		cut := e.Index <= r.changedAt
 		r.appendLocal(entries[i:])
+		if cut || namesMembers(entries[i:]) {
+			r.readMembers(now)
+		}
 		return
 	}
 }
 
+func namesMembers(entries []Entry) bool {
+	for _, e := range entries {
+		if e.Kind == KindMembers {
+			return true
+		}
+	}
+	return false
+}
+
 // conflictHint returns an index before the whole term that disagrees, so that
 // the leader skips one term a round and not one entry.
 func (r *Replica) conflictHint(prev uint64) uint64 {
@@ -227,6 +234,9 @@
 		return
 	}
 	p := r.progress[m.From]
+	if p == nil {
+		return // no longer a member
+	}
 	if a.Sent.After(p.acked) {
 		p.acked = a.Sent
 	}
@@ -253,7 +263,8 @@
 }
 
 func (r *Replica) maybeFinishTransfer() {
-	if r.transferee == "" || r.progress[r.transferee].match != r.log.last() {
+	p := r.progress[r.transferee]
+	if r.transferee == "" || p == nil || p.match != r.log.last() {
 		return
 	}
 	r.post(r.transferee, r.state.Term, TimeoutNow{}, false)
@@ -311,6 +322,8 @@
 		Last:   end == uint64(len(s.snap.Data)),
 		Data:   s.snap.Data[s.offset:end],
 		Sent:   now,
+
+		Members: s.snap.Members,
 	}, false)
 }
 
@@ -342,7 +355,7 @@
 		return
 	}
 	if r.incoming == nil || r.incoming.index != s.Index || r.incoming.term != s.Term {
-		r.incoming = &incomingSnap{index: s.Index, term: s.Term}
+		r.incoming = &incomingSnap{index: s.Index, term: s.Term, members: s.Members}
 	}
 	in := r.incoming
 	if s.Offset == uint64(len(in.data)) {
@@ -352,14 +365,19 @@
 		r.post(m.From, r.state.Term, SnapshotProgress{Index: s.Index, Received: uint64(len(in.data)), Sent: s.Sent}, true)
 		return
 	}
-	r.install(in)
+	r.install(now, in)
 	r.post(m.From, r.state.Term, AppendReply{Match: s.Index, Sent: s.Sent}, true)
 }
 
-func (r *Replica) install(in *incomingSnap) {
+func (r *Replica) install(now time.Time, in *incomingSnap) {
 	r.incoming = nil
-	r.installed = &Snapshot{Index: in.index, Term: in.term, Data: in.data}
+	r.installed = &Snapshot{Index: in.index, Term: in.term, Data: in.data, Members: in.members}
 	r.log.reset(in.index, in.term)
+	r.baseMembers = r.founders
+	if len(in.members) > 0 {
+		r.baseMembers = in.members
+	}
+	r.readMembers(now)
 	r.unsynced = nil
 	r.commit = in.index
 	r.handedOut = in.index
@@ -371,6 +389,9 @@
 		return
 	}
 	p := r.progress[m.From]
+	if p == nil {
+		return
+	}
 	if s.Sent.After(p.acked) {
 		p.acked = s.Sent
 	}
--- a/state/command.go
+++ b/state/command.go
@@ -7,13 +7,16 @@
 	"github.com/gentianrail/gentianrail/catalogue"
 	"github.com/gentianrail/gentianrail/claim"
 	"github.com/gentianrail/gentianrail/job"
+	"github.com/gentianrail/gentianrail/queue"
+	"github.com/gentianrail/gentianrail/submission"
 	"github.com/gentianrail/gentianrail/worker"
 )
 
 // Command is the sealed set of changes of the shared state: PutEntry,
 // DeleteEntry, RegisterWorker, RetireWorker, DrainWorker, SubmitJob,
 // CancelJob, PlaceJob, EndAttempt, FailJob, BeginClaim, FinishClaim,
-// ReleaseClaim and RecordBurn.
+// ReleaseClaim, RecordBurn, ReplaceQueues, Submit, CancelSubmission, StartRuns
+// and EndRuns.
 type Command interface{ command() }
 
 // PutEntry puts a declaration in force.
@@ -102,6 +105,29 @@
 	Counts   []burn.Count
 }
 
+// ReplaceQueues puts a table of queues in force if its version is above the
+// one in force.
+type ReplaceQueues struct{ Table queue.Table }
+
+// Submit takes in a submission. The queue's figures are those that the
+// proposer saw; they follow the table in force from then on.
+type Submit struct{ Submission submission.Submission }
+
+// CancelSubmission ends a submission for its caller.
+type CancelSubmission struct{ ID string }
+
+// StartRuns records that tasks are given to workers.
+type StartRuns struct{ Starts []submission.Start }
+
+// EndRuns records that runs are over.
+type EndRuns struct{ Ends []submission.End }
+
+func (ReplaceQueues) command()    {}
+func (Submit) command()           {}
+func (CancelSubmission) command() {}
+func (StartRuns) command()        {}
+func (EndRuns) command()          {}
+
 func (PutEntry) command()       {}
 func (DeleteEntry) command()    {}
 func (RegisterWorker) command() {}
@@ -132,14 +158,20 @@
 	_ Command = FinishClaim{}
 	_ Command = ReleaseClaim{}
 	_ Command = RecordBurn{}
+	_ Command = ReplaceQueues{}
+	_ Command = Submit{}
+	_ Command = CancelSubmission{}
+	_ Command = StartRuns{}
+	_ Command = EndRuns{}
 )
 
 // Outcome is what applying a command gave.
 type Outcome struct {
 	Revision uint64
-	Entry    *catalogue.Entry // set by PutEntry
-	Repeated bool             // the change had been accepted before
-	Job      *job.Job         // set by the commands of jobs
-	Claim    *claim.Claim     // set by BeginClaim
-	Err      error            // *fault.Error; nil if accepted
+	Entry    *catalogue.Entry   // set by PutEntry
+	Repeated bool               // the change had been accepted before
+	Job      *job.Job           // set by the commands of jobs
+	Claim    *claim.Claim       // set by BeginClaim
+	Starts   []submission.Start // set by StartRuns: those that were taken in
+	Err      error              // *fault.Error; nil if accepted
 }
--- a/state/machine.go
+++ b/state/machine.go
@@ -17,6 +17,8 @@
 	"github.com/gentianrail/gentianrail/claim"
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/job"
+	"github.com/gentianrail/gentianrail/queue"
+	"github.com/gentianrail/gentianrail/submission"
 	"github.com/gentianrail/gentianrail/worker"
 )
 
@@ -72,6 +74,8 @@
 	jobs      job.Book
 	claims    claim.Book
 	burn      burn.Ledger
+	queues    queue.Table
+	book      submission.Book
 	sources   map[string]Source
 	forgotten time.Time // log time at which old burn counts were last dropped
 }
@@ -97,11 +101,21 @@
 // Burn returns the burn counts. Only Apply may change them.
 func (m *Machine) Burn() *burn.Ledger { return &m.burn }
 
+// Queues returns the table of queues in force. Only Apply may change it.
+func (m *Machine) Queues() *queue.Table { return &m.queues }
+
+// Submissions returns the submissions. Only Apply may change them.
+func (m *Machine) Submissions() *submission.Book { return &m.book }
+
 // Apply carries out the command at the given log index and leader's time.
 func (m *Machine) Apply(index uint64, at time.Time, c Command) Result {
+	before := m.now
 	if at.After(m.now) {
 		m.now = at
 	}
+	if m.now.Unix() != before.Unix() {
+		m.book.Forget(m.now)
+	}
 	m.revision = index
 	r := m.dispatch(c)
 	r.Outcome.Revision = max(r.Outcome.Revision, index)
@@ -140,11 +154,60 @@
 		return failed(m.claims.Release(c.Entry, c.Key, c.Token))
 	case RecordBurn:
 		return m.recordBurn(c)
+	case ReplaceQueues:
+		return m.replaceQueues(c)
+	case Submit:
+		return m.submit(c)
+	case CancelSubmission:
+		return failed(m.book.Cancel(c.ID, m.now))
+	case StartRuns:
+		return Result{Outcome: Outcome{Starts: m.book.Start(c.Starts, m.now)}}
+	case EndRuns:
+		for _, e := range c.Ends {
+			m.book.End(e, m.now)
+		}
+		return Result{}
 	default:
 		panic(fmt.Sprintf("state: unexpected command %T", c))
 	}
 }
 
+// replaceQueues accepts a table that is not newer than the one in force
+// without a change, since it is a resend or was overtaken.
+func (m *Machine) replaceQueues(c ReplaceQueues) Result {
+	if err := c.Table.Validate(); err != nil {
+		return failed(err)
+	}
+	if c.Table.Version <= m.queues.Version {
+		return Result{Outcome: Outcome{Repeated: true}}
+	}
+	m.queues = c.Table
+	for _, s := range m.book.Unended() {
+		m.followQueue(s)
+	}
+	return Result{}
+}
+
+// followQueue sets a submission's figures to those of its queue. They stay as
+// they are if the queue is gone.
+func (m *Machine) followQueue(s *submission.Submission) {
+	q, ok := m.queues.Queue(s.Queue)
+	if !ok {
+		return
+	}
+	s.Service, s.Priority, s.Attempts = q.Service, q.Priority, q.Attempts
+	s.Slack, s.Target, s.Advised = q.Slack, q.Target, q.Advice != nil
+}
+
+func (m *Machine) submit(c Submit) Result {
+	s := c.Submission
+	if _, ok := m.queues.Queue(s.Queue); !ok {
+		return failed(fault.New(fault.EntryNotFound, "no queue %q", s.Queue))
+	}
+	m.followQueue(&s)
+	return Result{Outcome: Outcome{Repeated: m.book.Submit(s, m.now)}}
+}
+
 func failed(err error) Result { return Result{Outcome: Outcome{Err: err}} }
 
 func jobResult(j job.Job, err error) Result {
@@ -320,6 +383,9 @@
 	Burn      []burn.Count
 	Sources   []Source
 	Forgotten time.Time
+
+	Queues      queue.Table
+	Submissions []*submission.Submission // never changed, but by the machine that they are restored to
 }
 
 // Contents returns the whole state.
@@ -337,6 +403,9 @@
 		Burn:      m.burn.Counts(),
 		Sources:   m.Sources(),
 		Forgotten: m.forgotten,
+
+		Queues:      m.queues,
+		Submissions: m.book.Copies(),
 	}
 }
 
@@ -368,5 +437,9 @@
 	for _, s := range c.Sources {
 		m.sources[s.Name] = s
 	}
+	m.queues = c.Queues
+	for _, s := range c.Submissions {
+		m.book.Put(s)
+	}
 	return m
 }
--- /dev/null
+++ b/submission/book.go
@@ -0,0 +1,465 @@
+package submission
+
+import (
+	"sort"
+	"time"
+
+	"github.com/gentianrail/gentianrail/fault"
+)
+
+// KeepFor is how long an ended submission can be asked for.
+const KeepFor = 150 * time.Second
+
+// Task is the record of one task.
+type Task struct {
+	Runs   []Run  // active runs; more than one only of a speculative step
+	Last   uint32 // number of the latest run
+	Failed int    // runs that ended as failed; of a gang it stands at index 0
+	Done   bool
+	Saved  string // latest checkpoint that an end carried
+}
+
+// Run is one active run.
+type Run struct {
+	Number  uint32
+	Worker  string
+	Started time.Time // log time of its start
+}
+
+// Progress is the record of a step in one occurrence.
+type Progress struct {
+	Tasks []Task
+	Done  int // tasks that are done
+}
+
+// Submission is a submission with all that has become of it.
+type Submission struct {
+	Spec
+	Service  string        // whose workers run it, as of the latest table that has its queue
+	Priority int           // of its queue
+	Attempts int           // of its queue
+	Slack    float64       // of its queue
+	Target   time.Duration // of its queue
+	Advised  bool          // its queue has an advice service
+
+	Accepted time.Time // log time
+	Sequence uint64    // order of acceptance
+	State    State
+	EndedAt  time.Time
+	Progress [][]Progress // by occurrence and step
+	active   int          // active runs
+	waiting  int          // tasks that are neither done nor have an active run
+}
+
+// Waiting returns the number of tasks that could be started when their turn
+// comes.
+func (s *Submission) Waiting() int { return s.waiting }
+
+// ActiveRuns returns the number of runs that have not ended.
+func (s *Submission) ActiveRuns() int { return s.active }
+
+// Ready reports whether the tasks of a step may start at the time of day now.
+func (s *Submission) Ready(occurrence, step int, now time.Time) bool {
+	if due := s.DueAt(occurrence); !due.IsZero() && now.Before(due) {
+		return false
+	}
+	for _, d := range s.Steps[step].DependsOn {
+		if s.Progress[occurrence][d].Done < s.Steps[d].Count {
+			return false
+		}
+	}
+	return true
+}
+
+// Usage is what the active runs take of a worker.
+type Usage struct {
+	Taken   Resources
+	Runs    map[RunID]*Submission
+	Serving int // runs of tasks that serve
+	Filling int // runs of other tasks
+}
+
+// Book is the aggregate of all submissions. The zero value is empty and ready.
+// It is not safe for concurrent use.
+type Book struct {
+	all      map[string]*Submission
+	unended  map[string]*Submission
+	workers  map[string]*Usage // by life of a worker
+	sequence uint64
+}
+
+// Submission returns the submission with the identifier. The caller may not
+// change it.
+func (b *Book) Submission(id string) (*Submission, bool) {
+	s, ok := b.all[id]
+	return s, ok
+}
+
+// Len returns the number of submissions that are kept.
+func (b *Book) Len() int { return len(b.all) }
+
+// Unended returns the submissions that have not ended, in order of acceptance.
+func (b *Book) Unended() []*Submission {
+	out := make([]*Submission, 0, len(b.unended))
+	for _, s := range b.unended {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Sequence < out[j].Sequence })
+	return out
+}
+
+// All returns all submissions in order of acceptance.
+func (b *Book) All() []*Submission {
+	out := make([]*Submission, 0, len(b.all))
+	for _, s := range b.all {
+		out = append(out, s)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Sequence < out[j].Sequence })
+	return out
+}
+
+// Copies returns copies of all submissions in order of acceptance. They share
+// nothing with the book that it changes.
+func (b *Book) Copies() []*Submission {
+	all := b.All()
+	for i, s := range all {
+		c := *s
+		c.Progress = make([][]Progress, len(s.Progress))
+		for k, steps := range s.Progress {
+			c.Progress[k] = make([]Progress, len(steps))
+			for j, p := range steps {
+				c.Progress[k][j] = Progress{Tasks: append([]Task(nil), p.Tasks...), Done: p.Done}
+			}
+		}
+		all[i] = &c
+	}
+	return all
+}
+
+// Usage returns what the active runs take of a worker; nil if there are none.
+func (b *Book) Usage(worker string) *Usage { return b.workers[worker] }
+
+// Lives returns the lives of workers that have active runs.
+func (b *Book) Lives() []string {
+	out := make([]string, 0, len(b.workers))
+	for w := range b.workers {
+		out = append(out, w)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Pending returns how many submissions of a queue have not started a task.
+func (b *Book) Pending(queue string) int {
+	n := 0
+	for _, s := range b.unended {
+		if s.Queue == queue && s.State == Queued {
+			n++
+		}
+	}
+	return n
+}
+
+// Submit takes in a submission. One that is known already stays as it is.
+func (b *Book) Submit(s Submission, now time.Time) (repeated bool) {
+	if _, ok := b.all[s.ID]; ok {
+		return true
+	}
+	b.sequence++
+	s.Sequence = b.sequence
+	s.Accepted = now
+	s.State = Queued
+	s.Progress = make([][]Progress, s.Occurrences())
+	for k := range s.Progress {
+		s.Progress[k] = make([]Progress, len(s.Steps))
+		for i := range s.Steps {
+			s.Progress[k][i].Tasks = make([]Task, s.Steps[i].Count)
+		}
+	}
+	b.Put(&s)
+	return false
+}
+
+// Put stores a submission, as when a snapshot is read.
+func (b *Book) Put(s *Submission) {
+	if b.all == nil {
+		b.all = make(map[string]*Submission)
+		b.unended = make(map[string]*Submission)
+		b.workers = make(map[string]*Usage)
+	}
+	b.all[s.ID] = s
+	b.sequence = max(b.sequence, s.Sequence)
+	if !s.State.Ended() {
+		b.unended[s.ID] = s
+	}
+	s.active, s.waiting = 0, 0
+	for k := range s.Progress {
+		for i := range s.Progress[k] {
+			for x := range s.Progress[k][i].Tasks {
+				b.count(s, TaskID{Submission: s.ID, Occurrence: k, Step: i, Index: x})
+			}
+		}
+	}
+}
+
+// count takes a stored task into the sums.
+func (b *Book) count(s *Submission, id TaskID) {
+	t := s.task(id)
+	if !t.Done && len(t.Runs) == 0 {
+		s.waiting++
+	}
+	for _, r := range t.Runs {
+		b.take(s, RunID{Task: id, Number: r.Number}, r.Worker)
+	}
+}
+
+func (s *Submission) task(id TaskID) *Task {
+	return &s.Progress[id.Occurrence][id.Step].Tasks[id.Index]
+}
+
+// Task returns the record of a task, or nil if there is none.
+func (s *Submission) Task(id TaskID) *Task {
+	if id.Occurrence < 0 || id.Occurrence >= len(s.Progress) || id.Step < 0 || id.Step >= len(s.Steps) ||
+		id.Index < 0 || id.Index >= s.Steps[id.Step].Count {
+		return nil
+	}
+	return s.task(id)
+}
+
+func (b *Book) take(s *Submission, run RunID, worker string) {
+	u := b.workers[worker]
+	if u == nil {
+		u = &Usage{Runs: make(map[RunID]*Submission)}
+		b.workers[worker] = u
+	}
+	step := &s.Steps[run.Task.Step]
+	u.Runs[run] = s
+	u.Taken = u.Taken.Add(step.Room())
+	if step.Serves() {
+		u.Serving++
+	} else {
+		u.Filling++
+	}
+	s.active++
+}
+
+func (b *Book) release(s *Submission, run RunID, worker string) {
+	u := b.workers[worker]
+	step := &s.Steps[run.Task.Step]
+	delete(u.Runs, run)
+	u.Taken = u.Taken.Sub(step.Room())
+	if step.Serves() {
+		u.Serving--
+	} else {
+		u.Filling--
+	}
+	if len(u.Runs) == 0 {
+		delete(b.workers, worker)
+	}
+	s.active--
+}
+
+// Cancel ends a submission for its caller. Its active runs stay recorded until
+// their ends are. Cancelling one that has ended changes nothing.
+func (b *Book) Cancel(id string, now time.Time) error {
+	s, ok := b.all[id]
+	if !ok {
+		return fault.New(fault.JobNotFound, "no submission %q", id)
+	}
+	if !s.State.Ended() {
+		b.end(s, Cancelled, now)
+	}
+	return nil
+}
+
+func (b *Book) end(s *Submission, state State, now time.Time) {
+	s.State = state
+	s.EndedAt = now
+	delete(b.unended, s.ID)
+}
+
+// Start records starts. Each is taken in by itself; those that do not fit what
+// is recorded are left out, except that the members of a gang are taken in
+// together or not at all. It returns those that were taken in.
+func (b *Book) Start(starts []Start, now time.Time) []Start {
+	taken := make([]Start, 0, len(starts))
+	for _, st := range starts {
+		s, ok := b.all[st.Run.Task.Submission]
+		if !ok || !s.startable(st.Run) {
+			continue
+		}
+		t := s.task(st.Run.Task)
+		if len(t.Runs) == 0 {
+			s.waiting--
+		}
+		t.Runs = append(t.Runs[:len(t.Runs):len(t.Runs)], Run{Number: st.Run.Number, Worker: st.Worker, Started: now})
+		t.Last = st.Run.Number
+		b.take(s, st.Run, st.Worker)
+		if s.State == Queued {
+			s.State = Running
+		}
+		taken = append(taken, st)
+	}
+	return taken
+}
+
+// startable repeats the checks of whoever proposed the start, since the record
+// may have changed between.
+func (s *Submission) startable(run RunID) bool {
+	t := s.Task(run.Task)
+	if t == nil || s.State.Ended() || t.Done || run.Number <= t.Last {
+		return false
+	}
+	if len(t.Runs) > 0 && !s.Steps[run.Task.Step].Speculative {
+		return false
+	}
+	for _, d := range s.Steps[run.Task.Step].DependsOn {
+		if s.Progress[run.Task.Occurrence][d].Done < s.Steps[d].Count {
+			return false
+		}
+	}
+	return true
+}
+
+// End records the end of a run. An end of a run that is not active is left
+// out, and false is returned.
+func (b *Book) End(e End, now time.Time) bool {
+	s, ok := b.all[e.Run.Task.Submission]
+	if !ok {
+		return false
+	}
+	t := s.Task(e.Run.Task)
+	if t == nil || !b.remove(s, t, e) {
+		return false
+	}
+	if e.Saved != "" {
+		s.save(e)
+	}
+	if !t.Done && len(t.Runs) == 0 {
+		s.waiting++
+	}
+	switch e.How {
+	case Done:
+		b.done(s, e, now)
+	case Failed:
+		s.countFailure(e)
+		b.giveUp(s, e, now)
+	}
+	return true
+}
+
+func (b *Book) remove(s *Submission, t *Task, e End) bool {
+	for i, r := range t.Runs {
+		if r.Number == e.Run.Number && r.Worker == e.Worker {
+			t.Runs = append(t.Runs[:i:i], t.Runs[i+1:]...)
+			b.release(s, e.Run, e.Worker)
+			return true
+		}
+	}
+	return false
+}
+
+// save keeps a checkpoint. One of any member of a gang is valid for all.
+func (s *Submission) save(e End) {
+	if !s.Steps[e.Run.Task.Step].Gang {
+		s.task(e.Run.Task).Saved = e.Saved
+		return
+	}
+	tasks := s.Progress[e.Run.Task.Occurrence][e.Run.Task.Step].Tasks
+	for i := range tasks {
+		tasks[i].Saved = e.Saved
+	}
+}
+
+func (b *Book) done(s *Submission, e End, now time.Time) {
+	p := &s.Progress[e.Run.Task.Occurrence][e.Run.Task.Step]
+	step := &s.Steps[e.Run.Task.Step]
+	if step.LongRunning {
+		return // it is started again, however it ended
+	}
+	first, last := e.Run.Task.Index, e.Run.Task.Index
+	if step.Gang { // one member's end stands for all
+		first, last = 0, step.Count-1
+	}
+	for i := first; i <= last; i++ {
+		if p.Tasks[i].Done {
+			continue
+		}
+		if len(p.Tasks[i].Runs) == 0 {
+			s.waiting--
+		}
+		p.Tasks[i].Done = true
+		p.Done++
+	}
+	if !s.State.Ended() && s.allDone() {
+		b.end(s, Completed, now)
+	}
+}
+
+func (s *Submission) allDone() bool {
+	for k := range s.Progress {
+		for i := range s.Steps {
+			if s.Progress[k][i].Done < s.Steps[i].Count {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// countFailure counts a failed run; of a gang once for each common run.
+func (s *Submission) countFailure(e End) {
+	p := &s.Progress[e.Run.Task.Occurrence][e.Run.Task.Step]
+	if !s.Steps[e.Run.Task.Step].Gang {
+		p.Tasks[e.Run.Task.Index].Failed++
+		return
+	}
+	p.Tasks[0].Failed++
+}
+
+func (b *Book) giveUp(s *Submission, e End, now time.Time) {
+	step := &s.Steps[e.Run.Task.Step]
+	if s.State.Ended() || step.LongRunning {
+		return
+	}
+	p := &s.Progress[e.Run.Task.Occurrence][e.Run.Task.Step]
+	t := &p.Tasks[e.Run.Task.Index]
+	if step.Gang {
+		t = &p.Tasks[0]
+	}
+	if !t.Done && t.Failed >= max(s.Attempts, 1) {
+		b.end(s, GaveUp, now)
+	}
+}
+
+// Runs returns the active runs with their workers.
+func (s *Submission) Runs() []Start {
+	out := make([]Start, 0, s.active)
+	for k, steps := range s.Progress {
+		for i := range steps {
+			for x := range steps[i].Tasks {
+				id := TaskID{Submission: s.ID, Occurrence: k, Step: i, Index: x}
+				for _, r := range steps[i].Tasks[x].Runs {
+					out = append(out, Start{Run: RunID{Task: id, Number: r.Number}, Worker: r.Worker})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// Surplus reports whether an active run is not wanted any more: its
+// submission has ended, or another run has finished the task.
+func (s *Submission) Surplus(run RunID) bool {
+	t := s.Task(run.Task)
+	return s.State.Ended() || t == nil || t.Done
+}
+
+// Forget drops submissions that ended long ago and have no active run.
+func (b *Book) Forget(now time.Time) {
+	for id, s := range b.all {
+		if s.State.Ended() && now.Sub(s.EndedAt) >= KeepFor && s.active == 0 {
+			delete(b.all, id)
+		}
+	}
+}
