--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -52,6 +52,7 @@
 	free    submission.Resources
 	serving int
 	filling int
+	runs    int
 }
 
 // Objective returns how long after its acceptance a submission should be
@@ -91,7 +92,7 @@
 		n := &node{Worker: w, free: w.Capacity}
 		if u := book.Usage(w.Life); u != nil {
 			n.free = w.Capacity.Sub(u.Taken)
-			n.serving, n.filling = u.Serving, u.Filling
+			n.serving, n.filling, n.runs = u.Serving, u.Filling, len(u.Runs)
 		}
 		out = append(out, n)
 	}
@@ -216,9 +217,11 @@
 			n.free = n.free.Add(room)
 		}
 	}
-	if step.Serves() {
+	n.runs += count
+	switch {
+	case step.Serves():
 		n.serving += count
-	} else {
+	case step.Fills():
 		n.filling += count
 	}
 }
@@ -274,7 +277,7 @@
 	return step.Room().Fits(room) || step.Room().CPU > room.CPU && n.empty() && step.Room().Fits(n.free)
 }
 
-func (n *node) empty() bool { return n.serving == 0 && n.filling == 0 }
+func (n *node) empty() bool { return n.runs == 0 }
 
 // cost ranks workers for a task of the step; the lowest is best.
 func (n *node) cost(step *submission.Step, onRack map[string]int) float64 {
@@ -289,7 +292,7 @@
 		cost += _costOffRack
 	}
 	switch {
-	case step.Serves() && n.filling > 0 || !step.Serves() && n.serving > 0:
+	case step.Serves() && n.filling > 0 || step.Fills() && n.serving > 0:
 		cost += _costDisturb
 	case step.Serves() && n.serving == 0:
 		cost += _costSpread
--- a/internal/controller/posts.go
+++ b/internal/controller/posts.go
@@ -300,6 +300,11 @@
 			order.Stops = append(order.Stops, wire.EncodeRun(run))
 		case !known[run]:
 			order.Starts = append(order.Starts, startOrder(s, run))
+		default:
+			// A restarted agent has to be told what it has adopted.
+			described := startOrder(s, run)
+			described.Text, described.Saved = "", ""
+			order.Starts = append(order.Starts, described)
 		}
 	}
 }
@@ -311,6 +316,7 @@
 		Text:       s.Text,
 		Saved:      s.Task(run.Task).Saved,
 		Serves:     step.Serves(),
+		Fills:      step.Fills(),
 		TailTarget: int64(step.TailTarget),
 		Gang:       step.Gang,
 	}
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -138,7 +138,7 @@
 			if _, refused := r.refused[a.Run]; refused {
 				continue
 			}
-			o = &order{run: a.Run, since: now}
+			o = &order{run: a.Run, since: now, share: _unknownShare}
 			r.orders[a.Run] = o
 		}
 		o.started, o.gone = true, time.Time{}
@@ -189,27 +189,40 @@
 // held.
 func (r *Runner) pace(ctx context.Context, life Life, now time.Time, list Listing) {
 	tasks := make([]pacing.Task, 0, len(list.Active))
-	runs := make([]submission.RunID, 0, len(list.Active))
+	orders := make([]*order, 0, len(list.Active))
 	for _, a := range list.Active {
 		o := r.orders[a.Run]
-		if o == nil {
-			continue
+		if o == nil || !o.described {
+			continue // adopted, and the leader has not told what it is yet
 		}
 		t := o.pacing
-		t.Name, t.Percent, t.Figure = a.Run.Task.String(), a.Percent, a.Figure
+		t.Percent, t.Figure = o.share, a.Figure
 		tasks = append(tasks, t)
-		runs = append(runs, a.Run)
+		orders = append(orders, o)
 	}
-	term := r.term
 	for _, d := range r.pacer.Decide(now, tasks) {
-		run := runs[d.Index]
-		r.log.Emit(event.RunPaced, event.Fields{"task": run.Task.String(), "run": run.Number, "percent": d.Percent, "worst": d.Worst},
+		o := orders[d.Index]
+		if o.asked {
+			continue // one call at a time, so that none overtakes another
+		}
+		o.asked = true
+		r.log.Emit(event.RunPaced, event.Fields{"task": o.run.Task.String(), "run": o.run.Number, "percent": d.Percent, "worst": d.Worst},
 			"a run was paced")
-		r.tasks.Go(func() {
-			callCtx, cancel := context.WithTimeout(ctx, _callLimit)
-			defer cancel()
-			// A call without an answer is repeated with the next figures.
-			_ = r.worker.Pace(callCtx, life.ID, run, d.Percent, term)
-		})
+		term := r.term
+		r.tasks.Go(func() { r.paceRun(ctx, life, o, d.Percent, term) })
+	}
+}
+
+// paceRun sets the share of one run. A call without an answer is repeated with
+// the next figures.
+func (r *Runner) paceRun(ctx context.Context, life Life, o *order, percent int, term uint64) {
+	callCtx, cancel := context.WithTimeout(ctx, _callLimit)
+	defer cancel()
+	err := r.worker.Pace(callCtx, life.ID, o.run, percent, term)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o.asked = false
+	if err == nil {
+		o.share = percent
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -27,23 +27,28 @@
 
 // Times of calls and pauses.
 const (
-	_callLimit   = 500 * time.Millisecond // of a call to the worker beside its wait
-	_holdWait    = time.Second            // a listing waits this long for an end
-	_holdWatch   = 250 * time.Millisecond // the same while a task that serves is watched
-	_retryPause  = 50 * time.Millisecond  // between two tries of one order
-	_silentTries = 2                      // listings without an answer until the worker counts as silent
+	_callLimit    = 500 * time.Millisecond // of a call to the worker beside its wait
+	_holdWait     = time.Second            // a listing waits this long for an end
+	_holdWatch    = 250 * time.Millisecond // the same while a task that serves is watched
+	_retryPause   = 50 * time.Millisecond  // between two tries of one order
+	_fullShare    = 100                    // percent that a run works at when it starts
+	_unknownShare = -1                     // of a run that an earlier agent may have paced
+	_silentTries  = 2                      // listings without an answer until the worker counts as silent
 )
 
 // order is one run that the leader has ordered, or that the worker lists.
 type order struct {
-	run     submission.RunID
-	start   StartOrder
-	pacing  pacing.Task // what the pacer has to know of it
-	unsure  bool        // a start went unanswered
-	started bool        // the worker has confirmed it
-	since   time.Time   // when it was confirmed
-	stop    bool        // it is to be stopped
-	gone    time.Time   // when a listing first lacked it; zero if none does
+	run       submission.RunID
+	start     StartOrder
+	pacing    pacing.Task // what the pacer has to know of it
+	described bool        // pacing is known; an adopted run is described by the leader
+	share     int         // percent that the worker has confirmed
+	asked     bool        // a call that sets the share is under way
+	unsure    bool        // a start went unanswered
+	started   bool        // the worker has confirmed it
+	since     time.Time   // when it was confirmed
+	stop      bool        // it is to be stopped
+	gone      time.Time   // when a listing first lacked it; zero if none does
 }
 
 // Runner is the agent of one worker.
@@ -225,13 +230,19 @@
 
 func (r *Runner) orderStart(ctx context.Context, s *pb.StartOrder) {
 	run := wire.DecodeRun(s.GetRun())
+	served := pacing.Task{Serves: s.GetServes(), Fills: s.GetFills(), TailTarget: time.Duration(s.GetTailTarget())}
+	if o := r.orders[run]; o != nil && !o.described {
+		o.pacing, o.described = served, true
+	}
 	if r.known(run) {
 		return
 	}
 	o := &order{
-		run:    run,
-		start:  StartOrder{Run: run, Text: s.GetText(), Saved: s.GetSaved(), Ticket: s.GetTicket()},
-		pacing: pacing.Task{Serves: s.GetServes(), TailTarget: time.Duration(s.GetTailTarget())},
+		run:       run,
+		share:     _fullShare,
+		described: true,
+		start:     StartOrder{Run: run, Text: s.GetText(), Saved: s.GetSaved(), Ticket: s.GetTicket()},
+		pacing:    served,
 	}
 	if r.announce.Draining || r.departed {
 		r.refuse(o, submission.Refused)
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -24,10 +24,10 @@
 
 // Task is one run as the latest listing shows it.
 type Task struct {
-	Name       string
 	Serves     bool
+	Fills      bool          // may disturb tasks that serve
 	TailTarget time.Duration // of a task that serves
-	Percent    int           // share that it works at
+	Percent    int           // share that it is known to work at; below 0 if that is not known
 	Figure     int64         // tail latency in ms of a task that serves
 }
 
@@ -73,8 +73,10 @@
 func worstOf(tasks []Task) (worst, fillers int) {
 	worst = -1
 	for _, t := range tasks {
-		if !t.Serves || t.TailTarget <= 0 {
+		if t.Fills {
 			fillers++
+		}
+		if !t.Serves || t.TailTarget <= 0 {
 			continue
 		}
 		worst = max(worst, int(t.Figure*100/max(t.TailTarget.Milliseconds(), 1)))
@@ -117,7 +119,7 @@
 func (p *Pacer) set(tasks []Task, share, worst int) []Decision {
 	var out []Decision
 	for i, t := range tasks {
-		if t.Serves || t.Percent == share {
+		if !t.Fills || t.Percent == share {
 			continue
 		}
 		out = append(out, Decision{Index: i, Percent: share, Worst: worst})
--- a/submission/book.go
+++ b/submission/book.go
@@ -76,7 +76,7 @@
 	Taken   Resources
 	Runs    map[RunID]*Submission
 	Serving int // runs of tasks that serve
-	Filling int // runs of other tasks
+	Filling int // runs of tasks that may disturb those that serve
 }
 
 // Book is the aggregate of all submissions. The zero value is empty and ready.
@@ -235,9 +235,10 @@
 	step := &s.Steps[run.Task.Step]
 	u.Runs[run] = s
 	u.Taken = u.Taken.Add(step.Room())
-	if step.Serves() {
+	switch {
+	case step.Serves():
 		u.Serving++
-	} else {
+	case step.Fills():
 		u.Filling++
 	}
 	s.active++
@@ -248,9 +249,10 @@
 	step := &s.Steps[run.Task.Step]
 	delete(u.Runs, run)
 	u.Taken = u.Taken.Sub(step.Room())
-	if step.Serves() {
+	switch {
+	case step.Serves():
 		u.Serving--
-	} else {
+	case step.Fills():
 		u.Filling--
 	}
 	if len(u.Runs) == 0 {
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -77,6 +77,10 @@
 // Serves reports whether its tasks answer users of their own.
 func (s *Step) Serves() bool { return s.LongRunning && s.TailTarget > 0 }
 
+// Fills reports whether its tasks may disturb tasks that serve: those that run
+// an image do.
+func (s *Step) Fills() bool { return s.Image != "" && !s.Serves() }
+
 // Spec is a submission as a caller hands it in.
 type Spec struct {
 	ID       string
