--- a/internal/controller/posts.go
+++ b/internal/controller/posts.go
@@ -15,11 +15,12 @@
 
 // Bounds of the leader's hold on the workers' runs.
 const (
-	_grantMargin  = 200 * time.Millisecond // between a lease's end and the end of trust in it
-	_grantDrift   = 20                     // a lease is trusted to end only after another 1/20 of it
-	_lapseEvery   = 50 * time.Millisecond  // between two looks for leases that ran out
-	_mostRunEnds  = 500                    // ends in one command
-	_proposedMost = 3 * time.Second        // until a proposal whose fate is unknown is made anew
+	_grantMargin  = 200 * time.Millisecond  // between a lease's end and the end of trust in it
+	_grantDrift   = 20                      // a lease is trusted to end only after another 1/20 of it
+	_lapseEvery   = 50 * time.Millisecond   // between two looks for leases that ran out
+	_recentReport = 1500 * time.Millisecond // agents report each second; one that is silent for longer gets no tasks
+	_mostRunEnds  = 500                     // ends in one command
+	_proposedMost = 3 * time.Second         // until a proposal whose fate is unknown is made anew
 )
 
 // outbox holds the orders for one agent.
@@ -65,6 +66,8 @@
 type post struct {
 	worker  dispatch.Worker
 	leaving bool
+	listed  bool      // the agent has told which runs there are
+	heard   time.Time // receipt of the latest report
 	out     *outbox
 	ends    map[uint64]submission.RunID // listed, not recorded yet
 	highest uint64                      // number of the latest listed end
@@ -152,6 +155,7 @@
 	if c.posts.byLife[p.worker.Life] != p {
 		return // replaced by a newer stream
 	}
+	p.heard = now
 	order := &pb.AgentOrder{Term: c.replica.Term()}
 	c.grant(now, p, in, order)
 	for _, r := range in.GetActive() {
@@ -161,6 +165,8 @@
 	}
 	c.takeEnds(now, p, in)
 	if in.GetComplete() {
+		p.listed = true
+		c.posts.changed = true
 		c.reconcile(p, in, order)
 		order.Controllers = c.controllers()
 	}
@@ -459,7 +465,8 @@
 	c.posts.wakeAt = now.Add(_retryEvery)
 	workers := make([]dispatch.Worker, 0, len(c.posts.byLife))
 	for life, p := range c.posts.byLife {
-		if _, lapsing := c.posts.lapsing[life]; !lapsing {
+		_, lapsing := c.posts.lapsing[life]
+		if !lapsing && p.listed && now.Sub(p.heard) < _recentReport {
 			workers = append(workers, p.worker)
 		}
 	}
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -29,7 +29,7 @@
 		cancel()
 		r.held(ctx, life, sent, list, err)
 		if err != nil {
-			pause(ctx, _retryPause)
+			r.awaitHold(ctx, _retryPause)
 		}
 	}
 }
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -42,11 +42,12 @@
 	}
 }
 
-// ready reports whether there is a worker whose runs are known.
+// ready reports whether there is a worker to tell of. Its runs may not be known
+// yet: a worker refuses to list them to an agent that does not know the term.
 func (r *Runner) ready() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.life != (Life{}) && r.listed
+	return r.life != (Life{})
 }
 
 func (r *Runner) awaitReport(ctx context.Context, d time.Duration) {
@@ -88,8 +89,9 @@
 // session is what a stream's leader has been told.
 type session struct {
 	life      Life
-	complete  bool         // the first report was sent
+	complete  bool         // the whole lists were sent
 	announced Announcement // as sent last
+	departed  bool         // as sent last
 	sentEnd   uint64       // highest number of an end that was sent
 	refused   map[submission.RunID]bool
 }
@@ -159,9 +161,12 @@
 		report.Gone = true
 		return report, true
 	}
-	if !s.complete || !sameAnnouncement(s.announced, r.announce) {
+	if !sameAnnouncement(s.announced, r.announce) || s.departed != r.departed {
 		report.Worker = r.describe()
-		s.announced = r.announce
+		s.announced, s.departed = r.announce, r.departed
+	}
+	if !r.listed {
+		return report, false
 	}
 	if !s.complete {
 		s.complete = true
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -184,7 +184,10 @@
 	if o.GetTerm() < r.term {
 		return
 	}
-	r.term = o.GetTerm()
+	if r.term != o.GetTerm() {
+		r.term = o.GetTerm()
+		wake(r.wakeHold)
+	}
 	if o.GetSent() != 0 {
 		r.lease.granted(time.Unix(0, o.GetSent()), time.Duration(o.GetLease()))
 	}
