--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -20,8 +20,8 @@
 	_costSuspect    = 8.0 // the worker has lately failed what it was given
 	_costOffRack    = 4.0 // data or the step's other tasks are on another rack
 	_costDisturb    = 2.0 // a task that serves would share the worker with one that fills
-	_costSpread     = 0.5 // a task that serves would open a worker that has none yet
-	_costLoad       = 1.0 // full use of the worker
+	_costOpen       = 1.5 // the task would be the first of its kind on the worker
+	_costFree       = 1.0 // a worker that is wholly free
 	_urgentPriority = 0   // queues whose tasks may take the headroom
 )
 
@@ -280,8 +280,13 @@
 func (n *node) empty() bool { return n.runs == 0 }
 
 // cost ranks workers for a task of the step; the lowest is best.
+//
+// Tasks that fill and tasks that serve are packed on workers of their own, the
+// fullest that has room first, so that as few workers as possible hold both
+// whatever the order in which they come. Other tasks disturb nobody and take
+// the room beside those that serve.
 func (n *node) cost(step *submission.Step, onRack map[string]int) float64 {
-	cost := _costLoad * n.load()
+	cost := _costFree * (1 - n.load())
 	if n.Suspect {
 		cost += _costSuspect
 	}
@@ -292,14 +297,23 @@
 		cost += _costOffRack
 	}
 	switch {
-	case step.Serves() && n.filling > 0 || step.Fills() && n.serving > 0:
-		cost += _costDisturb
-	case step.Serves() && n.serving == 0:
-		cost += _costSpread
+	case step.Serves():
+		cost += when(n.filling > 0, _costDisturb) + when(n.serving == 0, _costOpen)
+	case step.Fills():
+		cost += when(n.serving > 0, _costDisturb) + when(n.filling == 0, _costOpen)
+	default:
+		cost += when(n.serving == 0, _costOpen)
 	}
 	return cost
 }
 
+func when(holds bool, cost float64) float64 {
+	if holds {
+		return cost
+	}
+	return 0
+}
+
 // load returns the larger share of CPU and memory in use.
 func (n *node) load() float64 {
 	share := func(free, all int64) float64 {
