--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	_costSuspect    = 8.0 // the worker has lately failed what it was given
 	_costOffRack    = 4.0 // data or the step's other tasks are on another rack
 	_costDisturb    = 2.0 // a task that serves would share the worker with one that fills
+	_costCrowd      = 1.7 // runs whose CPU is not counted would get less than they want
 	_costOpen       = 1.5 // the task would be the first of its kind on the worker
 	_costFree       = 1.0 // a worker that is wholly free
 	_urgentPriority = 0   // queues whose tasks may take the headroom
@@ -50,6 +51,7 @@
 type node struct {
 	Worker
 	free    submission.Resources
+	idle    int64 // CPU that no run wants, those whose CPU is not counted included; below 0 if they want too much
 	serving int
 	filling int
 	runs    int
@@ -66,14 +68,65 @@
 	s          *submission.Submission
 	occurrence int
 	step       int
-	class      int // 0: can meet its objective; 1: can be late; 2: too late to be of use
-	deadline   time.Time
+	class      int     // 0: can meet its objective; 1: can be late; 2: too late to be of use
+	density    float64 // worth of the completion for each core-second that it still takes
+}
+
+// density returns what a submission's completion is worth, by the estimate of
+// its work, for each core-second that it still takes. A part of the worth is
+// the same for all submissions of a queue, the rest follows the work, so that
+// small submissions go before large ones, but not far, and those that are
+// nearly done before those that have not begun.
+func density(book *submission.Book, s *submission.Submission) float64 {
+	const fixed = 0.3 // share of the worth that does not follow the work
+	mean := book.MeanWork(s.Queue)
+	if mean <= 0 || s.Left() <= 0 {
+		return 0
+	}
+	return (fixed + (1-fixed)*s.Work()/mean) / s.Left()
+}
+
+// Summary tells how full the workers are and what waits.
+type Summary struct {
+	Workers  int    // that take new tasks
+	Shared   int    // of these, workers with both tasks that serve and tasks that fill
+	Capacity int64  // thousandths of a core
+	Free     int64  // thousandths of a core
+	Idle     int64  // the same without what runs want whose CPU is not counted
+	Serving  int    // runs of tasks that serve
+	Filling  int    // runs of tasks that fill
+	Waiting  [3]int // steps that wait: in time, late, too late
+}
+
+// Summarize returns the summary of the pool.
+func Summarize(now, wall time.Time, book *submission.Book, workers []Worker) Summary {
+	var s Summary
+	for _, n := range makeNodes(book, workers) {
+		s.Workers++
+		s.Capacity += n.Capacity.CPU
+		s.Free += n.free.CPU
+		s.Idle += n.idle
+		s.Serving += n.serving
+		s.Filling += n.filling
+		if n.serving > 0 && n.filling > 0 {
+			s.Shared++
+		}
+	}
+	for _, it := range waiting(now, wall, book) {
+		s.Waiting[it.class]++
+	}
+	return s
 }
 
 // Starts returns the starts to record now. wall is the time of day, which the
 // start times of occurrences are given in.
 func Starts(now, wall time.Time, book *submission.Book, workers []Worker) []submission.Start {
-	r := round{now: now, nodes: makeNodes(book, workers)}
+	r := round{now: now, nodes: makeNodes(book, workers), alone: make(map[string]bool)}
+	for _, n := range r.nodes {
+		if n.serving == 0 {
+			r.alone[n.Service] = true
+		}
+	}
 	if len(r.nodes) == 0 {
 		return nil
 	}
@@ -89,9 +142,10 @@
 		if !w.Open {
 			continue
 		}
-		n := &node{Worker: w, free: w.Capacity}
+		n := &node{Worker: w, free: w.Capacity, idle: w.Capacity.CPU}
 		if u := book.Usage(w.Life); u != nil {
 			n.free = w.Capacity.Sub(u.Taken)
+			n.idle -= u.Wanted
 			n.serving, n.filling, n.runs = u.Serving, u.Filling, len(u.Runs)
 		}
 		out = append(out, n)
@@ -108,6 +162,7 @@
 			continue
 		}
 		objective := Objective(s)
+		worth := density(book, s)
 		for k := range s.Progress {
 			accepted := s.Accepted
 			if due := s.DueAt(k); !due.IsZero() {
@@ -117,10 +172,10 @@
 				if !hasWaiting(&s.Progress[k][i]) || !s.Ready(k, i, wall) {
 					continue
 				}
-				it := item{s: s, occurrence: k, step: i, deadline: accepted.Add(objective)}
+				it := item{s: s, occurrence: k, step: i, density: worth}
 				finish := now.Add(s.Chain(i))
 				switch {
-				case s.Steps[i].LongRunning || !finish.After(it.deadline):
+				case s.Steps[i].LongRunning || !finish.After(accepted.Add(objective)):
 				case !finish.After(accepted.Add(LateFactor * objective)):
 					it.class = 1
 				default:
@@ -150,13 +205,14 @@
 	if a.s.Priority != b.s.Priority {
 		return a.s.Priority < b.s.Priority
 	}
-	return a.deadline.Before(b.deadline)
+	return a.density > b.density
 }
 
 // round is one pass over all waiting steps.
 type round struct {
 	now    time.Time
 	nodes  []*node
+	alone  map[string]bool // services that have workers without tasks that serve
 	starts []submission.Start
 }
 
@@ -218,6 +274,7 @@
 		}
 	}
 	n.runs += count
+	n.idle -= int64(count) * step.Needs.CPU
 	switch {
 	case step.Serves():
 		n.serving += count
@@ -248,7 +305,7 @@
 	var best *node
 	var bestCost float64
 	for _, n := range r.nodes {
-		if !n.admits(it.s, step, onWorker[n.Life]) {
+		if !n.admits(it.s, step, onWorker[n.Life]) || r.mustWait(it, step, n) {
 			continue
 		}
 		cost := n.cost(step, onRack)
@@ -259,6 +316,14 @@
 	return best
 }
 
+// mustWait reports whether a task that fills had better wait for a worker
+// without tasks that serve than share one. There it would be paced, and its
+// submission would be late for the one slow task; work that is late anyway
+// takes what is left.
+func (r *round) mustWait(it item, step *submission.Step, n *node) bool {
+	return step.Fills() && n.serving > 0 && it.class == 0 && r.alone[n.Service]
+}
+
 // admits reports whether a task of the step may start on the worker.
 func (n *node) admits(s *submission.Submission, step *submission.Step, already int) bool {
 	if n.Service != s.Service {
@@ -270,6 +335,9 @@
 	if step.MostPerWorker > 0 && already >= step.MostPerWorker {
 		return false
 	}
+	if step.Leftover && step.Needs.CPU > n.idle && n.runs > 0 {
+		return false // it would get no CPU and hold its memory
+	}
 	room := n.free
 	if s.Priority > _urgentPriority && !step.Gang {
 		room.CPU -= int64(Headroom * float64(n.Capacity.CPU))
@@ -287,6 +355,7 @@
 // the room beside those that serve.
 func (n *node) cost(step *submission.Step, onRack map[string]int) float64 {
 	cost := _costFree * (1 - n.load())
+	cost += when(n.idle < step.Needs.CPU, _costCrowd)
 	if n.Suspect {
 		cost += _costSuspect
 	}
--- a/internal/controller/posts.go
+++ b/internal/controller/posts.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	_grantDrift   = 20                      // a lease is trusted to end only after another 1/20 of it
 	_lapseEvery   = 50 * time.Millisecond   // between two looks for leases that ran out
 	_recentReport = 1500 * time.Millisecond // agents report each second; one that is silent for longer gets no tasks
+	_summaryEvery = time.Second             // between two lines on the pool's state
 	_mostRunEnds  = 500                     // ends in one command
 	_proposedMost = 3 * time.Second         // until a proposal whose fate is unknown is made anew
 )
@@ -88,6 +90,7 @@
 	changed   bool                 // something has changed since the last dispatch
 	wakeAt    time.Time            // when a dispatch is due without a change
 	lastLook  time.Time
+	summed    time.Time // when the pool's state was logged last
 }
 
 // reset forgets everything and ends the agents' streams.
@@ -134,10 +137,22 @@
 	c.posts.byLife[life] = p
 	c.log.Emit(event.AgentAttached, event.Fields{"worker": life, "term": c.replica.Term(), "runs": len(in.GetActive())},
 		"an agent reports to this leader")
+	c.endEarlierLives(now, life)
 	c.report(now, p, in)
 	return p
 }
 
+// endEarlierLives gives up the runs of earlier lives on the machine of a life
+// that has begun: a worker is the only one on its machine.
+func (c *Core) endEarlierLives(now time.Time, life string) {
+	machine, _, _ := strings.Cut(life, "/")
+	for _, other := range c.machine.Submissions().Lives() {
+		if m, _, _ := strings.Cut(other, "/"); m == machine && other != life {
+			c.proposeEnds(now, c.lostRuns(other, submission.Lost))
+		}
+	}
+}
+
 // detach forgets a post whose stream has ended. Its runs keep their leases.
 func (c *Core) detach(p *post) {
 	if c.posts.byLife[p.worker.Life] == p {
@@ -463,6 +478,32 @@
 	}
 	c.posts.changed = false
 	c.posts.wakeAt = now.Add(_retryEvery)
+	workers := c.openWorkers(now)
+	c.summarize(now, workers)
+	starts := dispatch.Starts(now, time.Now(), c.machine.Submissions(), workers)
+	if len(starts) == 0 {
+		return
+	}
+	c.posts.starting = now
+	c.proposeOwn(now, state.StartRuns{Starts: starts})
+}
+
+// summarize logs how full the pool is, now and then.
+func (c *Core) summarize(now time.Time, workers []dispatch.Worker) {
+	if now.Sub(c.posts.summed) < _summaryEvery {
+		return
+	}
+	c.posts.summed = now
+	s := dispatch.Summarize(now, time.Now(), c.machine.Submissions(), workers)
+	c.log.Emit(event.PoolState, event.Fields{
+		"workers": s.Workers, "shared": s.Shared, "cpu": s.Capacity, "cpu_free": s.Free, "cpu_idle": s.Idle, "serving": s.Serving, "filling": s.Filling,
+		"waiting_in_time": s.Waiting[0], "waiting_late": s.Waiting[1], "waiting_too_late": s.Waiting[2],
+		"submissions": len(c.machine.Submissions().Unended()),
+	}, "the pool's state")
+}
+
+// openWorkers returns the workers that can be given tasks now.
+func (c *Core) openWorkers(now time.Time) []dispatch.Worker {
 	workers := make([]dispatch.Worker, 0, len(c.posts.byLife))
 	for life, p := range c.posts.byLife {
 		_, lapsing := c.posts.lapsing[life]
@@ -470,12 +511,7 @@
 			workers = append(workers, p.worker)
 		}
 	}
-	starts := dispatch.Starts(now, time.Now(), c.machine.Submissions(), workers)
-	if len(starts) == 0 {
-		return
-	}
-	c.posts.starting = now
-	c.proposeOwn(now, state.StartRuns{Starts: starts})
+	return workers
 }
 
 func (c *Core) giveUpLapsed(now time.Time) {
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -59,7 +59,8 @@
 		}
 	}
 	if s.Holds(settings.RoleAgent) {
-		r := runner.Start(d.log.With("role", settings.RoleAgent), platform.NewWorker(s.Platform.Worker), control.NewClient(s.Controllers))
+		r := runner.Start(d.log.With("role", settings.RoleAgent), s.Name, s.Platform.Worker,
+			platform.NewWorker(s.Platform.Worker), control.NewClient(s.Controllers))
 		d.parts = append(d.parts, r)
 		if err := d.serve(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.RegistryHandler(r)}); err != nil {
 			return err
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,7 @@
 	AgentDetached  Number = 213
 	RunPlaced      Number = 214
 	RunEnded       Number = 215
+	PoolState      Number = 216
 	AgentJoined    Number = 301
 	ControllerLost Number = 302
 	TaskStarted    Number = 303
@@ -48,6 +49,7 @@
 	WorkerDraining Number = 309
 	StartAnswered  Number = 310
 	RunPaced       Number = 311
+	WorkerIgnored  Number = 312
 	ViewLost       Number = 401
 	ConnectionDead Number = 402
 	WorkerEjected  Number = 403
@@ -87,6 +89,7 @@
 	{AgentDetached, "agent_detached", logrus.InfoLevel},
 	{RunPlaced, "run_placed", logrus.DebugLevel},
 	{RunEnded, "run_ended", logrus.DebugLevel},
+	{PoolState, "pool_state", logrus.InfoLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
@@ -98,6 +101,7 @@
 	{WorkerDraining, "worker_draining", logrus.InfoLevel},
 	{StartAnswered, "start_answered", logrus.DebugLevel},
 	{RunPaced, "run_paced", logrus.DebugLevel},
+	{WorkerIgnored, "worker_ignored", logrus.WarnLevel},
 	{ViewLost, "view_lost", logrus.WarnLevel},
 	{ConnectionDead, "connection_dead", logrus.WarnLevel},
 	{WorkerEjected, "worker_ejected", logrus.WarnLevel},
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -98,7 +98,7 @@
 		return // the next life, which has not announced itself yet
 	}
 	if r.silent {
-		r.log.Emit(event.TargetBack, event.Fields{"worker": life.key()}, "the worker answers again")
+		r.log.Emit(event.TargetBack, event.Fields{"worker": r.key(life)}, "the worker answers again")
 	}
 	r.tries, r.silent = 0, false
 	r.lease.read(list.Clock, now)
@@ -117,7 +117,7 @@
 	r.tries++
 	if r.tries >= _silentTries && !r.silent {
 		r.silent = true
-		r.log.Emit(event.TargetSilent, event.Fields{"worker": r.life.key(), "error": err.Error()},
+		r.log.Emit(event.TargetSilent, event.Fields{"worker": r.key(r.life), "error": err.Error()},
 			"the worker does not answer; its lease is not renewed")
 	}
 	if !r.silent || !r.lease.over(now) {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -216,7 +216,7 @@
 func (r *Runner) describe() *pb.WorkerLife {
 	a := r.announce
 	return &pb.WorkerLife{
-		Life: r.life.key(), Service: a.Service, Zone: a.Zone, Rack: a.Rack, Labels: a.Labels, Machine: a.Machine,
+		Life: r.key(r.life), Service: a.Service, Zone: a.Zone, Rack: a.Rack, Labels: a.Labels, Machine: a.Machine,
 		Capacity: wire.EncodeResources(a.Capacity), Leaving: a.Draining || r.departed, Remaining: int64(a.Remaining),
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -54,6 +55,8 @@
 // Runner is the agent of one worker.
 type Runner struct {
 	log     event.Log
+	machine string // name of this machine
+	address string // of the worker; an announcement of another one is not for this agent
 	worker  Worker
 	leaders *control.Client
 
@@ -82,10 +85,12 @@
 }
 
 // Start starts the tasks of a runner.
-func Start(log event.Log, worker Worker, leaders *control.Client) *Runner {
+func Start(log event.Log, machine, address string, worker Worker, leaders *control.Client) *Runner {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Runner{
 		log:        log,
+		machine:    machine,
+		address:    address,
 		worker:     worker,
 		leaders:    leaders,
 		wakeReport: make(chan struct{}, 1),
@@ -126,16 +131,19 @@
 	defer r.mu.Unlock()
 	life := Life{ID: a.ID, Born: a.Born}
 	switch {
+	case a.Address != r.address:
+		r.log.Emit(event.WorkerIgnored, event.Fields{"worker": a.ID, "address": a.Address}, "an announcement names another address than this agent's worker has")
+		return
 	case life == r.life && a.Sequence <= r.announce.Sequence:
 		return
 	case a.Born < r.life.Born:
 		return
 	case life != r.life:
-		r.log.Emit(event.WorkerAdded, event.Fields{"worker": life.key(), "before": r.life.key()}, "the worker has begun a life")
+		r.log.Emit(event.WorkerAdded, event.Fields{"worker": r.key(life), "before": r.key(r.life)}, "the worker has begun a life")
 		r.reset()
 		r.life = life
 	case a.Draining && !r.announce.Draining:
-		r.log.Emit(event.WorkerDraining, event.Fields{"worker": life.key(), "remaining_ms": a.Remaining.Milliseconds()},
+		r.log.Emit(event.WorkerDraining, event.Fields{"worker": r.key(life), "remaining_ms": a.Remaining.Milliseconds()},
 			"the worker is about to leave; it gets no more tasks")
 	}
 	r.announce = a
@@ -154,11 +162,13 @@
 	}
 }
 
-func (l Life) key() string {
+// key returns the name of a life in the whole system. It begins with the
+// machine, since a later life on a machine tells that the earlier ones are over.
+func (r *Runner) key(l Life) string {
 	if l == (Life{}) {
 		return ""
 	}
-	return l.ID + "/" + time.UnixMilli(l.Born).UTC().Format("150405.000")
+	return r.machine + "/" + l.ID + "/" + strconv.FormatInt(l.Born, 10)
 }
 
 func wake(ch chan struct{}) {
@@ -276,7 +286,7 @@
 // refuse records that the worker does not have the run. The lock is held.
 func (r *Runner) refuse(o *order, how submission.How) {
 	delete(r.orders, o.run)
-	r.refused[o.run] = submission.End{Run: o.run, Worker: r.life.key(), How: how, Saved: r.saved[o.run]}
+	r.refused[o.run] = submission.End{Run: o.run, Worker: r.key(r.life), How: how, Saved: r.saved[o.run]}
 	wake(r.wakeReport)
 }
 
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -12,6 +12,7 @@
 	ID        string
 	Born      int64 // start of this life, in ms since the Unix epoch
 	Sequence  uint64
+	Address   string
 	Service   string
 	Zone      string
 	Rack      string
--- a/submission/book.go
+++ b/submission/book.go
@@ -49,12 +49,26 @@
 	Progress [][]Progress // by occurrence and step
 	active   int          // active runs
 	waiting  int          // tasks that are neither done nor have an active run
+	work     float64      // estimated core-seconds of all tasks of one occurrence
+	left     float64      // estimated core-seconds of the tasks that are not done
 }
 
 // Waiting returns the number of tasks that could be started when their turn
 // comes.
 func (s *Submission) Waiting() int { return s.waiting }
 
+// Work returns the estimated core-seconds of one occurrence.
+func (s *Submission) Work() float64 { return s.work }
+
+// Left returns the estimated core-seconds of all tasks that are not done.
+func (s *Submission) Left() float64 { return s.left }
+
+// taskWork returns the estimated core-seconds of one task.
+func (s *Step) taskWork() float64 {
+	const milli = 1000
+	return float64(s.Needs.CPU) / milli * s.Estimate.Seconds()
+}
+
 // ActiveRuns returns the number of runs that have not ended.
 func (s *Submission) ActiveRuns() int { return s.active }
 
@@ -74,6 +88,7 @@
 // Usage is what the active runs take of a worker.
 type Usage struct {
 	Taken   Resources
+	Wanted  int64 // CPU that the runs would use, with that which is not counted; thousandths of a core
 	Runs    map[RunID]*Submission
 	Serving int // runs of tasks that serve
 	Filling int // runs of tasks that may disturb those that serve
@@ -86,6 +101,22 @@
 	unended  map[string]*Submission
 	workers  map[string]*Usage // by life of a worker
 	sequence uint64
+	handedIn map[string]total // by queue
+}
+
+// total counts the submissions of a queue that are kept, ended ones included.
+type total struct {
+	count int
+	work  float64
+}
+
+// MeanWork returns the mean of Work over the queue's submissions that are kept.
+func (b *Book) MeanWork(queue string) float64 {
+	t := b.handedIn[queue]
+	if t.count == 0 {
+		return 0
+	}
+	return t.work / float64(t.count)
 }
 
 // Submission returns the submission with the identifier. The caller may not
@@ -186,8 +217,15 @@
 		b.all = make(map[string]*Submission)
 		b.unended = make(map[string]*Submission)
 		b.workers = make(map[string]*Usage)
+		b.handedIn = make(map[string]total)
 	}
 	b.all[s.ID] = s
+	s.work, s.left = 0, 0
+	for i := range s.Steps {
+		s.work += float64(s.Steps[i].Count) * s.Steps[i].taskWork()
+	}
+	t := b.handedIn[s.Queue]
+	b.handedIn[s.Queue] = total{count: t.count + 1, work: t.work + s.work}
 	b.sequence = max(b.sequence, s.Sequence)
 	if !s.State.Ended() {
 		b.unended[s.ID] = s
@@ -205,6 +243,9 @@
 // count takes a stored task into the sums.
 func (b *Book) count(s *Submission, id TaskID) {
 	t := s.task(id)
+	if !t.Done {
+		s.left += s.Steps[id.Step].taskWork()
+	}
 	if !t.Done && len(t.Runs) == 0 {
 		s.waiting++
 	}
@@ -235,6 +276,7 @@
 	step := &s.Steps[run.Task.Step]
 	u.Runs[run] = s
 	u.Taken = u.Taken.Add(step.Room())
+	u.Wanted += step.Needs.CPU
 	switch {
 	case step.Serves():
 		u.Serving++
@@ -249,6 +291,7 @@
 	step := &s.Steps[run.Task.Step]
 	delete(u.Runs, run)
 	u.Taken = u.Taken.Sub(step.Room())
+	u.Wanted -= step.Needs.CPU
 	switch {
 	case step.Serves():
 		u.Serving--
@@ -392,6 +435,7 @@
 		}
 		p.Tasks[i].Done = true
 		p.Done++
+		s.left -= step.taskWork()
 	}
 	if !s.State.Ended() && s.allDone() {
 		b.end(s, Completed, now)
@@ -462,6 +506,8 @@
 	for id, s := range b.all {
 		if s.State.Ended() && now.Sub(s.EndedAt) >= KeepFor && s.active == 0 {
 			delete(b.all, id)
+			t := b.handedIn[s.Queue]
+			b.handedIn[s.Queue] = total{count: t.count - 1, work: t.work - s.work}
 		}
 	}
 }
