--- /dev/null
+++ b/submission/book_test.go
@@ -0,0 +1,289 @@
+package submission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var testNow = time.Unix(1_700_000_000, 0).UTC()
+
+func oneStep(id string, step Step) Submission {
+	return Submission{Spec: Spec{ID: id, Queue: "q", Steps: []Step{step}}, Attempts: 2}
+}
+
+func run(id string, step, index int, number uint32) RunID {
+	return RunID{Task: TaskID{Submission: id, Step: step, Index: index}, Number: number}
+}
+
+func stateOf(t *testing.T, b *Book, id string) State {
+	t.Helper()
+	s, ok := b.Submission(id)
+	if !ok {
+		t.Fatalf("submission %q is not known", id)
+	}
+	return s.State
+}
+
+func TestLifeOfSubmission(t *testing.T) {
+	var b Book
+	s := Submission{Spec: Spec{ID: "a", Queue: "q", Steps: []Step{{Count: 1}, {Count: 1, DependsOn: []int{0}}}}, Attempts: 2}
+	if b.Submit(s, testNow) {
+		t.Fatal("the first hand-in counts as repeated")
+	}
+	if !b.Submit(s, testNow) {
+		t.Fatal("the second hand-in counts as new")
+	}
+	if got := b.Start([]Start{{Run: run("a", 1, 0, 1), Worker: "w"}}, testNow); len(got) != 0 {
+		t.Error("a task started before the step that it depends on was done")
+	}
+	if got := b.Start([]Start{{Run: run("a", 0, 0, 1), Worker: "w"}}, testNow); len(got) != 1 {
+		t.Fatal("the first task was not started")
+	}
+	if got := b.Start([]Start{{Run: run("a", 0, 0, 2), Worker: "x"}}, testNow); len(got) != 0 {
+		t.Error("a task started while a run of it was active")
+	}
+	if b.End(End{Run: run("a", 0, 0, 1), Worker: "x", How: Done}, testNow) {
+		t.Error("an end was taken from a worker that does not have the run")
+	}
+	b.End(End{Run: run("a", 0, 0, 1), Worker: "w", How: Done}, testNow)
+	if got := b.Start([]Start{{Run: run("a", 0, 0, 2), Worker: "w"}}, testNow); len(got) != 0 {
+		t.Error("a task that is done started again")
+	}
+	b.Start([]Start{{Run: run("a", 1, 0, 1), Worker: "w"}}, testNow)
+	b.End(End{Run: run("a", 1, 0, 1), Worker: "w", How: Done}, testNow)
+	if got := stateOf(t, &b, "a"); got != Completed {
+		t.Errorf("the submission is %s, want completed", got)
+	}
+	b.Forget(testNow.Add(KeepFor - time.Second))
+	if b.Len() != 1 {
+		t.Error("the submission was forgotten too early")
+	}
+	b.Forget(testNow.Add(KeepFor))
+	if b.Len() != 0 {
+		t.Error("the submission was not forgotten")
+	}
+}
+
+func TestEnds(t *testing.T) {
+	tests := []struct {
+		name string
+		step Step
+		ends []How
+		want State
+	}{
+		{"failed too often", Step{Count: 1}, []How{Failed, Failed}, GaveUp},
+		{"other ends are no attempts", Step{Count: 1}, []How{Failed, Lost, Lapsed, Stopped, Refused, Broken, Alone}, Running},
+		{"a task that lasts has no limit", Step{Count: 1, LongRunning: true}, []How{Failed, Failed, Failed}, Running},
+		{"a task that lasts is never done", Step{Count: 1, LongRunning: true}, []How{Done}, Running},
+		{"done after a failure", Step{Count: 1}, []How{Failed, Done}, Completed},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var b Book
+			b.Submit(oneStep("a", tc.step), testNow)
+			for i, how := range tc.ends {
+				id := run("a", 0, 0, uint32(i+1))
+				if len(b.Start([]Start{{Run: id, Worker: "w"}}, testNow)) != 1 {
+					t.Fatalf("run %d was not started", i+1)
+				}
+				b.End(End{Run: id, Worker: "w", How: how}, testNow)
+			}
+			if got := stateOf(t, &b, "a"); got != tc.want {
+				t.Errorf("got %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestGang(t *testing.T) {
+	var b Book
+	b.Submit(oneStep("a", Step{Count: 3, Gang: true}), testNow)
+	start := func(number uint32) {
+		var starts []Start
+		for i := range 3 {
+			starts = append(starts, Start{Run: run("a", 0, i, number), Worker: fmt.Sprint("w", i)})
+		}
+		if got := b.Start(starts, testNow); len(got) != 3 {
+			t.Fatalf("run %d: %d members started, want 3", number, len(got))
+		}
+	}
+	start(1)
+	b.End(End{Run: run("a", 0, 1, 1), Worker: "w1", How: Failed, Saved: "half"}, testNow)
+	b.End(End{Run: run("a", 0, 0, 1), Worker: "w0", How: Broken}, testNow)
+	b.End(End{Run: run("a", 0, 2, 1), Worker: "w2", How: Broken}, testNow)
+	s, _ := b.Submission("a")
+	if got := s.Task(TaskID{Submission: "a", Index: 2}).Saved; got != "half" {
+		t.Errorf("member 2 has the checkpoint %q, want that of member 1", got)
+	}
+	start(2)
+	b.End(End{Run: run("a", 0, 2, 2), Worker: "w2", How: Done}, testNow)
+	if s.State != Completed {
+		t.Errorf("the submission is %s although the gang is done", s.State)
+	}
+	if !s.Surplus(run("a", 0, 0, 2)) {
+		t.Error("the other members' runs are still wanted")
+	}
+}
+
+func TestSpeculativeCopies(t *testing.T) {
+	var b Book
+	b.Submit(oneStep("a", Step{Count: 1, Speculative: true}), testNow)
+	b.Start([]Start{{Run: run("a", 0, 0, 1), Worker: "w"}}, testNow)
+	if got := b.Start([]Start{{Run: run("a", 0, 0, 2), Worker: "x"}}, testNow); len(got) != 1 {
+		t.Fatal("the copy was not started")
+	}
+	b.End(End{Run: run("a", 0, 0, 2), Worker: "x", How: Done}, testNow)
+	s, _ := b.Submission("a")
+	if s.State != Completed || !s.Surplus(run("a", 0, 0, 1)) || s.ActiveRuns() != 1 {
+		t.Errorf("state %s, surplus %t, %d active runs", s.State, s.Surplus(run("a", 0, 0, 1)), s.ActiveRuns())
+	}
+}
+
+func TestCancelKeepsRunsRecorded(t *testing.T) {
+	var b Book
+	b.Submit(oneStep("a", Step{Count: 2, Needs: Resources{CPU: 500}}), testNow)
+	b.Start([]Start{{Run: run("a", 0, 0, 1), Worker: "w"}}, testNow)
+	if err := b.Cancel("a", testNow); err != nil {
+		t.Fatal(err)
+	}
+	if got := b.Start([]Start{{Run: run("a", 0, 1, 1), Worker: "w"}}, testNow); len(got) != 0 {
+		t.Error("a cancelled submission started a task")
+	}
+	if got := b.Usage("w").Taken.CPU; got != 500 {
+		t.Errorf("the worker has %d taken, want 500 until the end is recorded", got)
+	}
+	b.End(End{Run: run("a", 0, 0, 1), Worker: "w", How: Stopped}, testNow)
+	if b.Usage("w") != nil {
+		t.Error("the worker still has runs")
+	}
+	if err := b.Cancel("b", testNow); err == nil {
+		t.Error("an unknown submission was cancelled")
+	}
+}
+
+// TestSumsUnderRandomOps compares the kept sums with a count of all tasks.
+func TestSumsUnderRandomOps(t *testing.T) {
+	const seeds, ops = 200, 300
+	for seed := range uint64(seeds) {
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		var b Book
+		for range ops {
+			randomOp(&b, rnd)
+		}
+		checkSums(t, seed, &b)
+		restored := &Book{}
+		for _, s := range b.Copies() {
+			restored.Put(s)
+		}
+		checkSums(t, seed, restored)
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+func randomOp(b *Book, rnd *rand.Rand) {
+	id := fmt.Sprint("s", rnd.IntN(6))
+	target := run(id, rnd.IntN(2), rnd.IntN(3), uint32(1+rnd.IntN(6)))
+	worker := fmt.Sprint("w", rnd.IntN(3))
+	switch rnd.IntN(10) {
+	case 0:
+		first := Step{Count: 1 + rnd.IntN(3), Needs: Resources{CPU: 100, Memory: 10}, Gang: rnd.IntN(4) == 0, Speculative: rnd.IntN(4) == 0}
+		second := Step{Count: 1 + rnd.IntN(3), Needs: Resources{CPU: 50}, Leftover: rnd.IntN(2) == 0, LongRunning: rnd.IntN(4) == 0}
+		if rnd.IntN(2) == 0 {
+			second.DependsOn = []int{0}
+		}
+		b.Submit(Submission{Spec: Spec{ID: id, Queue: "q", Steps: []Step{first, second}}, Attempts: 2}, testNow)
+	case 1:
+		_ = b.Cancel(id, testNow) // unknown ones are refused
+	case 2, 3, 4, 5:
+		b.Start([]Start{{Run: target, Worker: worker}}, testNow)
+	default:
+		b.End(End{Run: target, Worker: worker, How: How(1 + rnd.IntN(8))}, testNow)
+	}
+}
+
+func checkSums(t *testing.T, seed uint64, b *Book) {
+	t.Helper()
+	taken := make(map[string]Resources)
+	for _, s := range b.All() {
+		waiting, active := 0, 0
+		for k, steps := range s.Progress {
+			for i, p := range steps {
+				done := 0
+				for x, task := range p.Tasks {
+					if task.Done {
+						done++
+					} else if len(task.Runs) == 0 {
+						waiting++
+					}
+					for _, r := range task.Runs {
+						active++
+						taken[r.Worker] = taken[r.Worker].Add(s.Steps[i].Room())
+						id := RunID{Task: TaskID{Submission: s.ID, Occurrence: k, Step: i, Index: x}, Number: r.Number}
+						if b.Usage(r.Worker).Runs[id] != s {
+							t.Errorf("seed %d: %v is not among its worker's runs", seed, id)
+						}
+					}
+					if len(task.Runs) > 1 && !s.Steps[i].Speculative {
+						t.Errorf("seed %d: %s.%d.%d has %d active runs", seed, s.ID, i, x, len(task.Runs))
+					}
+				}
+				if done != p.Done {
+					t.Errorf("seed %d: %d tasks are done, counted are %d", seed, done, p.Done)
+				}
+			}
+		}
+		if s.Waiting() != waiting || s.ActiveRuns() != active {
+			t.Errorf("seed %d: %d waiting and %d active, counted are %d and %d", seed, s.Waiting(), s.ActiveRuns(), waiting, active)
+		}
+	}
+	for w, want := range taken {
+		if got := b.Usage(w).Taken; got != want {
+			t.Errorf("seed %d: worker %s has %v taken, want %v", seed, w, got, want)
+		}
+	}
+	if len(b.Lives()) != len(taken) {
+		t.Errorf("seed %d: %d workers have runs, want %d", seed, len(b.Lives()), len(taken))
+	}
+}
+
+func TestTaskNames(t *testing.T) {
+	id := TaskID{Submission: "5c0e7a21d94b36f8", Occurrence: 2, Step: 1, Index: 17}
+	if got := id.String(); got != "5c0e7a21d94b36f8.2.1.17" {
+		t.Errorf("got %q", got)
+	}
+	if got, ok := ParseTaskID(id.String()); !ok || got != id {
+		t.Errorf("parsed %v, %t", got, ok)
+	}
+	for _, bad := range []string{"", "a", "a.1.2", "a.1.2.x", "a.1.2.-3", "a.1.2.3.4"} {
+		if _, ok := ParseTaskID(bad); ok {
+			t.Errorf("%q was parsed", bad)
+		}
+	}
+}
+
+func TestValidate(t *testing.T) {
+	good := Spec{Steps: []Step{{Count: 2}, {Count: 1, DependsOn: []int{0}}}}
+	if err := good.Validate(); err != nil {
+		t.Errorf("a good specification: %v", err)
+	}
+	for name, bad := range map[string]Spec{
+		"no steps":             {},
+		"no tasks":             {Steps: []Step{{}}},
+		"a later step":         {Steps: []Step{{Count: 1, DependsOn: []int{1}}, {Count: 1}}},
+		"itself":               {Steps: []Step{{Count: 1, DependsOn: []int{0}}}},
+		"too many tasks":       {Steps: []Step{{Count: MostTasks}}, Repeat: 2},
+		"a number below 0":     {Steps: []Step{{Count: 1, Needs: Resources{CPU: -1}}}},
+		"an interval below 0":  {Steps: []Step{{Count: 1}}, Repeat: 2, Interval: -1},
+		"too long a text":      {Text: string(make([]byte, MostText+1)), Steps: []Step{{Count: 1}}},
+		"occurrences below 0":  {Steps: []Step{{Count: 1}}, Repeat: -1},
+		"more steps than used": {Steps: make([]Step, MostSteps+1)},
+	} {
+		if bad.Validate() == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
