--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -31,6 +31,10 @@
 // pool. The urgent work of both users' pages takes about 6% of their pools.
 const Headroom = 0.06
 
+// _idleMost is how long a submission may have nothing running while half of the
+// CPU is not taken. The users allow 3 s.
+const _idleMost = 2 * time.Second
+
 // LateFactor is how many times its objective a submission may take until its
 // completion is of no use any more.
 const LateFactor = 3
@@ -121,12 +125,7 @@
 // Starts returns the starts to record now. wall is the time of day, which the
 // start times of occurrences are given in.
 func Starts(now, wall time.Time, book *submission.Book, workers []Worker) []submission.Start {
-	r := round{now: now, nodes: makeNodes(book, workers), alone: make(map[string]bool)}
-	for _, n := range r.nodes {
-		if n.serving == 0 {
-			r.alone[n.Service] = true
-		}
-	}
+	r := newRound(now, makeNodes(book, workers))
 	if len(r.nodes) == 0 {
 		return nil
 	}
@@ -213,9 +212,35 @@
 	now    time.Time
 	nodes  []*node
 	alone  map[string]bool // services that have workers without tasks that serve
+	quiet  map[string]bool // services less than half of whose CPU is taken
+	begun  map[string]bool // submissions that have a start in this round
 	starts []submission.Start
 }
 
+func newRound(now time.Time, nodes []*node) *round {
+	r := &round{now: now, nodes: nodes, alone: make(map[string]bool), quiet: make(map[string]bool), begun: make(map[string]bool)}
+	type sum struct{ free, all int64 }
+	sums := make(map[string]sum)
+	for _, n := range nodes {
+		if n.serving == 0 {
+			r.alone[n.Service] = true
+		}
+		s := sums[n.Service]
+		sums[n.Service] = sum{free: s.free + n.free.CPU, all: s.all + n.Capacity.CPU}
+	}
+	for service, s := range sums {
+		r.quiet[service] = 2*s.free > s.all
+	}
+	return r
+}
+
+// idles reports whether a submission has nothing running while much of its
+// service's capacity is not taken. It then gets one task, wherever that fits,
+// so that no submission stands still beside free room.
+func (r *round) idles(s *submission.Submission) bool {
+	return r.now.Sub(s.Accepted) >= _idleMost && s.ActiveRuns() == 0 && !r.begun[s.ID] && r.quiet[s.Service]
+}
+
 // place gives the waiting tasks of a step to workers. A gang is placed as a
 // whole or not at all.
 func (r *round) place(it item) {
@@ -247,6 +272,7 @@
 		id := submission.TaskID{Submission: it.s.ID, Occurrence: it.occurrence, Step: it.step, Index: i}
 		run := submission.RunID{Task: id, Number: max(number, t.Last) + 1}
 		r.starts = append(r.starts, submission.Start{Run: run, Worker: n.Life})
+		r.begun[it.s.ID] = true
 		n.take(step, 1)
 		onWorker[n.Life]++
 		onRack[n.Rack]++
@@ -305,7 +331,10 @@
 	var best *node
 	var bestCost float64
 	for _, n := range r.nodes {
-		if !n.admits(it.s, step, onWorker[n.Life]) || r.mustWait(it, step, n) {
+		if !n.admits(it.s, step, onWorker[n.Life]) {
+			continue
+		}
+		if r.mustWait(it, step, n) && !r.idles(it.s) {
 			continue
 		}
 		cost := n.cost(step, onRack)
@@ -316,11 +345,15 @@
 	return best
 }
 
-// mustWait reports whether a task that fills had better wait for a worker
-// without tasks that serve than share one. There it would be paced, and its
+// mustWait reports whether a task had better wait than start on the worker: one
+// whose CPU is not counted where it would get none and only hold its memory,
+// and one that fills beside tasks that serve. There it would be paced, and its
 // submission would be late for the one slow task; work that is late anyway
 // takes what is left.
 func (r *round) mustWait(it item, step *submission.Step, n *node) bool {
+	if step.Leftover && step.Needs.CPU > n.idle && n.runs > 0 {
+		return true
+	}
 	return step.Fills() && n.serving > 0 && it.class == 0 && r.alone[n.Service]
 }
 
@@ -335,9 +368,6 @@
 	if step.MostPerWorker > 0 && already >= step.MostPerWorker {
 		return false
 	}
-	if step.Leftover && step.Needs.CPU > n.idle && n.runs > 0 {
-		return false // it would get no CPU and hold its memory
-	}
 	room := n.free
 	if s.Priority > _urgentPriority && !step.Gang {
 		room.CPU -= int64(Headroom * float64(n.Capacity.CPU))
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -87,6 +87,25 @@
 	}
 }
 
+// TestNothingStandsStill hands in a submission whose tasks would get no CPU,
+// on workers whose CPU is not taken: it gets one task after a while.
+func TestNothingStandsStill(t *testing.T) {
+	var b submission.Book
+	workers := pool(2, 64000, 256000)
+	step := filling
+	step.Leftover = true
+	step.Count = 18
+	submit(&b, "first", 2, step)
+	commit(t, &b, testNow, workers)
+	submit(&b, "second", 2, step)
+	if got := commit(t, &b, testNow, workers); got != 0 {
+		t.Errorf("%d tasks started at once, want none", got)
+	}
+	if got := commit(t, &b, testNow.Add(_idleMost), workers); got != 1 {
+		t.Errorf("%d tasks started after %s, want 1", got, _idleMost)
+	}
+}
+
 func TestPlacementRules(t *testing.T) {
 	with := func(s submission.Step, change func(*submission.Step)) submission.Step {
 		change(&s)
--- a/internal/controller/posts.go
+++ b/internal/controller/posts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gentianrail/gentianrail/dispatch"
+	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
@@ -89,6 +90,8 @@
 	starting  time.Time            // when the StartRuns under way was proposed; zero if none is
 	changed   bool                 // something has changed since the last dispatch
 	wakeAt    time.Time            // when a dispatch is due without a change
+	health    dispatch.Health
+	begun     map[submission.RunID]time.Time // when this leader ordered the starts of active runs
 	lastLook  time.Time
 	summed    time.Time // when the pool's state was logged last
 }
@@ -103,6 +106,8 @@
 	p.granted = make(map[string]time.Time)
 	p.lapsing = make(map[string]time.Time)
 	p.starting = time.Time{}
+	p.health = dispatch.Health{}
+	p.begun = make(map[submission.RunID]time.Time)
 	p.changed = true
 }
 
@@ -390,7 +395,9 @@
 
 func (c *Core) orderStarts(starts []submission.Start) {
 	orders := make(map[*post]*pb.AgentOrder)
+	now := clock.Now()
 	for _, st := range starts {
+		c.posts.begun[st.Run] = now
 		p := c.posts.byLife[st.Worker]
 		s, ok := c.machine.Submissions().Submission(st.Run.Task.Submission)
 		if p == nil || !ok {
@@ -413,9 +420,14 @@
 // any more.
 func (c *Core) noteEnds(ends []submission.End) {
 	book := c.machine.Submissions()
+	now := clock.Now()
 	for _, e := range ends {
 		delete(c.posts.lapsing, e.Worker)
 		s, ok := book.Submission(e.Run.Task.Submission)
+		if begun, known := c.posts.begun[e.Run]; ok && known {
+			c.posts.health.Ended(now, e.Worker, &s.Steps[e.Run.Task.Step], e.How, now.Sub(begun))
+		}
+		delete(c.posts.begun, e.Run)
 		if ok && (s.State.Ended() || e.How == submission.Done) {
 			c.stopSurplus(s)
 		}
@@ -508,7 +520,9 @@
 	for life, p := range c.posts.byLife {
 		_, lapsing := c.posts.lapsing[life]
 		if !lapsing && p.listed && now.Sub(p.heard) < _recentReport {
-			workers = append(workers, p.worker)
+			w := p.worker
+			w.Suspect = c.posts.health.Suspect(now, life)
+			workers = append(workers, w)
 		}
 	}
 	return workers
