--- a/internal/controller/posts.go
+++ b/internal/controller/posts.go
@@ -21,6 +21,7 @@
 	_grantDrift   = 20                      // a lease is trusted to end only after another 1/20 of it
 	_lapseEvery   = 50 * time.Millisecond   // between two looks for leases that ran out
 	_recentReport = 1500 * time.Millisecond // agents report each second; one that is silent for longer gets no tasks
+	_stopsEvery   = 100 * time.Millisecond  // between two looks for runs to stop
 	_summaryEvery = time.Second             // between two lines on the pool's state
 	_mostRunEnds  = 500                     // ends in one command
 	_proposedMost = 3 * time.Second         // until a proposal whose fate is unknown is made anew
@@ -69,6 +70,7 @@
 type post struct {
 	worker  dispatch.Worker
 	leaving bool
+	stays   time.Time // until when a worker that leaves stays at least
 	listed  bool      // the agent has told which runs there are
 	heard   time.Time // receipt of the latest report
 	out     *outbox
@@ -91,6 +93,9 @@
 	changed   bool                 // something has changed since the last dispatch
 	wakeAt    time.Time            // when a dispatch is due without a change
 	health    dispatch.Health
+	stopper   dispatch.Stopper
+	facts     map[submission.RunID]dispatch.Fact
+	lastStops time.Time
 	begun     map[submission.RunID]time.Time // when this leader ordered the starts of active runs
 	lastLook  time.Time
 	summed    time.Time // when the pool's state was logged last
@@ -106,7 +111,8 @@
 	p.granted = make(map[string]time.Time)
 	p.lapsing = make(map[string]time.Time)
 	p.starting = time.Time{}
-	p.health = dispatch.Health{}
+	p.health, p.stopper = dispatch.Health{}, dispatch.Stopper{}
+	p.facts = make(map[submission.RunID]dispatch.Fact)
 	p.begun = make(map[submission.RunID]time.Time)
 	p.changed = true
 }
@@ -169,7 +175,7 @@
 // report takes in what an agent tells of its worker and answers with orders.
 func (c *Core) report(now time.Time, p *post, in *pb.AgentReport) {
 	if w := in.GetWorker(); w != nil {
-		p.describe(w)
+		p.describe(now, w)
 		c.posts.changed = true
 	}
 	if c.posts.byLife[p.worker.Life] != p {
@@ -178,11 +184,7 @@
 	p.heard = now
 	order := &pb.AgentOrder{Term: c.replica.Term()}
 	c.grant(now, p, in, order)
-	for _, r := range in.GetActive() {
-		if r.GetSaved() != "" {
-			p.saved[wire.DecodeRun(r.GetRun())] = r.GetSaved()
-		}
-	}
+	c.takeFacts(now, p, in)
 	c.takeEnds(now, p, in)
 	if in.GetComplete() {
 		p.listed = true
@@ -195,7 +197,29 @@
 	p.out.put(order)
 }
 
-func (p *post) describe(w *pb.WorkerLife) {
+// takeFacts takes in what an agent tells of active runs.
+func (c *Core) takeFacts(now time.Time, p *post, in *pb.AgentReport) {
+	stalled := 0
+	for _, r := range in.GetActive() {
+		run := wire.DecodeRun(r.GetRun())
+		if r.GetSaved() != "" {
+			p.saved[run] = r.GetSaved()
+		}
+		if r.GetStalled() && !c.posts.facts[run].Stalled {
+			stalled++
+		}
+		c.posts.facts[run] = dispatch.Fact{Share: int(r.GetShare()), Progress: int(r.GetProgress()), Stalled: r.GetStalled()}
+	}
+	if stalled > 0 {
+		c.posts.health.Stalled(now, p.worker.Life, stalled)
+		c.posts.changed = true
+	}
+}
+
+func (p *post) describe(now time.Time, w *pb.WorkerLife) {
+	if w.GetLeaving() && !p.leaving {
+		p.stays = now.Add(time.Duration(w.GetRemaining()))
+	}
 	p.leaving = w.GetLeaving()
 	p.worker = dispatch.Worker{
 		Life:     w.GetLife(),
@@ -428,6 +452,7 @@
 			c.posts.health.Ended(now, e.Worker, &s.Steps[e.Run.Task.Step], e.How, now.Sub(begun))
 		}
 		delete(c.posts.begun, e.Run)
+		delete(c.posts.facts, e.Run)
 		if ok && (s.State.Ended() || e.How == submission.Done) {
 			c.stopSurplus(s)
 		}
@@ -492,6 +517,7 @@
 	c.posts.wakeAt = now.Add(_retryEvery)
 	workers := c.openWorkers(now)
 	c.summarize(now, workers)
+	c.stopRuns(now, workers)
 	starts := dispatch.Starts(now, time.Now(), c.machine.Submissions(), workers)
 	if len(starts) == 0 {
 		return
@@ -500,6 +526,31 @@
 	c.proposeOwn(now, state.StartRuns{Starts: starts})
 }
 
+// stopRuns stops runs that had better go on elsewhere.
+func (c *Core) stopRuns(now time.Time, workers []dispatch.Worker) {
+	if now.Sub(c.posts.lastStops) < _stopsEvery {
+		return
+	}
+	c.posts.lastStops = now
+	leaves := make(map[string]dispatch.Leave)
+	for life, p := range c.posts.byLife {
+		if p.leaving {
+			leaves[life] = dispatch.Leave{Until: p.stays}
+		}
+	}
+	for _, s := range c.posts.stopper.Stops(now, c.machine.Submissions(), workers, c.posts.facts, leaves) {
+		p := c.posts.byLife[s.Worker]
+		if p == nil || p.stops[s.Run] {
+			continue
+		}
+		c.posts.stopper.Moved(now, s.Run)
+		c.log.Emit(event.RunStopped, event.Fields{
+			"submission": s.Run.Task.Submission, "task": s.Run.Task.String(), "run": s.Run.Number, "worker": s.Worker, "reason": s.Reason.String(),
+		}, "a run is stopped to go on elsewhere")
+		c.orderStop(s.Worker, s.Run)
+	}
+}
+
 // summarize logs how full the pool is, now and then.
 func (c *Core) summarize(now time.Time, workers []dispatch.Worker) {
 	if now.Sub(c.posts.summed) < _summaryEvery {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -38,6 +38,7 @@
 	RunPlaced      Number = 214
 	RunEnded       Number = 215
 	PoolState      Number = 216
+	RunStopped     Number = 217
 	AgentJoined    Number = 301
 	ControllerLost Number = 302
 	TaskStarted    Number = 303
@@ -90,6 +91,7 @@
 	{RunPlaced, "run_placed", logrus.DebugLevel},
 	{RunEnded, "run_ended", logrus.DebugLevel},
 	{PoolState, "pool_state", logrus.InfoLevel},
+	{RunStopped, "run_stopped", logrus.InfoLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -15,6 +15,11 @@
 // are not listed, and the leader hears of the end within that time.
 const _vanishAfter = time.Second
 
+// _stallAfter is how long a run's progress stands still until the leader is
+// told. Progress is listed in percent, and the slowest sound tasks move by one
+// in about a second.
+const _stallAfter = 3 * time.Second
+
 // holdLoop renews the worker's lease and takes in its lists.
 func (r *Runner) holdLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -142,6 +147,7 @@
 			r.orders[a.Run] = o
 		}
 		o.started, o.gone = true, time.Time{}
+		r.noteProgress(now, o, a)
 		if a.Saved != "" && a.Saved != r.saved[a.Run] {
 			r.saved[a.Run] = a.Saved
 			r.unsent[a.Run] = true
@@ -160,6 +166,20 @@
 	r.findVanished(now, sent, active)
 }
 
+// noteProgress notes how far a run is, and whether it stands still although it
+// may work. The lock is held.
+func (r *Runner) noteProgress(now time.Time, o *order, a ListedRun) {
+	if a.Percent != o.percent || o.share <= 0 || o.moving.IsZero() || o.pacing.Serves || !o.described {
+		o.percent, o.moving = a.Percent, now
+	}
+	stalled := now.Sub(o.moving) >= _stallAfter
+	if stalled != o.stalled {
+		o.stalled = stalled
+		r.unsent[o.run] = true
+		wake(r.wakeReport)
+	}
+}
+
 func (r *Runner) forget(run submission.RunID) {
 	delete(r.orders, run)
 	delete(r.saved, run)
@@ -222,7 +242,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o.asked = false
-	if err == nil {
+	if err == nil && o.share != percent {
 		o.share = percent
+		r.unsent[o.run] = true
 	}
 }
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -177,11 +177,13 @@
 				report.Ordered = append(report.Ordered, wire.EncodeRun(run))
 				continue
 			}
-			report.Active = append(report.Active, &pb.ListedRun{Run: wire.EncodeRun(run), Saved: r.saved[run]})
+			report.Active = append(report.Active, r.tellOf(o))
 		}
 	} else {
 		for run := range r.unsent {
-			report.Active = append(report.Active, &pb.ListedRun{Run: wire.EncodeRun(run), Saved: r.saved[run]})
+			if o := r.orders[run]; o != nil {
+				report.Active = append(report.Active, r.tellOf(o))
+			}
 		}
 	}
 	clear(r.unsent)
@@ -189,6 +191,13 @@
 	return report, false
 }
 
+// tellOf returns what the leader should know of an active run. The lock is held.
+func (r *Runner) tellOf(o *order) *pb.ListedRun {
+	return &pb.ListedRun{
+		Run: wire.EncodeRun(o.run), Saved: r.saved[o.run], Share: int64(o.share), Progress: int64(o.percent), Stalled: o.stalled,
+	}
+}
+
 func (r *Runner) addEnds(s *session, report *pb.AgentReport) {
 	for _, e := range r.ends {
 		if e.Number <= s.sentEnd {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -49,6 +49,9 @@
 	started   bool        // the worker has confirmed it
 	since     time.Time   // when it was confirmed
 	stop      bool        // it is to be stopped
+	percent   int         // progress, as listed last
+	moving    time.Time   // when the progress changed last
+	stalled   bool        // it has not for a while, although the run may work
 	gone      time.Time   // when a listing first lacked it; zero if none does
 }
 
@@ -72,7 +75,7 @@
 	taken    uint64      // ends up to this number are recorded
 	refused  map[submission.RunID]submission.End
 	saved    map[submission.RunID]string // latest checkpoints
-	unsent   map[submission.RunID]bool   // checkpoints that the leader was not told of
+	unsent   map[submission.RunID]bool   // runs with news that the leader was not told of
 	listed   bool                        // the worker has listed its runs in this life
 	tries    int                         // listings without an answer, in a row
 	silent   bool
