--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -381,7 +381,7 @@
 		} else {
 			r = c.machine.Apply(e.Index, e.Time, cmd)
 			c.sched.applied(c.machine, cmd, r)
-			c.applied(cmd, r)
+			c.applied(e.Term, cmd, r)
 			c.note(cmd, r)
 		}
 		c.feed.advance(e.Index, r.Events)
--- a/internal/controller/group.go
+++ b/internal/controller/group.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/membership"
 	"github.com/gentianrail/gentianrail/replica"
@@ -22,8 +23,16 @@
 	lastLook   time.Time
 }
 
-// leaderAddress returns the address of the known leader, or "".
+// _namedFor is how long a leader that is not heard is still named to others.
+// Heartbeats come several times as often.
+const _namedFor = 350 * time.Millisecond
+
+// leaderAddress returns the address of the known leader, or "". A leader that
+// has fallen silent is not named, since whoever asks would wait for it.
 func (c *Core) leaderAddress() string {
+	if c.replica.Quiet(clock.Now()) > _namedFor {
+		return ""
+	}
 	id := c.replica.Leader()
 	for _, m := range c.replica.Members() {
 		if m.ID == id {
--- a/internal/controller/posts.go
+++ b/internal/controller/posts.go
@@ -17,14 +17,14 @@
 
 // Bounds of the leader's hold on the workers' runs.
 const (
-	_grantMargin  = 200 * time.Millisecond  // between a lease's end and the end of trust in it
-	_grantDrift   = 20                      // a lease is trusted to end only after another 1/20 of it
-	_lapseEvery   = 50 * time.Millisecond   // between two looks for leases that ran out
-	_recentReport = 1500 * time.Millisecond // agents report each second; one that is silent for longer gets no tasks
-	_stopsEvery   = 100 * time.Millisecond  // between two looks for runs to stop
-	_summaryEvery = time.Second             // between two lines on the pool's state
-	_mostRunEnds  = 500                     // ends in one command
-	_proposedMost = 3 * time.Second         // until a proposal whose fate is unknown is made anew
+	_grantMargin  = 200 * time.Millisecond // between a lease's end and the end of trust in it
+	_grantDrift   = 20                     // a lease is trusted to end only after another 1/20 of it
+	_lapseEvery   = 50 * time.Millisecond  // between two looks for leases that ran out
+	_recentReport = time.Second            // agents report more often; one that is silent for longer gets no tasks
+	_stopsEvery   = 100 * time.Millisecond // between two looks for runs to stop
+	_summaryEvery = time.Second            // between two lines on the pool's state
+	_mostRunEnds  = 500                    // ends in one command
+	_proposedMost = 3 * time.Second        // until a proposal whose fate is unknown is made anew
 )
 
 // outbox holds the orders for one agent.
@@ -393,24 +393,20 @@
 	return out
 }
 
-// applied tells the agents what a command has changed for them.
-func (c *Core) applied(cmd state.Command, r state.Result) {
+// applied tells the agents what a command has changed for them. What an earlier
+// leader proposed they learn when they attach.
+func (c *Core) applied(term uint64, cmd state.Command, r state.Result) {
+	c.posts.changed = true
+	if c.replica.Role() != replica.Leader || term != c.replica.Term() {
+		return
+	}
 	switch cmd := cmd.(type) {
 	case state.StartRuns:
 		c.posts.starting = time.Time{}
-		c.posts.changed = true
-		if c.replica.Role() == replica.Leader {
-			c.orderStarts(r.Outcome.Starts)
-		}
+		c.orderStarts(r.Outcome.Starts)
 	case state.EndRuns:
-		c.posts.changed = true
-		if c.replica.Role() == replica.Leader {
-			c.noteEnds(cmd.Ends)
-		}
-	case state.Submit, state.ReplaceQueues:
-		c.posts.changed = true
+		c.noteEnds(cmd.Ends)
 	case state.CancelSubmission:
-		c.posts.changed = true
 		if s, ok := c.machine.Submissions().Submission(cmd.ID); ok {
 			c.stopSurplus(s)
 		}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -15,9 +15,10 @@
 
 // Times of the stream to the leader.
 const (
-	_reportEvery  = time.Second             // between two reports that renew the lease
-	_orderSilence = 1500 * time.Millisecond // without an order until the stream counts as dead
-	_attachPause  = 100 * time.Millisecond  // between two tries to find the leader
+	_reportEvery  = 400 * time.Millisecond // between two reports that renew the lease
+	_orderSilence = 900 * time.Millisecond // without an order until the stream counts as dead; each report is answered
+	_attachLimit  = 400 * time.Millisecond // to open a stream; a frozen machine does not answer
+	_attachPause  = 60 * time.Millisecond  // between two tries to find the leader
 )
 
 var errSilentLeader = errors.New("the leader has not answered a report")
@@ -66,7 +67,7 @@
 func (r *Runner) serveLeader(ctx context.Context, address string) (leader string, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dial, done := context.WithTimeout(ctx, _orderSilence)
+	dial, done := context.WithTimeout(ctx, _attachLimit)
 	stream, err := r.leaders.Attach(ctx, dial, address)
 	done()
 	if err != nil {
@@ -113,8 +114,11 @@
 
 func (r *Runner) converse(ctx context.Context, stream *control.AgentStream, s *session, orders <-chan *pb.AgentOrder) (string, error) {
 	heard := clock.Now()
+	limit := _attachLimit // of the first answer; a frozen controller takes the connection and says nothing
 	due := time.NewTimer(0)
 	defer due.Stop()
+	silence := time.NewTimer(limit)
+	defer silence.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -126,17 +130,20 @@
 			if o.GetNotLeader() {
 				return o.GetLeaderAddress(), nil
 			}
-			heard = clock.Now()
+			heard, limit = clock.Now(), _orderSilence
+			silence.Reset(limit)
 			r.mu.Lock()
 			if r.life == s.life {
 				r.obey(context.WithoutCancel(ctx), o)
 			}
 			r.mu.Unlock()
 			continue
+		case <-silence.C:
+			return "", errSilentLeader
 		case <-r.wakeReport:
 		case <-due.C:
 		}
-		if clock.Now().Sub(heard) > _orderSilence {
+		if clock.Now().Sub(heard) > limit {
 			return "", errSilentLeader
 		}
 		report, over := r.nextReport(s)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -310,6 +310,15 @@
 	return r.leader != "" && now.Sub(r.contact) < quorumLossFactor*r.cfg.ElectionTimeout
 }
 
+// Quiet returns how long this replica has heard nothing of the leader it knows;
+// 0 if it leads.
+func (r *Replica) Quiet(now time.Time) time.Duration {
+	if r.role == Leader {
+		return 0
+	}
+	return now.Sub(r.contact)
+}
+
 // Propose appends commands to the log and returns the index of the first.
 func (r *Replica) Propose(now time.Time, data [][]byte) (uint64, error) {
 	if r.role != Leader {
