--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,7 +7,6 @@
 package dispatch
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -359,20 +358,7 @@
 
 // admits reports whether a task of the step may start on the worker.
 func (n *node) admits(s *submission.Submission, step *submission.Step, already int) bool {
-	if n.Service != s.Service {
-		return false
-	}
-	if step.Requirement != "" && !slices.Contains(n.Labels, step.Requirement) {
-		return false
-	}
-	if step.MostPerWorker > 0 && already >= step.MostPerWorker {
-		return false
-	}
-	room := n.free
-	if s.Priority > _urgentPriority && !step.Gang {
-		room.CPU -= int64(Headroom * float64(n.Capacity.CPU))
-	}
-	return step.Room().Fits(room) || step.Room().CPU > room.CPU && n.empty() && step.Room().Fits(n.free)
+	return n.obstacle(s, step, already) == 0
 }
 
 func (n *node) empty() bool { return n.runs == 0 }
--- /dev/null
+++ b/dispatch/explain.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// Obstacle is why a worker does not get a task.
+type Obstacle uint8
+
+const (
+	// OtherService workers belong to another service.
+	OtherService Obstacle = iota + 1
+	// NoLabel workers lack the label that the step requires.
+	NoLabel
+	// Spread workers have as many of the step's tasks as may be on one.
+	Spread
+	// NoCPU workers lack counted CPU.
+	NoCPU
+	// NoMemory workers lack memory.
+	NoMemory
+	// NoGPU workers lack accelerators.
+	NoGPU
+	// Disturbed workers would take it, but it had better wait for another.
+	Disturbed
+)
+
+// String returns the obstacle in lower case.
+func (o Obstacle) String() string {
+	return [...]string{"none", "other_service", "no_label", "spread", "no_cpu", "no_memory", "no_gpu", "disturbed"}[o]
+}
+
+// Wait tells why a step's tasks wait.
+type Wait struct {
+	Submission string
+	Occurrence int
+	Step       int
+	Since      time.Time        // when the submission was accepted
+	Class      int              // 0: can meet its objective; 1: can be late; 2: too late
+	Obstacles  map[Obstacle]int // workers by obstacle
+}
+
+// Waits returns why the steps that have waited longest wait, at most most of
+// them.
+func Waits(now, wall time.Time, book *submission.Book, workers []Worker, most int) []Wait {
+	r := newRound(now, makeNodes(book, workers))
+	items := waiting(now, wall, book)
+	slices.SortStableFunc(items, func(a, b item) int { return a.s.Accepted.Compare(b.s.Accepted) })
+	var out []Wait
+	for _, it := range items[:min(len(items), most)] {
+		step := &it.s.Steps[it.step]
+		w := Wait{
+			Submission: it.s.ID, Occurrence: it.occurrence, Step: it.step, Since: it.s.Accepted, Class: it.class,
+			Obstacles: make(map[Obstacle]int),
+		}
+		onWorker, _ := r.spread(it, &it.s.Progress[it.occurrence][it.step])
+		for _, n := range r.nodes {
+			o := n.obstacle(it.s, step, onWorker[n.Life])
+			if o == 0 && r.mustWait(it, step, n) {
+				o = Disturbed
+			}
+			w.Obstacles[o]++
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// obstacle returns why the worker does not admit a task of the step, or 0.
+func (n *node) obstacle(s *submission.Submission, step *submission.Step, already int) Obstacle {
+	if n.Service != s.Service {
+		return OtherService
+	}
+	if step.Requirement != "" && !slices.Contains(n.Labels, step.Requirement) {
+		return NoLabel
+	}
+	if step.MostPerWorker > 0 && already >= step.MostPerWorker {
+		return Spread
+	}
+	room, need := n.free, step.Room()
+	if s.Priority > _urgentPriority && !step.Gang && !n.empty() {
+		room.CPU -= int64(Headroom * float64(n.Capacity.CPU))
+	}
+	switch {
+	case need.CPU > room.CPU:
+		return NoCPU
+	case need.Memory > room.Memory:
+		return NoMemory
+	case need.GPU > room.GPU:
+		return NoGPU
+	}
+	return 0
+}
--- a/internal/controller/posts.go
+++ b/internal/controller/posts.go
@@ -22,6 +22,8 @@
 	_lapseEvery   = 50 * time.Millisecond  // between two looks for leases that ran out
 	_recentReport = time.Second            // agents report more often; one that is silent for longer gets no tasks
 	_stopsEvery   = 100 * time.Millisecond // between two looks for runs to stop
+	_mostWaits    = 5                      // steps that wait on which a line is written each time
+	_waitWorthy   = 3 * time.Second        // of waiting until a line is written
 	_summaryEvery = time.Second            // between two lines on the pool's state
 	_mostRunEnds  = 500                    // ends in one command
 	_proposedMost = 3 * time.Second        // until a proposal whose fate is unknown is made anew
@@ -228,7 +230,7 @@
 		Rack:     w.GetRack(),
 		Labels:   w.GetLabels(),
 		Capacity: wire.DecodeResources(w.GetCapacity()),
-		Open:     !w.GetLeaving(),
+		Open:     !w.GetLeaving() && !w.GetSilent(),
 	}
 }
 
@@ -559,6 +561,23 @@
 		"waiting_in_time": s.Waiting[0], "waiting_late": s.Waiting[1], "waiting_too_late": s.Waiting[2],
 		"submissions": len(c.machine.Submissions().Unended()),
 	}, "the pool's state")
+	for _, w := range dispatch.Waits(now, time.Now(), c.machine.Submissions(), workers, _mostWaits) {
+		if now.Sub(w.Since) < _waitWorthy {
+			continue
+		}
+		c.log.Emit(event.StepWaits, event.Fields{
+			"submission": w.Submission, "occurrence": w.Occurrence, "step": w.Step, "class": w.Class,
+			"age_ms": now.Sub(w.Since).Milliseconds(), "obstacles": obstacles(w),
+		}, "a step waits; the figures are workers by obstacle")
+	}
+}
+
+func obstacles(w dispatch.Wait) map[string]int {
+	out := make(map[string]int, len(w.Obstacles))
+	for o, n := range w.Obstacles {
+		out[o.String()] = n
+	}
+	return out
 }
 
 // openWorkers returns the workers that can be given tasks now.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -39,6 +39,7 @@
 	RunEnded       Number = 215
 	PoolState      Number = 216
 	RunStopped     Number = 217
+	StepWaits      Number = 218
 	AgentJoined    Number = 301
 	ControllerLost Number = 302
 	TaskStarted    Number = 303
@@ -92,6 +93,7 @@
 	{RunEnded, "run_ended", logrus.DebugLevel},
 	{PoolState, "pool_state", logrus.InfoLevel},
 	{RunStopped, "run_stopped", logrus.InfoLevel},
+	{StepWaits, "step_waits", logrus.InfoLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -104,6 +104,7 @@
 	}
 	if r.silent {
 		r.log.Emit(event.TargetBack, event.Fields{"worker": r.key(life)}, "the worker answers again")
+		wake(r.wakeReport)
 	}
 	r.tries, r.silent = 0, false
 	r.lease.read(list.Clock, now)
@@ -124,6 +125,7 @@
 		r.silent = true
 		r.log.Emit(event.TargetSilent, event.Fields{"worker": r.key(r.life), "error": err.Error()},
 			"the worker does not answer; its lease is not renewed")
+		wake(r.wakeReport)
 	}
 	if !r.silent || !r.lease.over(now) {
 		return
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -93,6 +93,7 @@
 	complete  bool         // the whole lists were sent
 	announced Announcement // as sent last
 	departed  bool         // as sent last
+	silent    bool         // as sent last
 	sentEnd   uint64       // highest number of an end that was sent
 	refused   map[submission.RunID]bool
 }
@@ -168,9 +169,9 @@
 		report.Gone = true
 		return report, true
 	}
-	if !sameAnnouncement(s.announced, r.announce) || s.departed != r.departed {
+	if !sameAnnouncement(s.announced, r.announce) || s.departed != r.departed || s.silent != r.silent {
 		report.Worker = r.describe()
-		s.announced, s.departed = r.announce, r.departed
+		s.announced, s.departed, s.silent = r.announce, r.departed, r.silent
 	}
 	if !r.listed {
 		return report, false
@@ -233,7 +234,7 @@
 	a := r.announce
 	return &pb.WorkerLife{
 		Life: r.key(r.life), Service: a.Service, Zone: a.Zone, Rack: a.Rack, Labels: a.Labels, Machine: a.Machine,
-		Capacity: wire.EncodeResources(a.Capacity), Leaving: a.Draining || r.departed, Remaining: int64(a.Remaining),
+		Capacity: wire.EncodeResources(a.Capacity), Leaving: a.Draining || r.departed, Remaining: int64(a.Remaining), Silent: r.silent,
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -301,7 +301,11 @@
 			r.mu.Unlock()
 			return
 		}
-		until, ok := r.lease.next(clock.Now())
+		var until time.Duration
+		ok := false
+		if !r.silent { // a worker that does not answer must not get a longer lease
+			until, ok = r.lease.next(clock.Now())
+		}
 		o.start.Until, o.start.Term = until, r.term
 		start := o.start
 		r.mu.Unlock()
