--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -48,16 +48,19 @@
 	Capacity submission.Resources
 	Open     bool // takes new tasks
 	Suspect  bool // has lately failed most of what it was given
+	Strain   int  // worst tail latency of its serving tasks in percent of the target; NoStrain if none is known
 }
 
 // node is a worker while a round lasts.
 type node struct {
 	Worker
-	free    submission.Resources
-	idle    int64 // CPU that no run wants, those whose CPU is not counted included; below 0 if they want too much
-	serving int
-	filling int
-	runs    int
+	free     submission.Resources
+	idle     int64 // CPU that no run wants, those whose CPU is not counted included; below 0 if they want too much
+	serving  int
+	filling  int
+	runs     int
+	reserved bool // its headroom is kept for urgent tasks
+	joined   bool // a task that fills was given to it in this round, beside tasks that serve
 }
 
 // Objective returns how long after its acceptance a submission should be
@@ -123,8 +126,8 @@
 
 // Starts returns the starts to record now. wall is the time of day, which the
 // start times of occurrences are given in.
-func Starts(now, wall time.Time, book *submission.Book, workers []Worker) []submission.Start {
-	r := newRound(now, makeNodes(book, workers))
+func Starts(now, wall time.Time, book *submission.Book, workers []Worker, known *Interference) []submission.Start {
+	r := newRound(now, makeNodes(book, workers), known)
 	if len(r.nodes) == 0 {
 		return nil
 	}
@@ -211,24 +214,43 @@
 	now    time.Time
 	nodes  []*node
 	alone  map[string]bool // services that have workers without tasks that serve
+	spare  map[string]bool // services whose serving workers have the headroom for urgent tasks
+	known  *Interference
 	quiet  map[string]bool // services less than half of whose CPU is taken
 	begun  map[string]bool // submissions that have a start in this round
 	starts []submission.Start
 }
 
-func newRound(now time.Time, nodes []*node) *round {
-	r := &round{now: now, nodes: nodes, alone: make(map[string]bool), quiet: make(map[string]bool), begun: make(map[string]bool)}
-	type sum struct{ free, all int64 }
+func newRound(now time.Time, nodes []*node, known *Interference) *round {
+	r := &round{now: now, known: known, nodes: nodes, alone: make(map[string]bool), spare: make(map[string]bool), quiet: make(map[string]bool), begun: make(map[string]bool)}
+	type sum struct{ free, all, beside int64 }
 	sums := make(map[string]sum)
 	for _, n := range nodes {
+		s := sums[n.Service]
 		if n.serving == 0 {
 			r.alone[n.Service] = true
+		} else {
+			s.beside += n.free.CPU
 		}
-		s := sums[n.Service]
-		sums[n.Service] = sum{free: s.free + n.free.CPU, all: s.all + n.Capacity.CPU}
+		s.free += n.free.CPU
+		s.all += n.Capacity.CPU
+		sums[n.Service] = s
 	}
 	for service, s := range sums {
 		r.quiet[service] = 2*s.free > s.all
+		r.spare[service] = float64(s.beside) >= Headroom*float64(s.all)
+	}
+	suspects, all := make(map[string]int), make(map[string]int)
+	for _, n := range nodes {
+		n.reserved = !r.spare[n.Service] || n.serving > 0
+		all[n.Service]++
+		if n.Suspect {
+			suspects[n.Service]++
+		}
+	}
+	for _, n := range nodes {
+		// What most workers fail is the tasks' fault.
+		n.Suspect = n.Suspect && 2*suspects[n.Service] < all[n.Service]
 	}
 	return r
 }
@@ -273,6 +295,7 @@
 		r.starts = append(r.starts, submission.Start{Run: run, Worker: n.Life})
 		r.begun[it.s.ID] = true
 		n.take(step, 1)
+		n.joined = n.joined || step.Fills() && n.serving > 0
 		onWorker[n.Life]++
 		onRack[n.Rack]++
 	}
@@ -346,14 +369,14 @@
 
 // mustWait reports whether a task had better wait than start on the worker: one
 // whose CPU is not counted where it would get none and only hold its memory,
-// and one that fills beside tasks that serve. There it would be paced, and its
-// submission would be late for the one slow task; work that is late anyway
-// takes what is left.
+// and one that fills beside tasks that serve, if their figures do not allow it.
+// There it would be paced, and its submission would be late for the one slow
+// task. Work that is late anyway takes what the figures leave.
 func (r *round) mustWait(it item, step *submission.Step, n *node) bool {
 	if step.Leftover && step.Needs.CPU > n.idle && n.runs > 0 {
 		return true
 	}
-	return step.Fills() && n.serving > 0 && it.class == 0 && r.alone[n.Service]
+	return step.Fills() && n.serving > 0 && r.alone[n.Service] && !n.welcome(r.now, r.known, step.Image, it.class > 0)
 }
 
 // admits reports whether a task of the step may start on the worker.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -16,7 +16,7 @@
 	for i := range out {
 		out[i] = Worker{
 			Life: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprint("r", i/3), Labels: []string{"a", fmt.Sprint("r", i/3)},
-			Capacity: submission.Resources{CPU: cpu, Memory: memory}, Open: true,
+			Capacity: submission.Resources{CPU: cpu, Memory: memory}, Open: true, Strain: NoStrain,
 		}
 	}
 	return out
@@ -38,7 +38,7 @@
 // commit records the starts that a round decides and returns how many there were.
 func commit(t *testing.T, b *submission.Book, now time.Time, workers []Worker) int {
 	t.Helper()
-	starts := Starts(now, now, b, workers)
+	starts := Starts(now, now, b, workers, &Interference{})
 	if got := b.Start(starts, now); len(got) != len(starts) {
 		t.Fatalf("%d of %d starts were taken in", len(got), len(starts))
 	}
@@ -232,7 +232,7 @@
 				delete(ends, st)
 			}
 		}
-		for _, st := range b.Start(Starts(now, now, &b, workers), now) {
+		for _, st := range b.Start(Starts(now, now, &b, workers, &Interference{}), now) {
 			ends[st] = now.Add(time.Duration(float64(filling.Estimate) * (0.8 + 0.4*rnd.Float64())))
 		}
 	}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -23,13 +23,16 @@
 	NoMemory
 	// NoGPU workers lack accelerators.
 	NoGPU
+	// Sick workers have lately failed most of what they were given; they get
+	// one task at a time.
+	Sick
 	// Disturbed workers would take it, but it had better wait for another.
 	Disturbed
 )
 
 // String returns the obstacle in lower case.
 func (o Obstacle) String() string {
-	return [...]string{"none", "other_service", "no_label", "spread", "no_cpu", "no_memory", "no_gpu", "disturbed"}[o]
+	return [...]string{"none", "other_service", "no_label", "spread", "no_cpu", "no_memory", "no_gpu", "sick", "disturbed"}[o]
 }
 
 // Wait tells why a step's tasks wait.
@@ -44,8 +47,8 @@
 
 // Waits returns why the steps that have waited longest wait, at most most of
 // them.
-func Waits(now, wall time.Time, book *submission.Book, workers []Worker, most int) []Wait {
-	r := newRound(now, makeNodes(book, workers))
+func Waits(now, wall time.Time, book *submission.Book, workers []Worker, known *Interference, most int) []Wait {
+	r := newRound(now, makeNodes(book, workers), known)
 	items := waiting(now, wall, book)
 	slices.SortStableFunc(items, func(a, b item) int { return a.s.Accepted.Compare(b.s.Accepted) })
 	var out []Wait
@@ -79,8 +82,11 @@
 	if step.MostPerWorker > 0 && already >= step.MostPerWorker {
 		return Spread
 	}
+	if n.Suspect && (n.runs > 0 || s.Attempts < 2) {
+		return Sick
+	}
 	room, need := n.free, step.Room()
-	if s.Priority > _urgentPriority && !step.Gang && !n.empty() {
+	if s.Priority > _urgentPriority && !step.Gang && !n.empty() && n.reserved {
 		room.CPU -= int64(Headroom * float64(n.Capacity.CPU))
 	}
 	switch {
--- a/internal/controller/posts.go
+++ b/internal/controller/posts.go
@@ -96,6 +96,7 @@
 	wakeAt    time.Time            // when a dispatch is due without a change
 	health    dispatch.Health
 	stopper   dispatch.Stopper
+	known     dispatch.Interference
 	facts     map[submission.RunID]dispatch.Fact
 	lastStops time.Time
 	begun     map[submission.RunID]time.Time // when this leader ordered the starts of active runs
@@ -187,6 +188,7 @@
 	order := &pb.AgentOrder{Term: c.replica.Term()}
 	c.grant(now, p, in, order)
 	c.takeFacts(now, p, in)
+	c.takeStrain(now, p, int(in.GetStrain()))
 	c.takeEnds(now, p, in)
 	if in.GetComplete() {
 		p.listed = true
@@ -218,6 +220,16 @@
 	}
 }
 
+// takeStrain takes in how the worker's serving tasks fare beside what fills.
+func (c *Core) takeStrain(now time.Time, p *post, strain int) {
+	if !p.listed {
+		return
+	}
+	p.worker.Strain = strain
+	u := c.machine.Submissions().Usage(p.worker.Life)
+	c.posts.known.Seen(now, dispatch.Beside(now, u, c.posts.facts, c.posts.begun), strain)
+}
+
 func (p *post) describe(now time.Time, w *pb.WorkerLife) {
 	if w.GetLeaving() && !p.leaving {
 		p.stays = now.Add(time.Duration(w.GetRemaining()))
@@ -231,6 +243,7 @@
 		Labels:   w.GetLabels(),
 		Capacity: wire.DecodeResources(w.GetCapacity()),
 		Open:     !w.GetLeaving() && !w.GetSilent(),
+		Strain:   dispatch.NoStrain,
 	}
 }
 
@@ -516,7 +529,7 @@
 	workers := c.openWorkers(now)
 	c.summarize(now, workers)
 	c.stopRuns(now, workers)
-	starts := dispatch.Starts(now, time.Now(), c.machine.Submissions(), workers)
+	starts := dispatch.Starts(now, time.Now(), c.machine.Submissions(), workers, &c.posts.known)
 	if len(starts) == 0 {
 		return
 	}
@@ -556,12 +569,17 @@
 	}
 	c.posts.summed = now
 	s := dispatch.Summarize(now, time.Now(), c.machine.Submissions(), workers)
+	strains := make([]int, 0, len(workers))
+	for _, w := range workers {
+		strains = append(strains, w.Strain)
+	}
 	c.log.Emit(event.PoolState, event.Fields{
+		"strains": strains,
 		"workers": s.Workers, "shared": s.Shared, "cpu": s.Capacity, "cpu_free": s.Free, "cpu_idle": s.Idle, "serving": s.Serving, "filling": s.Filling,
 		"waiting_in_time": s.Waiting[0], "waiting_late": s.Waiting[1], "waiting_too_late": s.Waiting[2],
 		"submissions": len(c.machine.Submissions().Unended()),
 	}, "the pool's state")
-	for _, w := range dispatch.Waits(now, time.Now(), c.machine.Submissions(), workers, _mostWaits) {
+	for _, w := range dispatch.Waits(now, time.Now(), c.machine.Submissions(), workers, &c.posts.known, _mostWaits) {
 		if now.Sub(w.Since) < _waitWorthy {
 			continue
 		}
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -45,16 +45,28 @@
 	changed  time.Time // when the share was changed last
 	missed   time.Time // since when a target is missed; zero if all are met
 	calm     time.Time // since when all targets are met with a margin
-	watching bool      // a task that serves shares the worker with fillers
+	worst    int       // as seen last; 0 stands for nothing seen until seen is set
+	seen     bool
+	watching bool // a task that serves shares the worker with fillers
 }
 
 // Watching reports whether the figures should be read often.
 func (p *Pacer) Watching() bool { return p.watching }
 
+// Worst returns the highest tail latency seen last, in percent of its target,
+// or -1 if no task serves.
+func (p *Pacer) Worst() int {
+	if !p.seen {
+		return -1
+	}
+	return p.worst
+}
+
 // Decide returns the shares to set.
 func (p *Pacer) Decide(now time.Time, tasks []Task) []Decision {
 	worst, fillers := worstOf(tasks)
 	p.watching = worst >= 0 && fillers > 0
+	p.worst, p.seen = worst, worst >= 0
 	if worst < 0 {
 		p.paced, p.missed, p.calm = false, time.Time{}, time.Time{}
 		return p.set(tasks, _full, 0)
