--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -126,8 +126,9 @@
 
 // Starts returns the starts to record now. wall is the time of day, which the
 // start times of occurrences are given in.
-func Starts(now, wall time.Time, book *submission.Book, workers []Worker, known *Interference) []submission.Start {
+func Starts(now, wall time.Time, book *submission.Book, workers []Worker, known *Interference, approvals *Approvals) []submission.Start {
 	r := newRound(now, makeNodes(book, workers), known)
+	r.approvals = approvals
 	if len(r.nodes) == 0 {
 		return nil
 	}
@@ -211,14 +212,15 @@
 
 // round is one pass over all waiting steps.
 type round struct {
-	now    time.Time
-	nodes  []*node
-	alone  map[string]bool // services that have workers without tasks that serve
-	spare  map[string]bool // services whose serving workers have the headroom for urgent tasks
-	known  *Interference
-	quiet  map[string]bool // services less than half of whose CPU is taken
-	begun  map[string]bool // submissions that have a start in this round
-	starts []submission.Start
+	now       time.Time
+	nodes     []*node
+	alone     map[string]bool // services that have workers without tasks that serve
+	spare     map[string]bool // services whose serving workers have the headroom for urgent tasks
+	known     *Interference
+	approvals *Approvals
+	quiet     map[string]bool // services less than half of whose CPU is taken
+	begun     map[string]bool // submissions that have a start in this round
+	starts    []submission.Start
 }
 
 func newRound(now time.Time, nodes []*node, known *Interference) *round {
@@ -353,7 +355,7 @@
 	var best *node
 	var bestCost float64
 	for _, n := range r.nodes {
-		if !n.admits(it.s, step, onWorker[n.Life]) {
+		if !n.admits(it.s, step, onWorker[n.Life]) || !r.approved(it, n) {
 			continue
 		}
 		if r.mustWait(it, step, n) && !r.idles(it.s) {
@@ -367,6 +369,16 @@
 	return best
 }
 
+// approved reports whether the step may run on the worker, as far as its queue
+// asks for advice.
+func (r *round) approved(it item, n *node) bool {
+	if !it.s.Advised {
+		return true
+	}
+	_, ok := r.approvals.Ticket(r.now, StepID{Submission: it.s.ID, Occurrence: it.occurrence, Step: it.step}, n.Life)
+	return ok
+}
+
 // mustWait reports whether a task had better wait than start on the worker: one
 // whose CPU is not counted where it would get none and only hold its memory,
 // and one that fills beside tasks that serve, if their figures do not allow it.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -38,7 +38,7 @@
 // commit records the starts that a round decides and returns how many there were.
 func commit(t *testing.T, b *submission.Book, now time.Time, workers []Worker) int {
 	t.Helper()
-	starts := Starts(now, now, b, workers, &Interference{})
+	starts := Starts(now, now, b, workers, &Interference{}, &Approvals{})
 	if got := b.Start(starts, now); len(got) != len(starts) {
 		t.Fatalf("%d of %d starts were taken in", len(got), len(starts))
 	}
@@ -186,6 +186,46 @@
 	}
 }
 
+// TestAdvice plays a queue whose steps need tickets: nothing starts without,
+// and only approved workers get tasks, for as long as the tickets are valid.
+func TestAdvice(t *testing.T) {
+	var b submission.Book
+	b.Submit(submission.Submission{
+		Spec:    submission.Spec{ID: "a", Queue: "q", Steps: []submission.Step{{Count: 4, Needs: submission.Resources{CPU: 1000}}}},
+		Service: "s", Attempts: 2, Advised: true,
+	}, testNow)
+	workers := pool(3, 2000, 1000)
+	var a Approvals
+	if got := Starts(testNow, testNow, &b, workers, &Interference{}, &a); len(got) != 0 {
+		t.Fatalf("%d tasks started without a ticket", len(got))
+	}
+	questions := a.Questions(testNow, testNow, &b, workers)
+	if len(questions) != 1 || len(questions[0].Workers) != len(workers) {
+		t.Fatalf("questions %v", questions)
+	}
+	id := StepID{Submission: "a"}
+	a.Add(testNow, id, questions[0].Workers, map[string]string{"w01": "t1"}, time.Second)
+	starts := Starts(testNow, testNow, &b, workers, &Interference{}, &a)
+	if len(starts) != 2 {
+		t.Fatalf("%d tasks started, want the 2 that fit", len(starts))
+	}
+	for _, st := range starts {
+		if st.Worker != "w01" {
+			t.Errorf("a task started on %s", st.Worker)
+		}
+	}
+	if got := a.Questions(testNow, testNow, &b, workers); len(got) != 0 {
+		t.Errorf("asked again while a ticket is valid: %v", got)
+	}
+	later := testNow.Add(time.Second)
+	if got := Starts(later, later, &b, workers, &Interference{}, &a); len(got) != 0 {
+		t.Errorf("%d tasks started with an old ticket", len(got))
+	}
+	if got := a.Questions(later, later, &b, workers); len(got) != 1 || len(got[0].Workers) != 1 {
+		t.Errorf("questions %v, want one on the worker that was approved", got)
+	}
+}
+
 func TestOccurrencesWaitForTheirTime(t *testing.T) {
 	var b submission.Book
 	b.Submit(submission.Submission{
@@ -232,7 +272,7 @@
 				delete(ends, st)
 			}
 		}
-		for _, st := range b.Start(Starts(now, now, &b, workers, &Interference{}), now) {
+		for _, st := range b.Start(Starts(now, now, &b, workers, &Interference{}, &Approvals{}), now) {
 			ends[st] = now.Add(time.Duration(float64(filling.Estimate) * (0.8 + 0.4*rnd.Float64())))
 		}
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -28,13 +28,15 @@
 	core     *Core
 	lock     *flock.Flock
 	peers    *transport
+	adviser  Adviser
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
 	listener net.Listener
 }
 
 // Start locks and reads the data folder and starts the controller's tasks.
-func Start(s *settings.Settings, log event.Log) (*Controller, error) {
+// adviser approves workers for the steps of some queues; it may be nil.
+func Start(s *settings.Settings, log event.Log, adviser Adviser) (*Controller, error) {
 	cfg := s.Controller
 	files, err := disk.OpenFolder(cfg.DataFolder)
 	if err != nil {
@@ -44,7 +46,7 @@
 	if ok, err := lock.TryLock(); err != nil || !ok {
 		return nil, fault.New(fault.DataLocked, "the data folder is in use by another process")
 	}
-	c := &Controller{lock: lock}
+	c := &Controller{lock: lock, adviser: adviser}
 	if err := c.start(s, files, log); err != nil {
 		_ = lock.Unlock()
 		return nil, err
@@ -75,6 +77,7 @@
 		SnapshotEntries: cfg.SnapshotEntries,
 		Lease:           time.Duration(cfg.Lease),
 		RunLease:        time.Duration(cfg.RunLease),
+		Adviser:         c.adviser,
 		Replicas:        cfg.Replicas,
 		Keep:            func(members []replica.Member) { c.peers.keep(id, members) },
 		Address:         c.peers.address,
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -79,6 +79,7 @@
 	role            replica.Role
 	sched           scheduler
 	posts           posts
+	advice          advice
 	holders         map[string]Holder
 	failed          error // disk failure; the core refuses everything after it
 }
@@ -100,6 +101,7 @@
 	SnapshotEntries int
 	Lease           time.Duration
 	RunLease        time.Duration           // of the runs on a worker
+	Adviser         Adviser                 // approves workers for the steps of some queues; nil if there is none
 	Replicas        int                     // voters that the group should have; 0 for a fixed group
 	Keep            func([]replica.Member)  // called when the members change
 	Address         func(replica.ID) string // where a replica is; "" if unknown
@@ -136,6 +138,7 @@
 	}
 	c.sched.lease = cfg.Lease
 	c.posts.lease = cfg.RunLease
+	c.advice = advice{adviser: cfg.Adviser, answers: make(chan adviceAnswer, 1)}
 	c.group = group{replicas: cfg.Replicas, keep: cfg.Keep, address: cfg.Address}
 	c.replica = replica.New(cfg.Replica, restored, func() replica.Snapshot { return c.latest }, now)
 	c.feed = newFeed(c.machine.Revision())
@@ -179,6 +182,7 @@
 	}
 	stopWriter()
 	writer.Wait()
+	c.advice.calls.Wait()
 	c.stop()
 }
 
@@ -196,6 +200,8 @@
 		c.answer(q)
 	case w := <-c.writes:
 		c.written(w)
+	case a := <-c.advice.answers:
+		c.advised(clock.Now(), a)
 	case <-tick:
 		c.tick(clock.Now())
 	}
--- a/internal/controller/posts.go
+++ b/internal/controller/posts.go
@@ -97,6 +97,7 @@
 	health    dispatch.Health
 	stopper   dispatch.Stopper
 	known     dispatch.Interference
+	approvals dispatch.Approvals
 	facts     map[submission.RunID]dispatch.Fact
 	lastStops time.Time
 	begun     map[submission.RunID]time.Time // when this leader ordered the starts of active runs
@@ -193,7 +194,7 @@
 	if in.GetComplete() {
 		p.listed = true
 		c.posts.changed = true
-		c.reconcile(p, in, order)
+		c.reconcile(now, p, in, order)
 		order.Controllers = c.controllers()
 	}
 	order.Taken = p.taken()
@@ -331,7 +332,7 @@
 // reconcile compares an agent's whole lists with the record. Runs that the
 // agent does not know are ordered again; runs that are not recorded are
 // stopped.
-func (c *Core) reconcile(p *post, in *pb.AgentReport, order *pb.AgentOrder) {
+func (c *Core) reconcile(now time.Time, p *post, in *pb.AgentReport, order *pb.AgentOrder) {
 	book := c.machine.Submissions()
 	known := make(map[submission.RunID]bool)
 	for _, e := range in.GetEnds() {
@@ -364,18 +365,20 @@
 			p.stops[run] = true
 			order.Stops = append(order.Stops, wire.EncodeRun(run))
 		case !known[run]:
-			order.Starts = append(order.Starts, startOrder(s, run))
+			order.Starts = append(order.Starts, c.startOrder(now, s, run, p.worker.Life))
 		default:
 			// A restarted agent has to be told what it has adopted.
-			described := startOrder(s, run)
+			described := c.startOrder(now, s, run, p.worker.Life)
 			described.Text, described.Saved = "", ""
 			order.Starts = append(order.Starts, described)
 		}
 	}
 }
 
-func startOrder(s *submission.Submission, run submission.RunID) *pb.StartOrder {
+func (c *Core) startOrder(now time.Time, s *submission.Submission, run submission.RunID, life string) *pb.StartOrder {
 	step := &s.Steps[run.Task.Step]
+	id := dispatch.StepID{Submission: s.ID, Occurrence: run.Task.Occurrence, Step: run.Task.Step}
+	ticket, _ := c.posts.approvals.Ticket(now, id, life)
 	return &pb.StartOrder{
 		Run:        wire.EncodeRun(run),
 		Text:       s.Text,
@@ -384,6 +387,7 @@
 		Fills:      step.Fills(),
 		TailTarget: int64(step.TailTarget),
 		Gang:       step.Gang,
+		Ticket:     ticket,
 	}
 }
 
@@ -441,7 +445,7 @@
 		if orders[p] == nil {
 			orders[p] = &pb.AgentOrder{Term: c.replica.Term()}
 		}
-		orders[p].Starts = append(orders[p].Starts, startOrder(s, st.Run))
+		orders[p].Starts = append(orders[p].Starts, c.startOrder(now, s, st.Run, st.Worker))
 		c.log.Emit(event.RunPlaced, event.Fields{
 			"submission": st.Run.Task.Submission, "task": st.Run.Task.String(), "run": st.Run.Number, "worker": st.Worker,
 		}, "a task was given to a worker")
@@ -529,7 +533,8 @@
 	workers := c.openWorkers(now)
 	c.summarize(now, workers)
 	c.stopRuns(now, workers)
-	starts := dispatch.Starts(now, time.Now(), c.machine.Submissions(), workers, &c.posts.known)
+	c.seekAdvice(now, workers)
+	starts := dispatch.Starts(now, time.Now(), c.machine.Submissions(), workers, &c.posts.known, &c.posts.approvals)
 	if len(starts) == 0 {
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,7 +67,7 @@
 		d.parts = append(d.parts, samplePart{t})
 	}
 	if s.Controller != nil {
-		c, err := controller.Start(s, d.log.With("role", settings.RoleController))
+		c, err := controller.Start(s, d.log.With("role", settings.RoleController), adviserOf(s))
 		if err != nil {
 			return err
 		}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/controller"
 	"github.com/gentianrail/gentianrail/internal/front"
 	"github.com/gentianrail/gentianrail/internal/runner"
 	"github.com/gentianrail/gentianrail/internal/settings"
@@ -87,3 +88,11 @@
 	}
 	return nil
 }
+
+// adviserOf returns the advice service of the settings, or nil.
+func adviserOf(s *settings.Settings) controller.Adviser {
+	if s.Platform == nil || s.Platform.Advice == "" {
+		return nil
+	}
+	return platform.NewAdviser(s.Platform.Advice)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -40,6 +40,8 @@
 	PoolState      Number = 216
 	RunStopped     Number = 217
 	StepWaits      Number = 218
+	AdviceGiven    Number = 219
+	AdviceFailed   Number = 220
 	AgentJoined    Number = 301
 	ControllerLost Number = 302
 	TaskStarted    Number = 303
@@ -94,6 +96,8 @@
 	{PoolState, "pool_state", logrus.InfoLevel},
 	{RunStopped, "run_stopped", logrus.InfoLevel},
 	{StepWaits, "step_waits", logrus.InfoLevel},
+	{AdviceGiven, "advice_given", logrus.DebugLevel},
+	{AdviceFailed, "advice_failed", logrus.WarnLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -87,6 +87,7 @@
 	Readiness    string `json:"readiness,omitempty"`     // the balancer's probes, at an entry
 	ControlPlane string `json:"control_plane,omitempty"` // the operator at a controller, the worker at an agent
 	Worker       string `json:"worker,omitempty"`        // the worker of an agent
+	Advice       string `json:"advice,omitempty"`        // the service that approves workers, for a controller
 }
 
 // Settings is the whole file. A role's part is nil if it is left out.
