--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -224,7 +224,10 @@
 	return true
 }
 
+// answer runs a query on a state that has all that is committed: messages of
+// the same round may have committed entries that are not applied yet.
 func (c *Core) answer(q query) {
+	c.carryOut()
 	q.run(c, clock.Now())
 	close(q.done)
 }
