--- a/cmd/gentianraild/main.go
+++ b/cmd/gentianraild/main.go
@@ -51,7 +51,9 @@
 	if s.Log.Format == "json" {
 		format = event.JSON
 	}
-	log := event.NewLog(os.Stdout, format, s.Level()).With("name", s.Name)
+	sink := event.NewSink(os.Stdout)
+	defer sink.Close()
+	log := event.NewLog(sink, format, s.Level()).With("name", s.Name)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	d, err := daemon.Start(&s, log)
--- a/internal/control/submissions.go
+++ b/internal/control/submissions.go
@@ -27,6 +27,14 @@
 	Count
 )
 
+// String returns the verb in lower case.
+func (v Verb) String() string {
+	if v < Submit || v > Count {
+		return "unknown"
+	}
+	return [...]string{"submit", "describe", "cancel", "count"}[v-Submit]
+}
+
 // Call is one call of a caller.
 type Call struct {
 	Host      string
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"path"
 	"sync"
 	"time"
 
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/replica"
@@ -25,6 +27,12 @@
 			return
 		}
 		cmd = c.call(in, out)
+		if out.GetCode() != 0 {
+			c.log.Emit(event.Rejected, event.Fields{
+				"submission": path.Base(in.GetPath()), "verb": control.Verb(in.GetVerb()).String(),
+				"code": fault.Code(out.GetCode()).Name(), "reason": out.GetMessage(),
+			}, "a caller's call was refused")
+		}
 	})
 	if err != nil || cmd == nil {
 		return out, err
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gofrs/flock"
+	"github.com/rcrowley/go-metrics"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -29,6 +30,7 @@
 	lock     *flock.Flock
 	peers    *transport
 	adviser  Adviser
+	registry metrics.Registry
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
 	listener net.Listener
@@ -36,7 +38,7 @@
 
 // Start locks and reads the data folder and starts the controller's tasks.
 // adviser approves workers for the steps of some queues; it may be nil.
-func Start(s *settings.Settings, log event.Log, adviser Adviser) (*Controller, error) {
+func Start(s *settings.Settings, log event.Log, adviser Adviser, registry metrics.Registry) (*Controller, error) {
 	cfg := s.Controller
 	files, err := disk.OpenFolder(cfg.DataFolder)
 	if err != nil {
@@ -46,7 +48,7 @@
 	if ok, err := lock.TryLock(); err != nil || !ok {
 		return nil, fault.New(fault.DataLocked, "the data folder is in use by another process")
 	}
-	c := &Controller{lock: lock, adviser: adviser}
+	c := &Controller{lock: lock, adviser: adviser, registry: registry}
 	if err := c.start(s, files, log); err != nil {
 		_ = lock.Unlock()
 		return nil, err
@@ -78,6 +80,7 @@
 		Lease:           time.Duration(cfg.Lease),
 		RunLease:        time.Duration(cfg.RunLease),
 		Adviser:         c.adviser,
+		Metrics:         c.registry,
 		Replicas:        cfg.Replicas,
 		Keep:            func(members []replica.Member) { c.peers.keep(id, members) },
 		Address:         c.peers.address,
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/disk"
@@ -79,6 +81,8 @@
 	role            replica.Role
 	sched           scheduler
 	posts           posts
+	commits         metrics.Timer // from a proposal to its application
+	firstStarts     metrics.Timer // from a hand-in to the first start
 	advice          advice
 	holders         map[string]Holder
 	failed          error // disk failure; the core refuses everything after it
@@ -101,6 +105,7 @@
 	SnapshotEntries int
 	Lease           time.Duration
 	RunLease        time.Duration           // of the runs on a worker
+	Metrics         metrics.Registry        // nil for none
 	Adviser         Adviser                 // approves workers for the steps of some queues; nil if there is none
 	Replicas        int                     // voters that the group should have; 0 for a fixed group
 	Keep            func([]replica.Member)  // called when the members change
@@ -138,6 +143,12 @@
 	}
 	c.sched.lease = cfg.Lease
 	c.posts.lease = cfg.RunLease
+	registry := cfg.Metrics
+	if registry == nil {
+		registry = metrics.NewRegistry()
+	}
+	c.commits = metrics.NewRegisteredTimer("controller.commits", registry)
+	c.firstStarts = metrics.NewRegisteredTimer("controller.first_starts", registry)
 	c.advice = advice{adviser: cfg.Adviser, answers: make(chan adviceAnswer, 1)}
 	c.group = group{replicas: cfg.Replicas, keep: cfg.Keep, address: cfg.Address}
 	c.replica = replica.New(cfg.Replica, restored, func() replica.Snapshot { return c.latest }, now)
@@ -404,6 +415,7 @@
 		p.settle(notLeader())
 		return
 	}
+	c.commits.Update(clock.Now().Sub(p.since))
 	p.settle(result{outcome: r.Outcome})
 }
 
--- a/internal/controller/posts.go
+++ b/internal/controller/posts.go
@@ -423,20 +423,46 @@
 	case state.StartRuns:
 		c.posts.starting = time.Time{}
 		c.orderStarts(r.Outcome.Starts)
+	case state.Submit:
+		c.noteAccepted(cmd.Submission.ID, r)
 	case state.EndRuns:
 		c.noteEnds(cmd.Ends)
 	case state.CancelSubmission:
 		if s, ok := c.machine.Submissions().Submission(cmd.ID); ok {
+			c.noteEnded(s)
 			c.stopSurplus(s)
 		}
 	}
 }
 
+func (c *Core) noteAccepted(id string, r state.Result) {
+	s, ok := c.machine.Submissions().Submission(id)
+	if !ok || r.Outcome.Repeated || r.Outcome.Err != nil {
+		return
+	}
+	tasks := 0
+	for i := range s.Steps {
+		tasks += s.Steps[i].Count * s.Occurrences()
+	}
+	c.log.Emit(event.Accepted, event.Fields{
+		"submission": s.ID, "queue": s.Queue, "tasks": tasks, "chain_ms": s.Chain(-1).Milliseconds(),
+	}, "a submission was recorded")
+}
+
+// noteEnded logs a submission's end.
+func (c *Core) noteEnded(s *submission.Submission) {
+	c.log.Emit(event.Ended, event.Fields{
+		"submission": s.ID, "state": s.State.String(), "age_ms": s.EndedAt.Sub(s.Accepted).Milliseconds(),
+		"objective_ms": dispatch.Objective(s).Milliseconds(),
+	}, "a submission has ended")
+}
+
 func (c *Core) orderStarts(starts []submission.Start) {
 	orders := make(map[*post]*pb.AgentOrder)
 	now := clock.Now()
 	for _, st := range starts {
 		c.posts.begun[st.Run] = now
+		c.noteFirst(now, st)
 		p := c.posts.byLife[st.Worker]
 		s, ok := c.machine.Submissions().Submission(st.Run.Task.Submission)
 		if p == nil || !ok {
@@ -455,11 +481,20 @@
 	}
 }
 
+// noteFirst measures how long a submission waited for its first start.
+func (c *Core) noteFirst(now time.Time, st submission.Start) {
+	s, ok := c.machine.Submissions().Submission(st.Run.Task.Submission)
+	if ok && st.Run.Number == 1 && st.Run.Task.Index == 0 && st.Run.Task.Step == 0 && st.Run.Task.Occurrence == 0 {
+		c.firstStarts.Update(now.Sub(s.Accepted))
+	}
+}
+
 // noteEnds has the agents forget recorded ends and stops what is not wanted
 // any more.
 func (c *Core) noteEnds(ends []submission.End) {
 	book := c.machine.Submissions()
 	now := clock.Now()
+	ended := make(map[string]bool)
 	for _, e := range ends {
 		delete(c.posts.lapsing, e.Worker)
 		s, ok := book.Submission(e.Run.Task.Submission)
@@ -471,6 +506,10 @@
 		if ok && (s.State.Ended() || e.How == submission.Done) {
 			c.stopSurplus(s)
 		}
+		if ok && s.State.Ended() && s.EndedAt.Equal(c.machine.Now()) && !ended[s.ID] {
+			ended[s.ID] = true
+			c.noteEnded(s)
+		}
 		c.log.Emit(event.RunEnded, event.Fields{
 			"submission": e.Run.Task.Submission, "task": e.Run.Task.String(), "run": e.Run.Number, "worker": e.Worker, "how": e.How.String(),
 		}, "a run ended")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"runtime/debug"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/gentianrail/gentianrail/internal/operator"
 	"github.com/gentianrail/gentianrail/internal/sample"
 	"github.com/gentianrail/gentianrail/internal/settings"
+	"github.com/gentianrail/gentianrail/internal/telemetry"
 )
 
 // _libraryQuitAfter keeps go-zero from ending the process on a signal; the
@@ -48,7 +50,9 @@
 	proc.SetTimeToForceQuit(_libraryQuitAfter)
 	debug.SetMemoryLimit(int64(s.MemoryLimit))
 	debug.SetGCPercent(_gcPercent)
-	d := &Daemon{log: log, drain: time.Duration(s.DrainTimeout), metrics: metrics.NewRegistry()}
+	registry := metrics.NewRegistry()
+	log = log.Counting(telemetry.Counting(registry))
+	d := &Daemon{log: log, drain: time.Duration(s.DrainTimeout), metrics: registry}
 	if err := d.start(s); err != nil {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -59,6 +63,11 @@
 }
 
 func (d *Daemon) start(s *settings.Settings) error {
+	if s.MetricsAddress != "" {
+		if err := d.serve(nil, map[string]http.Handler{s.MetricsAddress: telemetry.Handler(d.metrics)}); err != nil {
+			return err
+		}
+	}
 	if s.Sample != nil {
 		t, err := sample.Start(s.Sample.Address)
 		if err != nil {
@@ -67,7 +76,7 @@
 		d.parts = append(d.parts, samplePart{t})
 	}
 	if s.Controller != nil {
-		c, err := controller.Start(s, d.log.With("role", settings.RoleController), adviserOf(s))
+		c, err := controller.Start(s, d.log.With("role", settings.RoleController), adviserOf(s), d.metrics)
 		if err != nil {
 			return err
 		}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -61,14 +61,14 @@
 	}
 	if s.Holds(settings.RoleAgent) {
 		r := runner.Start(d.log.With("role", settings.RoleAgent), s.Name, s.Platform.Worker,
-			platform.NewWorker(s.Platform.Worker), control.NewClient(s.Controllers))
+			platform.NewWorker(s.Platform.Worker), control.NewClient(s.Controllers), d.metrics)
 		d.parts = append(d.parts, r)
 		if err := d.serve(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.RegistryHandler(r)}); err != nil {
 			return err
 		}
 	}
 	if s.Holds(settings.RoleEntry) {
-		f := front.Start(d.log.With("role", settings.RoleEntry), control.NewClient(s.Controllers))
+		f := front.Start(d.log.With("role", settings.RoleEntry), control.NewClient(s.Controllers), d.metrics)
 		d.parts = append(d.parts, f)
 		return d.serve(f.Drain, map[string]http.Handler{
 			s.Platform.Frontend:  platform.CallerHandler(f),
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -7,6 +7,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -22,6 +23,7 @@
 	SecondSignal   Number = 104
 	TaskFailed     Number = 105
 	LogEndCut      Number = 106
+	LinesDropped   Number = 107
 	RoleChanged    Number = 201
 	SnapshotSaved  Number = 202
 	DiskFailed     Number = 203
@@ -42,6 +44,9 @@
 	StepWaits      Number = 218
 	AdviceGiven    Number = 219
 	AdviceFailed   Number = 220
+	Accepted       Number = 221
+	Rejected       Number = 222
+	Ended          Number = 223
 	AgentJoined    Number = 301
 	ControllerLost Number = 302
 	TaskStarted    Number = 303
@@ -62,6 +67,7 @@
 	WatchMoved     Number = 406
 	LeaderLost     Number = 407
 	LeaderBack     Number = 408
+	CallAnswered   Number = 409
 )
 
 // Definition describes an event.
@@ -78,6 +84,7 @@
 	{SecondSignal, "second_signal", logrus.WarnLevel},
 	{TaskFailed, "task_failed", logrus.ErrorLevel},
 	{LogEndCut, "log_end_cut", logrus.WarnLevel},
+	{LinesDropped, "lines_dropped", logrus.WarnLevel},
 	{RoleChanged, "role_changed", logrus.InfoLevel},
 	{SnapshotSaved, "snapshot_saved", logrus.InfoLevel},
 	{DiskFailed, "disk_failed", logrus.ErrorLevel},
@@ -91,13 +98,16 @@
 	{MembersChanged, "members_changed", logrus.InfoLevel},
 	{AgentAttached, "agent_attached", logrus.InfoLevel},
 	{AgentDetached, "agent_detached", logrus.InfoLevel},
-	{RunPlaced, "run_placed", logrus.DebugLevel},
-	{RunEnded, "run_ended", logrus.DebugLevel},
+	{RunPlaced, "run_placed", logrus.InfoLevel},
+	{RunEnded, "run_ended", logrus.InfoLevel},
 	{PoolState, "pool_state", logrus.InfoLevel},
 	{RunStopped, "run_stopped", logrus.InfoLevel},
 	{StepWaits, "step_waits", logrus.InfoLevel},
 	{AdviceGiven, "advice_given", logrus.DebugLevel},
 	{AdviceFailed, "advice_failed", logrus.WarnLevel},
+	{Accepted, "submission_accepted", logrus.InfoLevel},
+	{Rejected, "submission_rejected", logrus.InfoLevel},
+	{Ended, "submission_ended", logrus.InfoLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
@@ -107,8 +117,8 @@
 	{ClaimUnsettled, "claim_unsettled", logrus.WarnLevel},
 	{TargetBack, "target_back", logrus.InfoLevel},
 	{WorkerDraining, "worker_draining", logrus.InfoLevel},
-	{StartAnswered, "start_answered", logrus.DebugLevel},
-	{RunPaced, "run_paced", logrus.DebugLevel},
+	{StartAnswered, "start_answered", logrus.InfoLevel},
+	{RunPaced, "run_paced", logrus.InfoLevel},
 	{WorkerIgnored, "worker_ignored", logrus.WarnLevel},
 	{ViewLost, "view_lost", logrus.WarnLevel},
 	{ConnectionDead, "connection_dead", logrus.WarnLevel},
@@ -118,6 +128,7 @@
 	{WatchMoved, "watch_moved", logrus.InfoLevel},
 	{LeaderLost, "leader_lost", logrus.WarnLevel},
 	{LeaderBack, "leader_back", logrus.InfoLevel},
+	{CallAnswered, "call_answered", logrus.InfoLevel},
 }
 
 var _byNumber = func() map[Number]Definition {
@@ -136,7 +147,9 @@
 
 // Log writes numbered events. The zero value discards them.
 type Log struct {
-	entry *logrus.Entry
+	entry   *logrus.Entry
+	limit   *limiter
+	counter func(name string) // counts each event, written or not; nil for none
 }
 
 // Format is the form of the log lines.
@@ -157,7 +170,13 @@
 	if format == JSON {
 		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	}
-	return Log{entry: logrus.NewEntry(l)}
+	return Log{entry: logrus.NewEntry(l), limit: &limiter{}}
+}
+
+// Counting returns a log that also passes the name of each event to count.
+func (l Log) Counting(count func(name string)) Log {
+	l.counter = count
+	return l
 }
 
 // With returns a log whose events all carry the field.
@@ -165,14 +184,30 @@
 	if l.entry == nil {
 		return l
 	}
-	return Log{entry: l.entry.WithField(key, value)}
+	l.entry = l.entry.WithField(key, value)
+	return l
 }
 
-// Emit writes an event.
+// Emit writes an event. Under load some lines of an event that comes often are
+// left out; the next one tells how many in the field left_out.
 func (l Log) Emit(n Number, fields Fields, message string) {
 	if l.entry == nil {
 		return
 	}
 	d := _byNumber[n]
-	l.entry.WithFields(fields).WithField("event", int(n)).WithField("event_name", d.Name).Log(d.Level, message)
+	if l.counter != nil {
+		l.counter(d.Name)
+	}
+	if !l.entry.Logger.IsLevelEnabled(d.Level) {
+		return
+	}
+	ok, left := l.limit.take(time.Now(), n)
+	if !ok {
+		return
+	}
+	e := l.entry.WithFields(fields).WithField("event", int(n)).WithField("event_name", d.Name)
+	if left > 0 {
+		e = e.WithField("left_out", left)
+	}
+	e.Log(d.Level, message)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -8,9 +8,12 @@
 
 import (
 	"context"
+	"path"
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/control"
@@ -30,6 +33,7 @@
 type Front struct {
 	log     event.Log
 	leaders *control.Client
+	calls   metrics.Timer
 
 	mu       sync.Mutex
 	reached  time.Time // when a controller answered last
@@ -42,9 +46,9 @@
 }
 
 // Start starts an entry's tasks.
-func Start(log event.Log, leaders *control.Client) *Front {
+func Start(log event.Log, leaders *control.Client, registry metrics.Registry) *Front {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Front{log: log, leaders: leaders, cancel: cancel, led: clock.Now()}
+	f := &Front{log: log, leaders: leaders, cancel: cancel, led: clock.Now(), calls: metrics.NewRegisteredTimer("entry.calls", registry)}
 	f.tasks.Go(func() { f.refresh(ctx) })
 	return f
 }
@@ -77,11 +81,19 @@
 
 // Call passes one call to the leader.
 func (f *Front) Call(ctx context.Context, c control.Call) (control.CallAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.patience(clock.Now()))
+	began := clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, f.patience(began))
 	defer cancel()
 	got, err := f.leaders.Call(ctx, c)
 	code := fault.CodeOf(err)
-	f.note(clock.Now(), code != fault.NoLeader && code != fault.MaybeApplied)
+	now := clock.Now()
+	f.note(now, code != fault.NoLeader && code != fault.MaybeApplied)
+	f.calls.Update(now.Sub(began))
+	if code != fault.OK || c.Verb == control.Submit || c.Verb == control.Cancel {
+		f.log.Emit(event.CallAnswered, event.Fields{
+			"submission": path.Base(c.Path), "verb": c.Verb.String(), "code": code.Name(), "ms": now.Sub(began).Milliseconds(),
+		}, "a caller's call was answered")
+	}
 	return got, err
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -17,6 +17,8 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/control"
 	"github.com/gentianrail/gentianrail/internal/event"
@@ -62,6 +64,7 @@
 	address string // of the worker; an announcement of another one is not for this agent
 	worker  Worker
 	leaders *control.Client
+	starts  metrics.Timer // calls that start a run; nil in tests
 
 	mu       sync.Mutex
 	announce Announcement // latest
@@ -88,7 +91,7 @@
 }
 
 // Start starts the tasks of a runner.
-func Start(log event.Log, machine, address string, worker Worker, leaders *control.Client) *Runner {
+func Start(log event.Log, machine, address string, worker Worker, leaders *control.Client, registry metrics.Registry) *Runner {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Runner{
 		log:        log,
@@ -96,6 +99,7 @@
 		address:    address,
 		worker:     worker,
 		leaders:    leaders,
+		starts:     metrics.NewRegisteredTimer("agent.starts", registry),
 		wakeReport: make(chan struct{}, 1),
 		wakeHold:   make(chan struct{}, 1),
 		cancel:     cancel,
@@ -314,8 +318,12 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, _callLimit)
+		began := clock.Now()
 		answer, at, err := r.worker.Start(callCtx, life.ID, start)
 		cancel()
+		if r.starts != nil {
+			r.starts.Update(clock.Now().Sub(began))
+		}
 		if r.startAnswered(ctx, life, o, answer, at, err) {
 			return
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,21 +92,23 @@
 
 // Settings is the whole file. A role's part is nil if it is left out.
 type Settings struct {
-	Name         string        `json:"name"`
-	Region       string        `json:"region"`
-	Zone         string        `json:"zone"`
-	Rack         string        `json:"rack"`
-	Roles        []string      `json:"roles"`
-	Controllers  []string      `json:"controllers,omitempty"`
-	Controller   *Controller   `json:"controller,omitempty"`
-	Entry        *Entry        `json:"entry,omitempty"`
-	Agent        *Agent        `json:"agent,omitempty"`
-	Sample       *Sample       `json:"sample,omitempty"`
-	Platform     *Platform     `json:"platform,omitempty"`
-	Port         int           `json:"controllers_port,omitempty"`
-	Log          Log           `json:"log"`
-	DrainTimeout unit.Duration `json:"drain_timeout"`
-	MemoryLimit  unit.Bytes    `json:"memory_limit"`
+	Name        string      `json:"name"`
+	Region      string      `json:"region"`
+	Zone        string      `json:"zone"`
+	Rack        string      `json:"rack"`
+	Roles       []string    `json:"roles"`
+	Controllers []string    `json:"controllers,omitempty"`
+	Controller  *Controller `json:"controller,omitempty"`
+	Entry       *Entry      `json:"entry,omitempty"`
+	Agent       *Agent      `json:"agent,omitempty"`
+	Sample      *Sample     `json:"sample,omitempty"`
+	Platform    *Platform   `json:"platform,omitempty"`
+	Port        int         `json:"controllers_port,omitempty"`
+
+	MetricsAddress string        `json:"metrics_address,omitempty"`
+	Log            Log           `json:"log"`
+	DrainTimeout   unit.Duration `json:"drain_timeout"`
+	MemoryLimit    unit.Bytes    `json:"memory_limit"`
 }
 
 // Default values of what a file leaves out.
@@ -299,6 +301,9 @@
 		c.add("log.level", "found %q, allowed are debug, info, warning and error", s.Log.Level)
 	}
 	c.span("drain_timeout", s.DrainTimeout)
+	if s.MetricsAddress != "" {
+		c.address("metrics_address", s.MetricsAddress)
+	}
 	c.role(s.Holds(RoleController), s.Controller != nil, RoleController)
 	if s.Platform == nil {
 		c.role(s.Holds(RoleEntry), s.Entry != nil, RoleEntry)
