--- a/cmd/gentianraild/main.go
+++ b/cmd/gentianraild/main.go
@@ -2,11 +2,13 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -55,18 +57,56 @@
 	defer sink.Close()
 	log := event.NewLog(sink, format, s.Level()).With("name", s.Name)
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	d, err := daemon.Start(&s, log)
 	if err != nil {
 		return err
 	}
-	<-signals
+	watchSettings(d, cmd.String("config"), signals)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		<-signals
+		for s := <-signals; s == syscall.SIGHUP; s = <-signals {
+			continue // what is about to end takes up no settings
+		}
 		log.Emit(event.SecondSignal, nil, "a second signal; quitting without waiting for requests in flight")
 		cancel()
 	}()
 	return d.Stop(ctx)
 }
+
+// _settingsEvery is how often the settings file is read, since it may change
+// without a signal.
+const _settingsEvery = 5 * time.Second
+
+// watchSettings takes up changed settings until a signal asks for the end.
+func watchSettings(d *daemon.Daemon, file string, signals <-chan os.Signal) {
+	held, _ := os.ReadFile(file) // a file that cannot be read now counts as changed later
+	t := time.NewTicker(_settingsEvery)
+	defer t.Stop()
+	for {
+		hup := false
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+			hup = true
+		case <-t.C:
+		}
+		data, err := os.ReadFile(file)
+		if err == nil && bytes.Equal(data, held) && !hup {
+			continue
+		}
+		if err != nil && !hup {
+			continue // it may be about to be replaced
+		}
+		held = data
+		s, err := settings.Load(file)
+		if err != nil {
+			d.Refuse(err)
+			continue
+		}
+		d.Reload(&s)
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -75,6 +75,7 @@
 	occurrence int
 	step       int
 	class      int     // 0: can meet its objective; 1: can be late; 2: too late to be of use
+	doubted    bool    // only its doubted tasks are placed
 	density    float64 // worth of the completion for each core-second that it still takes
 }
 
@@ -165,6 +166,7 @@
 		}
 		objective := Objective(s)
 		worth := density(book, s)
+		doubt := doubted(s)
 		for k := range s.Progress {
 			accepted := s.Accepted
 			if due := s.DueAt(k); !due.IsZero() {
@@ -174,7 +176,10 @@
 				if !hasWaiting(&s.Progress[k][i]) || !s.Ready(k, i, wall) {
 					continue
 				}
-				it := item{s: s, occurrence: k, step: i, density: worth}
+				it := item{s: s, occurrence: k, step: i, density: worth, doubted: doubt}
+				if doubt {
+					it.density = _decideFirst
+				}
 				finish := now.Add(s.Chain(i))
 				switch {
 				case s.Steps[i].LongRunning || !finish.After(accepted.Add(objective)):
@@ -191,6 +196,33 @@
 	return out
 }
 
+// _doubtAfter is how many failures make a task doubted: sound tasks fail up to
+// one time in twenty, so two failures mean that it can hardly ever be done.
+const _doubtAfter = 2
+
+// _decideFirst is the density of a submission in doubt. A few runs of one task
+// decide it, which is cheaper than the rest of any other.
+const _decideFirst = 1e9
+
+// doubted reports whether a submission has a task that has failed so often that
+// the submission can hardly be completed. Its other tasks then wait, since
+// their work would be thrown away.
+func doubted(s *submission.Submission) bool {
+	if s.Attempts <= _doubtAfter {
+		return false
+	}
+	for k := range s.Progress {
+		for i := range s.Progress[k] {
+			for x := range s.Progress[k][i].Tasks {
+				if t := &s.Progress[k][i].Tasks[x]; !t.Done && t.Failed >= _doubtAfter && !s.Steps[i].LongRunning {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 func hasWaiting(p *submission.Progress) bool {
 	for i := range p.Tasks {
 		if !p.Tasks[i].Done && len(p.Tasks[i].Runs) == 0 {
@@ -282,7 +314,7 @@
 	mark := len(r.starts)
 	for i := range p.Tasks {
 		t := &p.Tasks[i]
-		if t.Done || len(t.Runs) > 0 {
+		if t.Done || len(t.Runs) > 0 || it.doubted && !step.Gang && t.Failed < _doubtAfter {
 			continue
 		}
 		n := r.best(it, onWorker, onRack)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -295,6 +295,42 @@
 	}
 }
 
+// TestDoubtedSubmission plays a submission with a task that always fails: once
+// it has failed twice only that task is started, before all other work, so that
+// its caller learns soon and no more work is thrown away.
+func TestDoubtedSubmission(t *testing.T) {
+	var b submission.Book
+	workers := pool(1, 7000, 256000) // room for one task
+	hopeless := filling
+	hopeless.Count = 3
+	b.Submit(submission.Submission{
+		Spec:    submission.Spec{ID: "hopeless", Queue: "q2", Steps: []submission.Step{hopeless}},
+		Service: "s", Priority: 2, Attempts: 4, Slack: 2, Target: time.Second,
+	}, testNow)
+	now := testNow
+	fail := func(number uint32) {
+		id := submission.RunID{Task: submission.TaskID{Submission: "hopeless", Index: 1}, Number: number}
+		if len(b.Start([]submission.Start{{Run: id, Worker: "w00"}}, now)) != 1 {
+			t.Fatalf("run %d was not started", number)
+		}
+		b.End(submission.End{Run: id, Worker: "w00", How: submission.Failed}, now)
+	}
+	fail(1)
+	fail(2)
+	submit(&b, "other", 2, filling)
+	for want := uint32(3); want <= 4; want++ {
+		now = now.Add(time.Second)
+		starts := Starts(now, now, &b, workers, &Interference{}, &Approvals{})
+		if len(starts) != 1 || starts[0].Run.Task.Submission != "hopeless" || starts[0].Run.Task.Index != 1 {
+			t.Fatalf("starts %v, want run %d of the doubted task", starts, want)
+		}
+		fail(want)
+	}
+	if s, _ := b.Submission("hopeless"); s.State != submission.GaveUp {
+		t.Errorf("the submission is %s, want failed", s.State)
+	}
+}
+
 // TestUrgentWorkFindsHeadroom fills the pool with batch work: a short urgent
 // task still starts at once.
 func TestUrgentWorkFindsHeadroom(t *testing.T) {
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -27,20 +27,32 @@
 
 // Client calls whichever controller leads.
 type Client struct {
-	seeds     []string                 // from the settings
+	seeds     atomic.Pointer[[]string] // from the settings
 	addresses atomic.Pointer[[]string] // of the members, as learnt last, and the seeds
 	pool      link.Pool
 	leader    atomic.Pointer[string] // address that led at the last call
 	turn      atomic.Uint32
+	hint      func() string // address that is known to lead; "" if none is; nil for no hint
 }
 
+// SetHint has the client ask hint first where the leader is. It is called
+// before the client is used.
+func (c *Client) SetHint(hint func() string) { c.hint = hint }
+
 // NewClient returns a client of the controllers at the given addresses.
 func NewClient(addresses []string) *Client {
-	c := &Client{seeds: addresses}
-	c.addresses.Store(&addresses)
+	c := &Client{}
+	c.SetSeeds(addresses)
 	return c
 }
 
+// SetSeeds replaces the addresses that the settings name. They are asked until
+// one has told who the members are.
+func (c *Client) SetSeeds(addresses []string) {
+	c.seeds.Store(&addresses)
+	c.addresses.Store(&addresses)
+}
+
 // Learn notes the addresses of the group's members. The seeds are kept beside
 // them, since all members may be replaced while this client hears nothing.
 func (c *Client) Learn(members []string) {
@@ -48,7 +60,7 @@
 		return
 	}
 	all := slices.Clone(members)
-	for _, s := range c.seeds {
+	for _, s := range *c.seeds.Load() {
 		if !slices.Contains(all, s) {
 			all = append(all, s)
 		}
@@ -68,8 +80,14 @@
 	return all[int(c.turn.Add(1))%len(all)]
 }
 
-// LeaderAddress returns the address that led at the last call, or any.
+// LeaderAddress returns the address that is known to lead, the one that led at
+// the last call, or any.
 func (c *Client) LeaderAddress() string {
+	if c.hint != nil {
+		if l := c.hint(); l != "" {
+			return l
+		}
+	}
 	if l := c.leader.Load(); l != nil {
 		return *l
 	}
--- a/internal/controller/group.go
+++ b/internal/controller/group.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -45,6 +46,14 @@
 	return c.group.address(id)
 }
 
+// Leader returns the address of the leader that this controller hears, or "".
+func (c *Core) Leader() string {
+	address := ""
+	// A core that has stopped knows no leader.
+	_ = c.Do(context.Background(), func(c *Core, _ time.Time) { address = c.leaderAddress() })
+	return address
+}
+
 // controllers returns the addresses of all members.
 func (c *Core) controllers() []string {
 	var out []string
--- a/internal/controller/posts.go
+++ b/internal/controller/posts.go
@@ -416,6 +416,11 @@
 // leader proposed they learn when they attach.
 func (c *Core) applied(term uint64, cmd state.Command, r state.Result) {
 	c.posts.changed = true
+	if q, ok := cmd.(state.ReplaceQueues); ok && r.Outcome.Err == nil && !r.Outcome.Repeated {
+		c.log.Emit(event.QueuesInForce, event.Fields{
+			"version": q.Table.Version, "queues": len(q.Table.Queues), "services": len(q.Table.Services),
+		}, "a table of queues came in force")
+	}
 	if c.replica.Role() != replica.Leader || term != c.replica.Term() {
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/zeromicro/go-zero/core/proc"
 
 	"github.com/gentianrail/gentianrail/internal/agent"
+	"github.com/gentianrail/gentianrail/internal/control"
 	"github.com/gentianrail/gentianrail/internal/controller"
 	"github.com/gentianrail/gentianrail/internal/entry"
 	"github.com/gentianrail/gentianrail/internal/event"
@@ -42,6 +43,8 @@
 	log     event.Log
 	drain   time.Duration
 	metrics metrics.Registry
+	core    *controller.Core  // nil if the process is no controller
+	clients []*control.Client // whose seeds follow the settings
 }
 
 // Start starts the roles of the settings.
@@ -81,6 +84,7 @@
 			return err
 		}
 		d.parts = append(d.parts, c)
+		d.core = c.Core()
 		if s.Controller.OperatorAddress == "" {
 			return d.startRest(s)
 		}
@@ -121,6 +125,20 @@
 // Stop implements part.
 func (p samplePart) Stop(ctx context.Context) error { return p.target.Server().Shutdown(ctx) }
 
+// Reload takes up changed settings. Only the controllers' addresses change while
+// the process runs; all else takes effect at the next start.
+func (d *Daemon) Reload(s *settings.Settings) {
+	for _, c := range d.clients {
+		c.SetSeeds(s.Controllers)
+	}
+	d.log.Emit(event.Reloaded, event.Fields{"controllers": s.Controllers}, "took up changed settings")
+}
+
+// Refuse notes that changed settings were not taken up.
+func (d *Daemon) Refuse(err error) {
+	d.log.Emit(event.ReloadFailed, event.Fields{"error": err.Error()}, "the changed settings are wrong; those in force stay")
+}
+
 // Stop drains the roles, the last started first, for as long as requests are
 // in flight, or until the context or the drain timeout ends.
 func (d *Daemon) Stop(ctx context.Context) error {
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -4,14 +4,18 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
+	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/control"
 	"github.com/gentianrail/gentianrail/internal/controller"
+	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/front"
 	"github.com/gentianrail/gentianrail/internal/runner"
 	"github.com/gentianrail/gentianrail/internal/settings"
 	"github.com/gentianrail/gentianrail/internal/web"
 	"github.com/gentianrail/gentianrail/platform"
+	"github.com/gentianrail/gentianrail/queue"
 )
 
 // servers is a part that serves the platform's interfaces.
@@ -50,25 +54,61 @@
 	return nil
 }
 
+// loggedQueues logs how an operator's orders are answered.
+type loggedQueues struct {
+	client *control.Client
+	log    event.Log
+}
+
+var _ platform.Queues = loggedQueues{}
+
+// ReplaceQueues implements platform.Queues.
+func (q loggedQueues) ReplaceQueues(ctx context.Context, t queue.Table) error {
+	began := time.Now()
+	err := q.client.ReplaceQueues(ctx, t)
+	q.note("replace", t.Version, began, err)
+	return err
+}
+
+// Queues implements platform.Queues.
+func (q loggedQueues) Queues(ctx context.Context) (queue.Table, error) {
+	began := time.Now()
+	t, err := q.client.Queues(ctx)
+	q.note("describe", t.Version, began, err)
+	return t, err
+}
+
+func (q loggedQueues) note(order string, version uint64, began time.Time, err error) {
+	fields := event.Fields{
+		"order": order, "version": version, "code": fault.CodeOf(err).Name(), "ms": time.Since(began).Milliseconds(),
+	}
+	if err != nil {
+		fields["reason"] = fault.From(err).Message()
+	}
+	q.log.Emit(event.OrderAnswered, fields, "an operator's order was answered")
+}
+
 // startPlatform starts what serves the users' platform.
 func (d *Daemon) startPlatform(s *settings.Settings) error {
 	if s.Holds(settings.RoleController) {
-		client := control.NewClient(s.Controllers)
+		client := d.newClient(s)
+		client.SetHint(d.core.Leader)
 		d.parts = append(d.parts, clientPart{client})
-		if err := d.serve(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.OperatorHandler(client)}); err != nil {
+		queues := loggedQueues{client: client, log: d.log.With("role", settings.RoleController)}
+		if err := d.serve(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.OperatorHandler(queues)}); err != nil {
 			return err
 		}
 	}
 	if s.Holds(settings.RoleAgent) {
 		r := runner.Start(d.log.With("role", settings.RoleAgent), s.Name, s.Platform.Worker,
-			platform.NewWorker(s.Platform.Worker), control.NewClient(s.Controllers), d.metrics)
+			platform.NewWorker(s.Platform.Worker), d.newClient(s), d.metrics)
 		d.parts = append(d.parts, r)
 		if err := d.serve(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.RegistryHandler(r)}); err != nil {
 			return err
 		}
 	}
 	if s.Holds(settings.RoleEntry) {
-		f := front.Start(d.log.With("role", settings.RoleEntry), control.NewClient(s.Controllers), d.metrics)
+		f := front.Start(d.log.With("role", settings.RoleEntry), d.newClient(s), d.metrics)
 		d.parts = append(d.parts, f)
 		return d.serve(f.Drain, map[string]http.Handler{
 			s.Platform.Frontend:  platform.CallerHandler(f),
@@ -78,6 +118,13 @@
 	return nil
 }
 
+// newClient returns a client of the controllers that follows the settings.
+func (d *Daemon) newClient(s *settings.Settings) *control.Client {
+	c := control.NewClient(s.Controllers)
+	d.clients = append(d.clients, c)
+	return c
+}
+
 func (d *Daemon) serve(before func(context.Context), handlers map[string]http.Handler) error {
 	part := &servers{before: before}
 	d.parts = append(d.parts, part)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,8 @@
 	TaskFailed     Number = 105
 	LogEndCut      Number = 106
 	LinesDropped   Number = 107
+	Reloaded       Number = 108
+	ReloadFailed   Number = 109
 	RoleChanged    Number = 201
 	SnapshotSaved  Number = 202
 	DiskFailed     Number = 203
@@ -47,6 +49,8 @@
 	Accepted       Number = 221
 	Rejected       Number = 222
 	Ended          Number = 223
+	QueuesInForce  Number = 224
+	OrderAnswered  Number = 225
 	AgentJoined    Number = 301
 	ControllerLost Number = 302
 	TaskStarted    Number = 303
@@ -85,6 +89,8 @@
 	{TaskFailed, "task_failed", logrus.ErrorLevel},
 	{LogEndCut, "log_end_cut", logrus.WarnLevel},
 	{LinesDropped, "lines_dropped", logrus.WarnLevel},
+	{Reloaded, "reloaded", logrus.InfoLevel},
+	{ReloadFailed, "reload_failed", logrus.WarnLevel},
 	{RoleChanged, "role_changed", logrus.InfoLevel},
 	{SnapshotSaved, "snapshot_saved", logrus.InfoLevel},
 	{DiskFailed, "disk_failed", logrus.ErrorLevel},
@@ -108,6 +114,8 @@
 	{Accepted, "submission_accepted", logrus.InfoLevel},
 	{Rejected, "submission_rejected", logrus.InfoLevel},
 	{Ended, "submission_ended", logrus.InfoLevel},
+	{QueuesInForce, "queues_in_force", logrus.InfoLevel},
+	{OrderAnswered, "order_answered", logrus.InfoLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
