--- a/cmd/gentianraild/main.go
+++ b/cmd/gentianraild/main.go
@@ -22,6 +22,7 @@
 const (
 	_exitFailed   = 1
 	_exitSettings = 2
+	_exitDisk     = 3
 )
 
 func main() {
@@ -62,7 +63,10 @@
 	if err != nil {
 		return err
 	}
-	watchSettings(d, cmd.String("config"), signals)
+	if !watchSettings(d, cmd.String("config"), signals) {
+		time.Sleep(_failPause)
+		return cli.Exit("gentianraild: the data folder failed", _exitDisk)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
@@ -79,8 +83,13 @@
 // without a signal.
 const _settingsEvery = 5 * time.Second
 
-// watchSettings takes up changed settings until a signal asks for the end.
-func watchSettings(d *daemon.Daemon, file string, signals <-chan os.Signal) {
+// _failPause keeps a process whose disk stays faulty from restarting in a loop
+// without a pause.
+const _failPause = time.Second
+
+// watchSettings takes up changed settings until a signal asks for the end. It
+// returns false if the disk fails before.
+func watchSettings(d *daemon.Daemon, file string, signals <-chan os.Signal) bool {
 	held, _ := os.ReadFile(file) // a file that cannot be read now counts as changed later
 	t := time.NewTicker(_settingsEvery)
 	defer t.Stop()
@@ -89,9 +98,11 @@
 		select {
 		case s := <-signals:
 			if s != syscall.SIGHUP {
-				return
+				return true
 			}
 			hup = true
+		case <-d.Failed():
+			return false
 		case <-t.C:
 		}
 		data, err := os.ReadFile(file)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -301,7 +301,7 @@
 func (r *round) place(it item) {
 	step := &it.s.Steps[it.step]
 	p := &it.s.Progress[it.occurrence][it.step]
-	onWorker, onRack := r.spread(it, p)
+	onWorker, onRack := r.spread(p)
 	number := uint32(0)
 	if step.Gang {
 		for i := range p.Tasks {
@@ -366,7 +366,7 @@
 }
 
 // spread returns where the active runs of a step are, by worker and by rack.
-func (r *round) spread(it item, p *submission.Progress) (onWorker, onRack map[string]int) {
+func (r *round) spread(p *submission.Progress) (onWorker, onRack map[string]int) {
 	onWorker, onRack = make(map[string]int), make(map[string]int)
 	racks := make(map[string]string, len(r.nodes))
 	for _, n := range r.nodes {
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -58,7 +58,7 @@
 			Submission: it.s.ID, Occurrence: it.occurrence, Step: it.step, Since: it.s.Accepted, Class: it.class,
 			Obstacles: make(map[Obstacle]int),
 		}
-		onWorker, _ := r.spread(it, &it.s.Progress[it.occurrence][it.step])
+		onWorker, _ := r.spread(&it.s.Progress[it.occurrence][it.step])
 		for _, n := range r.nodes {
 			o := n.obstacle(it.s, step, onWorker[n.Life])
 			if o == 0 && r.mustWait(it, step, n) {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -85,7 +85,8 @@
 	firstStarts     metrics.Timer // from a hand-in to the first start
 	advice          advice
 	holders         map[string]Holder
-	failed          error // disk failure; the core refuses everything after it
+	failed          error         // disk failure; the core refuses everything after it
+	failing         chan struct{} // closed with the failure
 }
 
 // Holder is what a holder of the view reported.
@@ -132,6 +133,7 @@
 		propose:         make(chan proposal),
 		queries:         make(chan query),
 		stopped:         make(chan struct{}),
+		failing:         make(chan struct{}),
 		snapshotEntries: cfg.SnapshotEntries,
 		waiting:         make(map[uint64]pending),
 		hardState:       restored.State,
@@ -379,7 +381,11 @@
 // fail stops the replica: it neither votes nor answers any more, so that
 // nothing is acknowledged that is not on its disk.
 func (c *Core) fail(err error) {
+	if c.failed != nil {
+		return
+	}
 	c.failed = err
+	close(c.failing)
 	c.log.Emit(event.DiskFailed, event.Fields{"error": err.Error()}, "the data folder failed; this controller takes no further part")
 	for index, p := range c.waiting {
 		delete(c.waiting, index)
@@ -495,6 +501,10 @@
 	}
 }
 
+// Failed returns a channel that is closed when the disk has failed. What is on
+// it is only known again after a restart.
+func (c *Core) Failed() <-chan struct{} { return c.failing }
+
 var errStopped = errors.New("the controller has stopped")
 
 // Do runs a function inside the core, which owns all state it may touch.
--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/disk"
 	"github.com/gentianrail/gentianrail/replica"
@@ -73,3 +76,92 @@
 		}
 	}
 }
+
+// fullDisk fails all writes once it is full.
+type fullDisk struct {
+	disk.Files
+	full atomic.Bool
+}
+
+var errFull = errors.New("no space left on device")
+
+func (f *fullDisk) Create(name string) (disk.File, error) {
+	file, err := f.Files.Create(name)
+	return &fullFile{File: file, disk: f}, err
+}
+
+func (f *fullDisk) Append(name string) (disk.File, error) {
+	file, err := f.Files.Append(name)
+	return &fullFile{File: file, disk: f}, err
+}
+
+type fullFile struct {
+	disk.File
+	disk *fullDisk
+}
+
+func (f *fullFile) Write(p []byte) (int, error) {
+	if f.disk.full.Load() {
+		return 0, errFull
+	}
+	return f.File.Write(p)
+}
+
+// TestFullDiskEndsController fills the disk: the controller tells that it has to
+// be restarted, and takes part again when it is and the disk has room.
+func TestFullDiskEndsController(t *testing.T) {
+	folder, err := disk.OpenFolder(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := &fullDisk{Files: folder}
+	start := func() (*Core, func()) {
+		core, err := NewCore(CoreConfig{
+			Replica: replica.Config{
+				ID: "a", Founders: []replica.Member{{ID: "a"}}, ElectionTimeout: 100 * time.Millisecond,
+				Heartbeat: 20 * time.Millisecond, Rand: rand.New(rand.NewPCG(1, 1)),
+			},
+			Files: files, Send: func([]replica.Message) {}, SnapshotEntries: 1000, Lease: time.Second, RunLease: time.Second,
+		}, clock.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { core.Run(ctx) })
+		return core, func() {
+			cancel()
+			running.Wait()
+		}
+	}
+	propose := func(core *Core) error {
+		var err error
+		for range 500 {
+			if _, err = core.Propose(context.Background(), state.CancelSubmission{ID: "none"}); fault.CodeOf(err) != fault.NoLeader {
+				return err
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return err
+	}
+	core, stop := start()
+	if err := propose(core); err != nil {
+		t.Fatal(err)
+	}
+	files.full.Store(true)
+	if err := propose(core); fault.CodeOf(err) != fault.MaybeApplied {
+		t.Errorf("with a full disk: got %v, want that it may be applied", err)
+	}
+	select {
+	case <-core.Failed():
+	case <-time.After(10 * time.Second):
+		t.Fatal("the failure is not told")
+	}
+	stop()
+	files.full.Store(false)
+	core, stop = start()
+	defer stop()
+	if err := propose(core); err != nil {
+		t.Errorf("after a restart: %v", err)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -139,6 +139,15 @@
 	d.log.Emit(event.ReloadFailed, event.Fields{"error": err.Error()}, "the changed settings are wrong; those in force stay")
 }
 
+// Failed returns a channel that is closed when the process has to be restarted:
+// its disk has failed, and may be in order again.
+func (d *Daemon) Failed() <-chan struct{} {
+	if d.core == nil {
+		return nil
+	}
+	return d.core.Failed()
+}
+
 // Stop drains the roles, the last started first, for as long as requests are
 // in flight, or until the context or the drain timeout ends.
 func (d *Daemon) Stop(ctx context.Context) error {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -101,8 +101,8 @@
 	baseMembers []Member // members as of log.base
 	members     []Member // latest in the log, committed or not; never changed in place
 	changedAt   uint64   // index of the entry that members come from; 0 if none in the log
-	state HardState
-	log   tail // entries after the latest snapshot
+	state       HardState
+	log         tail // entries after the latest snapshot
 
 	role      Role
 	leader    ID
