--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 	"github.com/gentianrail/gentianrail/internal/disk"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/link"
+	"github.com/gentianrail/gentianrail/internal/peers"
 	"github.com/gentianrail/gentianrail/internal/settings"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/replica"
@@ -28,7 +29,7 @@
 type Controller struct {
 	core     *Core
 	lock     *flock.Flock
-	peers    *transport
+	peers    *peers.Set
 	adviser  Adviser
 	registry metrics.Registry
 	cancel   context.CancelFunc
@@ -64,7 +65,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
-	c.peers = newTransport(ctx, cfg.Address)
+	c.peers = peers.New(ctx, cfg.Address)
 	core, err := NewCore(CoreConfig{
 		Replica: replica.Config{
 			ID:              id,
@@ -75,15 +76,15 @@
 		},
 		Files:           files,
 		Log:             log,
-		Send:            c.peers.send,
+		Send:            c.peers.Send,
 		SnapshotEntries: cfg.SnapshotEntries,
 		Lease:           time.Duration(cfg.Lease),
 		RunLease:        time.Duration(cfg.RunLease),
 		Adviser:         c.adviser,
 		Metrics:         c.registry,
 		Replicas:        cfg.Replicas,
-		Keep:            func(members []replica.Member) { c.peers.keep(id, members) },
-		Address:         c.peers.address,
+		Keep:            func(members []replica.Member) { c.peers.Keep(id, members) },
+		Address:         c.peers.Address,
 	}, clock.Now())
 	if err != nil {
 		return err
@@ -116,7 +117,7 @@
 	c.handOver(ctx)
 	c.cancel()
 	c.tasks.Wait()
-	c.peers.wait()
+	c.peers.Wait()
 	return c.lock.Unlock()
 }
 
--- /dev/null
+++ b/internal/controller/rounds.go
@@ -0,0 +1,125 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/gentianrail/gentianrail/dispatch"
+	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/state"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// dispatch gives up the runs whose leases are over and starts waiting tasks.
+func (c *Core) dispatch(now time.Time) {
+	if now.Sub(c.posts.lastLook) >= _lapseEvery {
+		c.posts.lastLook = now
+		c.giveUpLapsed(now)
+	}
+	if !c.posts.starting.IsZero() && now.Sub(c.posts.starting) < _proposedMost || !c.replica.HoldsLease(now) {
+		return
+	}
+	if !c.posts.changed && now.Before(c.posts.wakeAt) {
+		return
+	}
+	c.posts.changed = false
+	c.posts.wakeAt = now.Add(_retryEvery)
+	workers := c.openWorkers(now)
+	c.summarize(now, workers)
+	c.stopRuns(now, workers)
+	c.seekAdvice(now, workers)
+	starts := dispatch.Starts(now, time.Now(), c.machine.Submissions(), workers, &c.posts.known, &c.posts.approvals)
+	if len(starts) == 0 {
+		return
+	}
+	c.posts.starting = now
+	c.proposeOwn(now, state.StartRuns{Starts: starts})
+}
+
+// stopRuns stops runs that had better go on elsewhere.
+func (c *Core) stopRuns(now time.Time, workers []dispatch.Worker) {
+	if now.Sub(c.posts.lastStops) < _stopsEvery {
+		return
+	}
+	c.posts.lastStops = now
+	leaves := make(map[string]dispatch.Leave)
+	for life, p := range c.posts.byLife {
+		if p.leaving {
+			leaves[life] = dispatch.Leave{Until: p.stays}
+		}
+	}
+	for _, s := range c.posts.stopper.Stops(now, c.machine.Submissions(), workers, c.posts.facts, leaves) {
+		p := c.posts.byLife[s.Worker]
+		if p == nil || p.stops[s.Run] {
+			continue
+		}
+		c.posts.stopper.Moved(now, s.Run)
+		c.log.Emit(event.RunStopped, event.Fields{
+			"submission": s.Run.Task.Submission, "task": s.Run.Task.String(), "run": s.Run.Number, "worker": s.Worker, "reason": s.Reason.String(),
+		}, "a run is stopped to go on elsewhere")
+		c.orderStop(s.Worker, s.Run)
+	}
+}
+
+// summarize logs how full the pool is, now and then.
+func (c *Core) summarize(now time.Time, workers []dispatch.Worker) {
+	if now.Sub(c.posts.summed) < _summaryEvery {
+		return
+	}
+	c.posts.summed = now
+	s := dispatch.Summarize(now, time.Now(), c.machine.Submissions(), workers)
+	strains := make([]int, 0, len(workers))
+	for _, w := range workers {
+		strains = append(strains, w.Strain)
+	}
+	c.log.Emit(event.PoolState, event.Fields{
+		"strains": strains,
+		"workers": s.Workers, "shared": s.Shared, "cpu": s.Capacity, "cpu_free": s.Free, "cpu_idle": s.Idle, "serving": s.Serving, "filling": s.Filling,
+		"waiting_in_time": s.Waiting[0], "waiting_late": s.Waiting[1], "waiting_too_late": s.Waiting[2],
+		"submissions": len(c.machine.Submissions().Unended()),
+	}, "the pool's state")
+	for _, w := range dispatch.Waits(now, time.Now(), c.machine.Submissions(), workers, &c.posts.known, _mostWaits) {
+		if now.Sub(w.Since) < _waitWorthy {
+			continue
+		}
+		c.log.Emit(event.StepWaits, event.Fields{
+			"submission": w.Submission, "occurrence": w.Occurrence, "step": w.Step, "class": w.Class,
+			"age_ms": now.Sub(w.Since).Milliseconds(), "obstacles": obstacles(w),
+		}, "a step waits; the figures are workers by obstacle")
+	}
+}
+
+func obstacles(w dispatch.Wait) map[string]int {
+	out := make(map[string]int, len(w.Obstacles))
+	for o, n := range w.Obstacles {
+		out[o.String()] = n
+	}
+	return out
+}
+
+// openWorkers returns the workers that can be given tasks now.
+func (c *Core) openWorkers(now time.Time) []dispatch.Worker {
+	workers := make([]dispatch.Worker, 0, len(c.posts.byLife))
+	for life, p := range c.posts.byLife {
+		_, lapsing := c.posts.lapsing[life]
+		if !lapsing && p.listed && now.Sub(p.heard) < _recentReport {
+			w := p.worker
+			w.Suspect = c.posts.health.Suspect(now, life)
+			workers = append(workers, w)
+		}
+	}
+	return workers
+}
+
+func (c *Core) giveUpLapsed(now time.Time) {
+	for _, life := range c.machine.Submissions().Lives() {
+		if now.Before(c.posts.leaseOver(life)) {
+			continue
+		}
+		if since, ok := c.posts.lapsing[life]; ok && now.Sub(since) < _proposedMost {
+			continue
+		}
+		c.posts.lapsing[life] = now
+		c.log.Emit(event.WorkerLost, event.Fields{"worker": life}, "the leases of the worker's runs are over; its tasks are placed anew")
+		c.proposeEnds(now, c.lostRuns(life, submission.Lapsed))
+	}
+}
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/peers"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/job"
@@ -22,7 +23,7 @@
 // service answers other processes over drpc.
 type service struct {
 	core  *Core
-	peers *transport
+	peers *peers.Set
 }
 
 var _ pb.DRPCControllerServer = (*service)(nil)
@@ -272,7 +273,7 @@
 		if err != nil {
 			return err
 		}
-		s.peers.learn(m.From, in.GetFromAddress())
+		s.peers.Learn(m.From, in.GetFromAddress())
 		if err := s.core.Deliver(stream.Context(), m); err != nil {
 			return err
 		}
--- a/internal/controller/peer.go
+++ b/internal/peers/peer.go
@@ -1,4 +1,4 @@
-package controller
+package peers
 
 import (
 	"context"
