--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -66,7 +66,7 @@
 }
 
 func (d *Daemon) start(s *settings.Settings) error {
-	if s.MetricsAddress != "" {
+	if s.MetricsAddress != "" && (s.Controller == nil || s.Controller.OperatorAddress != s.MetricsAddress) {
 		if err := d.serve(nil, map[string]http.Handler{s.MetricsAddress: telemetry.Handler(d.metrics)}); err != nil {
 			return err
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,6 +21,7 @@
 	"github.com/gentianrail/gentianrail/internal/declaration"
 	"github.com/gentianrail/gentianrail/internal/jobsapi"
 	"github.com/gentianrail/gentianrail/internal/settings"
+	"github.com/gentianrail/gentianrail/internal/telemetry"
 	"github.com/gentianrail/gentianrail/internal/web"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
@@ -93,8 +94,12 @@
 		{Method: http.MethodGet, Path: "/v1/tasks", Handler: o.tasks},
 		{Method: http.MethodPost, Path: "/v1/drain/{worker}", Handler: o.drain},
 		{Method: http.MethodDelete, Path: "/v1/drain/{worker}", Handler: o.undrain},
+		{Method: http.MethodGet, Path: "/v1/submissions", Handler: o.listSubmissions},
+		{Method: http.MethodGet, Path: "/v1/submissions/{id}", Handler: o.getSubmission},
+		{Method: http.MethodDelete, Path: "/v1/submissions/{id}", Handler: o.cancelSubmission},
 		{Method: http.MethodGet, Path: "/v1/report/burn", Handler: o.burn},
 		{Method: http.MethodGet, Path: "/v1/metrics", Handler: o.serveMetrics},
+		{Method: http.MethodGet, Path: "/metrics", Handler: telemetry.Handler(o.metrics).ServeHTTP},
 		{Method: http.MethodGet, Path: "/healthz", Handler: o.healthz},
 		{Method: http.MethodGet, Path: "/readyz", Handler: o.readyz},
 	}
--- /dev/null
+++ b/internal/operator/submissions.go
@@ -0,0 +1,130 @@
+package operator
+
+import (
+	"net/http"
+
+	"github.com/gentianrail/gentianrail/dispatch"
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/controller"
+	"github.com/gentianrail/gentianrail/internal/web"
+	"github.com/gentianrail/gentianrail/state"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// SubmissionDocument is the JSON form of a submission.
+type SubmissionDocument struct {
+	ID          string         `json:"id"`
+	Queue       string         `json:"queue"`
+	State       string         `json:"state"`
+	AgeMS       int64          `json:"age_ms"`       // until its end, if it has ended
+	ObjectiveMS int64          `json:"objective_ms"` // age at which it should have ended
+	Tasks       int            `json:"tasks"`
+	Done        int            `json:"done"`
+	Waiting     int            `json:"waiting"`
+	Runs        []RunDocument  `json:"runs,omitempty"`  // of a description
+	Steps       []StepDocument `json:"steps,omitempty"` // of a description
+}
+
+// RunDocument is the JSON form of an active run.
+type RunDocument struct {
+	Task   string `json:"task"`
+	Run    uint32 `json:"run"`
+	Worker string `json:"worker"`
+}
+
+// StepDocument is the JSON form of a step's progress in one occurrence.
+type StepDocument struct {
+	Occurrence int `json:"occurrence"`
+	Step       int `json:"step"`
+	Tasks      int `json:"tasks"`
+	Done       int `json:"done"`
+	Failures   int `json:"failures"`
+}
+
+// SubmissionsDocument is the JSON form of a list of submissions.
+type SubmissionsDocument struct {
+	Revision    uint64               `json:"revision"`
+	Submissions []SubmissionDocument `json:"submissions"`
+}
+
+func (o *operator) listSubmissions(w http.ResponseWriter, r *http.Request) {
+	queue, stateName := r.URL.Query().Get("queue"), r.URL.Query().Get("state")
+	out := SubmissionsDocument{Submissions: []SubmissionDocument{}}
+	err := o.read(r.Context(), func(rd controller.Reading) {
+		out.Revision = rd.Machine.Revision()
+		for _, s := range rd.Machine.Submissions().All() {
+			if (queue == "" || s.Queue == queue) && (stateName == "" || s.State.String() == stateName) {
+				out.Submissions = append(out.Submissions, submissionDocument(rd, s))
+			}
+		}
+	})
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, out)
+}
+
+func submissionDocument(rd controller.Reading, s *submission.Submission) SubmissionDocument {
+	d := SubmissionDocument{
+		ID: s.ID, Queue: s.Queue, State: s.State.String(), Waiting: s.Waiting(),
+		ObjectiveMS: dispatch.Objective(s).Milliseconds(),
+	}
+	until := rd.Machine.Now()
+	if s.State.Ended() {
+		until = s.EndedAt
+	}
+	d.AgeMS = until.Sub(s.Accepted).Milliseconds()
+	for _, steps := range s.Progress {
+		for i := range steps {
+			d.Tasks += len(steps[i].Tasks)
+			d.Done += steps[i].Done
+		}
+	}
+	return d
+}
+
+func (o *operator) getSubmission(w http.ResponseWriter, r *http.Request) {
+	id := web.Var(r, "id")
+	var out *SubmissionDocument
+	err := o.read(r.Context(), func(rd controller.Reading) {
+		s, ok := rd.Machine.Submissions().Submission(id)
+		if !ok {
+			return
+		}
+		d := submissionDocument(rd, s)
+		for _, run := range s.Runs() {
+			d.Runs = append(d.Runs, RunDocument{Task: run.Run.Task.String(), Run: run.Run.Number, Worker: run.Worker})
+		}
+		for k, steps := range s.Progress {
+			for i := range steps {
+				d.Steps = append(d.Steps, stepDocument(k, i, &steps[i]))
+			}
+		}
+		out = &d
+	})
+	if err == nil && out == nil {
+		err = fault.New(fault.JobNotFound, "no submission %q", id)
+	}
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, *out)
+}
+
+func stepDocument(occurrence, step int, p *submission.Progress) StepDocument {
+	d := StepDocument{Occurrence: occurrence, Step: step, Tasks: len(p.Tasks), Done: p.Done}
+	for i := range p.Tasks {
+		d.Failures += p.Tasks[i].Failed
+	}
+	return d
+}
+
+func (o *operator) cancelSubmission(w http.ResponseWriter, r *http.Request) {
+	if _, err := o.client.Propose(r.Context(), state.CancelSubmission{ID: web.Var(r, "id")}); err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	o.getSubmission(w, r)
+}
--- /dev/null
+++ b/internal/tool/submissions.go
@@ -0,0 +1,113 @@
+package tool
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"text/tabwriter"
+
+	"github.com/go-json-experiment/json"
+	"github.com/urfave/cli/v3"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/client"
+	"github.com/gentianrail/gentianrail/internal/operator"
+)
+
+func submissionsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "submissions",
+		Usage: "look at the submissions that callers handed in, and cancel them",
+		Commands: []*cli.Command{
+			{
+				Name:  "list",
+				Usage: "list submissions",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "queue", Usage: "only submissions of the queue `NAME`"},
+					&cli.StringFlag{Name: "state", Usage: "only submissions in `STATE`: queued, running, completed, failed or cancelled"},
+				},
+				Action: listSubmissions,
+			},
+			{Name: "describe", Usage: "show a submission's steps and active runs", ArgsUsage: "ID", Action: describeSubmission},
+			{Name: "cancel", Usage: "cancel a submission", ArgsUsage: "ID", Action: cancelSubmission},
+		},
+	}
+}
+
+func listSubmissions(ctx context.Context, cmd *cli.Command) error {
+	q := url.Values{}
+	for _, name := range []string{"queue", "state"} {
+		if v := cmd.String(name); v != "" {
+			q.Set(name, v)
+		}
+	}
+	var doc operator.SubmissionsDocument
+	if err := serverOf(cmd).Get(ctx, "/v1/submissions?"+q.Encode(), &doc); err != nil {
+		return err
+	}
+	if wantsJSON(cmd) {
+		return printJSON(cmd.Root().Writer, doc)
+	}
+	t := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "SUBMISSION\tQUEUE\tSTATE\tDONE\tWAITING\tAGE S\tOBJECTIVE S")
+	for _, s := range doc.Submissions {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d/%d\t%d\t%s\t%s\n",
+			s.ID, s.Queue, s.State, s.Done, s.Tasks, s.Waiting, inSeconds(s.AgeMS), inSeconds(s.ObjectiveMS))
+	}
+	return t.Flush()
+}
+
+func inSeconds(ms int64) string {
+	const milli = 1000
+	return strconv.FormatFloat(float64(ms)/milli, 'f', 1, 64)
+}
+
+func describeSubmission(ctx context.Context, cmd *cli.Command) error {
+	id, err := oneArg(cmd, "submission")
+	if err != nil {
+		return err
+	}
+	var doc operator.SubmissionDocument
+	if err := serverOf(cmd).Get(ctx, "/v1/submissions/"+url.PathEscape(id), &doc); err != nil {
+		return err
+	}
+	return printSubmission(cmd, doc)
+}
+
+func printSubmission(cmd *cli.Command, doc operator.SubmissionDocument) error {
+	if wantsJSON(cmd) {
+		return printJSON(cmd.Root().Writer, doc)
+	}
+	t := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "submission\t%s\nqueue\t%s\nstate\t%s\nage\t%s s\nobjective\t%s s\n",
+		doc.ID, doc.Queue, doc.State, inSeconds(doc.AgeMS), inSeconds(doc.ObjectiveMS))
+	fmt.Fprintln(t, "\nOCCURRENCE\tSTEP\tDONE\tFAILURES")
+	for _, s := range doc.Steps {
+		fmt.Fprintf(t, "%d\t%d\t%d/%d\t%d\n", s.Occurrence, s.Step, s.Done, s.Tasks, s.Failures)
+	}
+	if len(doc.Runs) > 0 {
+		fmt.Fprintln(t, "\nTASK\tRUN\tWORKER")
+	}
+	for _, r := range doc.Runs {
+		fmt.Fprintf(t, "%s\t%d\t%s\n", r.Task, r.Run, r.Worker)
+	}
+	return t.Flush()
+}
+
+func cancelSubmission(ctx context.Context, cmd *cli.Command) error {
+	id, err := oneArg(cmd, "submission")
+	if err != nil {
+		return err
+	}
+	a, err := serverOf(cmd).Do(ctx, client.Call{Method: http.MethodDelete, Path: "/v1/submissions/" + url.PathEscape(id)})
+	if err != nil {
+		return err
+	}
+	var doc operator.SubmissionDocument
+	if err := json.Unmarshal(a.Body, &doc); err != nil {
+		return fault.Wrap(fault.Internal, err, "decode the answer")
+	}
+	return printSubmission(cmd, doc)
+}
