--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -420,7 +420,7 @@
 	if step.Leftover && step.Needs.CPU > n.idle && n.runs > 0 {
 		return true
 	}
-	return step.Fills() && n.serving > 0 && r.alone[n.Service] && !n.welcome(r.now, r.known, step.Image, it.class > 0)
+	return step.Fills() && n.serving > 0 && r.alone[n.Service] && !n.takesFiller(r.now, r.known, step.Image, it.class > 0)
 }
 
 // admits reports whether a task of the step may start on the worker.
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -94,10 +94,10 @@
 	return out
 }
 
-// welcome reports whether a worker whose tasks serve users takes one more task
+// takesFiller reports whether a worker whose tasks serve users takes one more task
 // of the image. One that is late anyway is tried whatever the image, since a
 // pacer that slows it down does no more harm.
-func (n *node) welcome(now time.Time, i *Interference, image string, late bool) bool {
+func (n *node) takesFiller(now time.Time, i *Interference, image string, late bool) bool {
 	if n.Strain < 0 || n.joined {
 		return false // its figures are not known, or one has just been given to it
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/control"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/link"
@@ -145,7 +146,7 @@
 		// Without its worker the agent lets the leases run out, so that the
 		// controllers place the tasks elsewhere.
 		if !a.renewWorker(ctx) {
-			pause(ctx, _joinPause)
+			clock.Sleep(ctx, _joinPause)
 			continue
 		}
 		started := time.Now()
@@ -153,7 +154,7 @@
 		if err != nil {
 			if !errors.Is(err, errWoken) && ctx.Err() == nil {
 				a.log.Emit(event.ControllerLost, event.Fields{"error": err.Error()}, "no controller renewed the leases")
-				pause(ctx, _joinPause)
+				clock.Sleep(ctx, _joinPause)
 			}
 			continue
 		}
@@ -180,7 +181,7 @@
 			a.silent = true
 			a.log.Emit(event.TargetSilent, nil, "the target does not answer; it is not announced")
 		}
-		if !pause(ctx, _joinPause) {
+		if !clock.Sleep(ctx, _joinPause) {
 			return false
 		}
 	}
@@ -254,13 +255,13 @@
 // renewWorker passes the lease's end on to the worker and reads its clock. It
 // reports whether the worker answered.
 func (a *Agent) renewWorker(ctx context.Context) bool {
-	var clock time.Duration
+	var read time.Duration // of the worker's clock
 	var err error
 	ids := a.tasks.list()
 	if until, ok := a.lease.workerEnd(time.Now()); ok && len(ids) > 0 {
-		clock, err = a.worker.Renew(ctx, ids, until)
+		read, err = a.worker.Renew(ctx, ids, until)
 	} else {
-		clock, err = a.worker.Clock(ctx)
+		read, err = a.worker.Clock(ctx)
 	}
 	if err != nil {
 		if !a.silent && ctx.Err() == nil {
@@ -273,7 +274,7 @@
 		a.log.Emit(event.TargetBack, nil, "the target answers")
 	}
 	a.silent = false
-	a.lease.read(clock, time.Now())
+	a.lease.read(read, time.Now())
 	return true
 }
 
@@ -285,7 +286,7 @@
 		return
 	}
 	if d := least - time.Since(started); d > 0 {
-		pause(ctx, d)
+		clock.Sleep(ctx, d)
 	}
 }
 
@@ -304,7 +305,7 @@
 	a.wakeUp()
 	// Entry instances learn of the leave while requests are still taken, so
 	// that none has to be refused.
-	pause(ctx, _leaveNotice)
+	clock.Sleep(ctx, _leaveNotice)
 	a.noticed.Store(true)
 	a.gate.setClosing(true)
 	a.watches.handOver()
@@ -327,7 +328,7 @@
 		if a.gate.in.Load() == 0 && len(a.tasks.list()) == 0 {
 			return
 		}
-		pause(ctx, _leavePoll)
+		clock.Sleep(ctx, _leavePoll)
 	}
 }
 
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -8,6 +8,7 @@
 	"github.com/gentianrail/gentianrail/admission"
 	"github.com/gentianrail/gentianrail/catalogue"
 	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/internal/workerapi"
@@ -167,7 +168,7 @@
 		if _, err := a.worker.Stop(ctx, t.id); err == nil {
 			return job.AttemptFailed{Reason: fault.From(cause).Message()}
 		}
-		pause(ctx, _retryPause)
+		clock.Sleep(ctx, _retryPause)
 	}
 	return nil
 }
@@ -185,23 +186,12 @@
 		if err == nil || time.Now().After(limit) || ctx.Err() != nil {
 			return err
 		}
-		if !pause(ctx, _retryPause) {
+		if !clock.Sleep(ctx, _retryPause) {
 			return ctx.Err()
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // awaitTask waits for a task's end, or stops it when asked.
 func (a *Agent) awaitTask(ctx context.Context, t *runningTask) job.Outcome {
 	for ctx.Err() == nil {
@@ -216,7 +206,7 @@
 		default:
 		}
 		if err != nil {
-			pause(ctx, _retryPause)
+			clock.Sleep(ctx, _retryPause)
 			continue
 		}
 		switch status.Progress {
@@ -246,7 +236,7 @@
 		if err == nil {
 			return job.Evicted{Checkpoint: checkpoint, Reason: "stopped on order"}
 		}
-		pause(ctx, _retryPause)
+		clock.Sleep(ctx, _retryPause)
 	}
 	return nil
 }
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -6,6 +6,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -40,3 +41,15 @@
 	}
 	return _base.Add(boot)
 }
+
+// Sleep returns true after d, or false as soon as the context ends.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/link"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
@@ -125,7 +126,7 @@
 			next = c.Any()
 		}
 		address = next
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return maybe, ctx.Err()
 		}
 		pause = min(2*pause, _longestPause)
@@ -148,17 +149,6 @@
 	return r, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // Propose has a command applied and returns its outcome. Without an outcome
 // the error is NoLeader if the command was certainly not applied, and
 // MaybeApplied otherwise.
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gentianrail/gentianrail/catalogue"
+	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/link"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
@@ -131,7 +132,7 @@
 		if v.Heard().After(before) {
 			pause = _firstPause
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 		pause = min(2*pause, _longestPause)
 	}
 }
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -47,8 +47,8 @@
 		return
 	}
 	c.advice.lastLook = now
-	c.posts.approvals.Forget(c.machine.Submissions())
-	questions := c.posts.approvals.Questions(now, time.Now(), c.machine.Submissions(), workers)
+	c.sessions.approvals.Forget(c.machine.Submissions())
+	questions := c.sessions.approvals.Questions(now, time.Now(), c.machine.Submissions(), workers)
 	if len(questions) == 0 {
 		return
 	}
@@ -98,6 +98,6 @@
 		return
 	}
 	c.log.Emit(event.AdviceGiven, fields, "workers were approved for a step")
-	c.posts.approvals.Add(now, a.question.Step, a.question.Workers, a.tickets, a.validity)
-	c.posts.changed = true
+	c.sessions.approvals.Add(now, a.question.Step, a.question.Workers, a.tickets, a.validity)
+	c.sessions.changed = true
 }
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	var p *post
+	var p *session
 	leader := ""
 	if err := s.core.Do(ctx, func(c *Core, now time.Time) {
 		p = c.attach(now, first)
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -80,7 +80,7 @@
 	group           group
 	role            replica.Role
 	sched           scheduler
-	posts           posts
+	sessions        sessions
 	commits         metrics.Timer // from a proposal to its application
 	firstStarts     metrics.Timer // from a hand-in to the first start
 	advice          advice
@@ -144,7 +144,7 @@
 		return nil, err
 	}
 	c.sched.lease = cfg.Lease
-	c.posts.lease = cfg.RunLease
+	c.sessions.lease = cfg.RunLease
 	registry := cfg.Metrics
 	if registry == nil {
 		registry = metrics.NewRegistry()
@@ -358,7 +358,7 @@
 	c.latest = *ready.Snapshot
 	c.feed.reset(c.machine.Revision())
 	c.sched.reset()
-	c.posts.reset(clock.Now())
+	c.sessions.reset(clock.Now())
 	c.log.Emit(event.SnapshotLoaded, event.Fields{"index": ready.Snapshot.Index}, "took over the leader's snapshot")
 	return nil
 }
@@ -454,11 +454,11 @@
 	}, "the controller's role changed")
 	if role == replica.Leader {
 		c.sched.lead(clock.Now(), c.machine)
-		c.posts.reset(clock.Now())
+		c.sessions.reset(clock.Now())
 	}
 	if c.role == replica.Leader {
 		c.sched.reset()
-		c.posts.reset(clock.Now())
+		c.sessions.reset(clock.Now())
 		c.holders = make(map[string]Holder)
 	}
 	c.role = role
@@ -495,7 +495,7 @@
 		p.settle(result{err: fault.New(fault.MaybeApplied, "the controller stopped before the change was confirmed")})
 	}
 	c.sched.reset()
-	c.posts.reset(clock.Now())
+	c.sessions.reset(clock.Now())
 	if err := c.store.Close(); err != nil {
 		c.log.Emit(event.DiskFailed, event.Fields{"error": err.Error()}, "the log could not be closed")
 	}
--- a/internal/controller/identity.go
+++ b/internal/controller/identity.go
@@ -110,7 +110,7 @@
 	heard := clock.Now()
 	joined := false
 	for ctx.Err() == nil {
-		pause(ctx, _seekEvery)
+		clock.Sleep(ctx, _seekEvery)
 		var known []string
 		quiet, member := false, false
 		err := c.core.Do(ctx, func(c *Core, now time.Time) {
@@ -135,12 +135,3 @@
 		cancel()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -16,7 +16,7 @@
 // reconcile compares an agent's whole lists with the record. Runs that the
 // agent does not know are ordered again; runs that are not recorded are
 // stopped.
-func (c *Core) reconcile(now time.Time, p *post, in *pb.AgentReport, order *pb.AgentOrder) {
+func (c *Core) reconcile(now time.Time, p *session, in *pb.AgentReport, order *pb.AgentOrder) {
 	book := c.machine.Submissions()
 	known := make(map[submission.RunID]bool)
 	for _, e := range in.GetEnds() {
@@ -62,7 +62,7 @@
 func (c *Core) startOrder(now time.Time, s *submission.Submission, run submission.RunID, life string) *pb.StartOrder {
 	step := &s.Steps[run.Task.Step]
 	id := dispatch.StepID{Submission: s.ID, Occurrence: run.Task.Occurrence, Step: run.Task.Step}
-	ticket, _ := c.posts.approvals.Ticket(now, id, life)
+	ticket, _ := c.sessions.approvals.Ticket(now, id, life)
 	return &pb.StartOrder{
 		Run:        wire.EncodeRun(run),
 		Text:       s.Text,
@@ -76,7 +76,7 @@
 }
 
 // taken returns the number up to which all listed ends are recorded.
-func (p *post) taken() uint64 {
+func (p *session) taken() uint64 {
 	taken := p.highest
 	for n := range p.ends {
 		taken = min(taken, n-1)
@@ -85,7 +85,7 @@
 }
 
 // takeSettled returns the refused starts that are recorded.
-func (p *post) takeSettled(book *submission.Book) []*pb.Run {
+func (p *session) takeSettled(book *submission.Book) []*pb.Run {
 	var out []*pb.Run
 	for run := range p.refused {
 		if !isActive(book, p.worker.Life, run) {
@@ -99,7 +99,7 @@
 // applied tells the agents what a command has changed for them. What an earlier
 // leader proposed they learn when they attach.
 func (c *Core) applied(term uint64, cmd state.Command, r state.Result) {
-	c.posts.changed = true
+	c.sessions.changed = true
 	if q, ok := cmd.(state.ReplaceQueues); ok && r.Outcome.Err == nil && !r.Outcome.Repeated {
 		c.log.Emit(event.QueuesInForce, event.Fields{
 			"version": q.Table.Version, "queues": len(q.Table.Queues), "services": len(q.Table.Services),
@@ -110,7 +110,7 @@
 	}
 	switch cmd := cmd.(type) {
 	case state.StartRuns:
-		c.posts.starting = time.Time{}
+		c.sessions.starting = time.Time{}
 		c.orderStarts(r.Outcome.Starts)
 	case state.Submit:
 		c.noteAccepted(cmd.Submission.ID, r)
@@ -147,12 +147,12 @@
 }
 
 func (c *Core) orderStarts(starts []submission.Start) {
-	orders := make(map[*post]*pb.AgentOrder)
+	orders := make(map[*session]*pb.AgentOrder)
 	now := clock.Now()
 	for _, st := range starts {
-		c.posts.begun[st.Run] = now
+		c.sessions.begun[st.Run] = now
 		c.noteFirst(now, st)
-		p := c.posts.byLife[st.Worker]
+		p := c.sessions.byLife[st.Worker]
 		s, ok := c.machine.Submissions().Submission(st.Run.Task.Submission)
 		if p == nil || !ok {
 			continue // the agent is told when it attaches
@@ -185,13 +185,13 @@
 	now := clock.Now()
 	ended := make(map[string]bool)
 	for _, e := range ends {
-		delete(c.posts.lapsing, e.Worker)
+		delete(c.sessions.lapsing, e.Worker)
 		s, ok := book.Submission(e.Run.Task.Submission)
-		if begun, known := c.posts.begun[e.Run]; ok && known {
-			c.posts.health.Ended(now, e.Worker, &s.Steps[e.Run.Task.Step], e.How, now.Sub(begun))
+		if begun, known := c.sessions.begun[e.Run]; ok && known {
+			c.sessions.health.Ended(now, e.Worker, &s.Steps[e.Run.Task.Step], e.How, now.Sub(begun))
 		}
-		delete(c.posts.begun, e.Run)
-		delete(c.posts.facts, e.Run)
+		delete(c.sessions.begun, e.Run)
+		delete(c.sessions.facts, e.Run)
 		if ok && (s.State.Ended() || e.How == submission.Done) {
 			c.stopSurplus(s)
 		}
@@ -202,14 +202,14 @@
 		c.log.Emit(event.RunEnded, event.Fields{
 			"submission": e.Run.Task.Submission, "task": e.Run.Task.String(), "run": e.Run.Number, "worker": e.Worker, "how": e.How.String(),
 		}, "a run ended")
-		p := c.posts.byLife[e.Worker]
+		p := c.sessions.byLife[e.Worker]
 		if p == nil {
 			continue
 		}
 		delete(p.stops, e.Run)
 		delete(p.saved, e.Run)
 	}
-	for _, p := range c.posts.byLife {
+	for _, p := range c.sessions.byLife {
 		settled := false
 		for n, run := range p.ends {
 			if !isActive(book, p.worker.Life, run) {
@@ -236,7 +236,7 @@
 }
 
 func (c *Core) orderStop(life string, run submission.RunID) {
-	p := c.posts.byLife[life]
+	p := c.sessions.byLife[life]
 	if p == nil || p.stops[run] {
 		return
 	}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -11,48 +11,48 @@
 
 // dispatch gives up the runs whose leases are over and starts waiting tasks.
 func (c *Core) dispatch(now time.Time) {
-	if now.Sub(c.posts.lastLook) >= _lapseEvery {
-		c.posts.lastLook = now
+	if now.Sub(c.sessions.lastLook) >= _lapseEvery {
+		c.sessions.lastLook = now
 		c.giveUpLapsed(now)
 	}
-	if !c.posts.starting.IsZero() && now.Sub(c.posts.starting) < _proposedMost || !c.replica.HoldsLease(now) {
+	if !c.sessions.starting.IsZero() && now.Sub(c.sessions.starting) < _proposedMost || !c.replica.HoldsLease(now) {
 		return
 	}
-	if !c.posts.changed && now.Before(c.posts.wakeAt) {
+	if !c.sessions.changed && now.Before(c.sessions.wakeAt) {
 		return
 	}
-	c.posts.changed = false
-	c.posts.wakeAt = now.Add(_retryEvery)
+	c.sessions.changed = false
+	c.sessions.wakeAt = now.Add(_retryEvery)
 	workers := c.openWorkers(now)
 	c.summarize(now, workers)
 	c.stopRuns(now, workers)
 	c.seekAdvice(now, workers)
-	starts := dispatch.Starts(now, time.Now(), c.machine.Submissions(), workers, &c.posts.known, &c.posts.approvals)
+	starts := dispatch.Starts(now, time.Now(), c.machine.Submissions(), workers, &c.sessions.known, &c.sessions.approvals)
 	if len(starts) == 0 {
 		return
 	}
-	c.posts.starting = now
+	c.sessions.starting = now
 	c.proposeOwn(now, state.StartRuns{Starts: starts})
 }
 
 // stopRuns stops runs that had better go on elsewhere.
 func (c *Core) stopRuns(now time.Time, workers []dispatch.Worker) {
-	if now.Sub(c.posts.lastStops) < _stopsEvery {
+	if now.Sub(c.sessions.lastStops) < _stopsEvery {
 		return
 	}
-	c.posts.lastStops = now
+	c.sessions.lastStops = now
 	leaves := make(map[string]dispatch.Leave)
-	for life, p := range c.posts.byLife {
+	for life, p := range c.sessions.byLife {
 		if p.leaving {
 			leaves[life] = dispatch.Leave{Until: p.stays}
 		}
 	}
-	for _, s := range c.posts.stopper.Stops(now, c.machine.Submissions(), workers, c.posts.facts, leaves) {
-		p := c.posts.byLife[s.Worker]
+	for _, s := range c.sessions.stopper.Stops(now, c.machine.Submissions(), workers, c.sessions.facts, leaves) {
+		p := c.sessions.byLife[s.Worker]
 		if p == nil || p.stops[s.Run] {
 			continue
 		}
-		c.posts.stopper.Moved(now, s.Run)
+		c.sessions.stopper.Moved(now, s.Run)
 		c.log.Emit(event.RunStopped, event.Fields{
 			"submission": s.Run.Task.Submission, "task": s.Run.Task.String(), "run": s.Run.Number, "worker": s.Worker, "reason": s.Reason.String(),
 		}, "a run is stopped to go on elsewhere")
@@ -62,10 +62,10 @@
 
 // summarize logs how full the pool is, now and then.
 func (c *Core) summarize(now time.Time, workers []dispatch.Worker) {
-	if now.Sub(c.posts.summed) < _summaryEvery {
+	if now.Sub(c.sessions.summed) < _summaryEvery {
 		return
 	}
-	c.posts.summed = now
+	c.sessions.summed = now
 	s := dispatch.Summarize(now, time.Now(), c.machine.Submissions(), workers)
 	strains := make([]int, 0, len(workers))
 	for _, w := range workers {
@@ -77,7 +77,7 @@
 		"waiting_in_time": s.Waiting[0], "waiting_late": s.Waiting[1], "waiting_too_late": s.Waiting[2],
 		"submissions": len(c.machine.Submissions().Unended()),
 	}, "the pool's state")
-	for _, w := range dispatch.Waits(now, time.Now(), c.machine.Submissions(), workers, &c.posts.known, _mostWaits) {
+	for _, w := range dispatch.Waits(now, time.Now(), c.machine.Submissions(), workers, &c.sessions.known, _mostWaits) {
 		if now.Sub(w.Since) < _waitWorthy {
 			continue
 		}
@@ -98,12 +98,12 @@
 
 // openWorkers returns the workers that can be given tasks now.
 func (c *Core) openWorkers(now time.Time) []dispatch.Worker {
-	workers := make([]dispatch.Worker, 0, len(c.posts.byLife))
-	for life, p := range c.posts.byLife {
-		_, lapsing := c.posts.lapsing[life]
+	workers := make([]dispatch.Worker, 0, len(c.sessions.byLife))
+	for life, p := range c.sessions.byLife {
+		_, lapsing := c.sessions.lapsing[life]
 		if !lapsing && p.listed && now.Sub(p.heard) < _recentReport {
 			w := p.worker
-			w.Suspect = c.posts.health.Suspect(now, life)
+			w.Suspect = c.sessions.health.Suspect(now, life)
 			workers = append(workers, w)
 		}
 	}
@@ -112,13 +112,13 @@
 
 func (c *Core) giveUpLapsed(now time.Time) {
 	for _, life := range c.machine.Submissions().Lives() {
-		if now.Before(c.posts.leaseOver(life)) {
+		if now.Before(c.sessions.leaseOver(life)) {
 			continue
 		}
-		if since, ok := c.posts.lapsing[life]; ok && now.Sub(since) < _proposedMost {
+		if since, ok := c.sessions.lapsing[life]; ok && now.Sub(since) < _proposedMost {
 			continue
 		}
-		c.posts.lapsing[life] = now
+		c.sessions.lapsing[life] = now
 		c.log.Emit(event.WorkerLost, event.Fields{"worker": life}, "the leases of the worker's runs are over; its tasks are placed anew")
 		c.proposeEnds(now, c.lostRuns(life, submission.Lapsed))
 	}
--- a/internal/controller/posts.go
+++ b/internal/controller/sessions.go
@@ -66,8 +66,8 @@
 	return orders, o.closed
 }
 
-// post is one life of a worker as its agent tells of it.
-type post struct {
+// session is one life of a worker as its agent tells of it.
+type session struct {
 	worker  dispatch.Worker
 	leaving bool
 	stays   time.Time // until when a worker that leaves stays at least
@@ -81,12 +81,12 @@
 	saved   map[submission.RunID]string // latest checkpoints that were listed
 }
 
-// posts is the leader's own state of the workers, which a new leader builds
+// sessions is the leader's own state of the workers, which a new leader builds
 // anew from what the agents report.
-type posts struct {
+type sessions struct {
 	lease     time.Duration
 	leadSince time.Time
-	byLife    map[string]*post
+	byLife    map[string]*session
 	granted   map[string]time.Time // when the latest lease of a life is over for certain
 	lapsing   map[string]time.Time // lives whose runs are proposed as lapsed, since when
 	starting  time.Time            // when the StartRuns under way was proposed; zero if none is
@@ -104,12 +104,12 @@
 }
 
 // reset forgets everything and ends the agents' streams.
-func (p *posts) reset(now time.Time) {
+func (p *sessions) reset(now time.Time) {
 	for _, q := range p.byLife {
 		q.out.close()
 	}
 	p.leadSince = now
-	p.byLife = make(map[string]*post)
+	p.byLife = make(map[string]*session)
 	p.granted = make(map[string]time.Time)
 	p.lapsing = make(map[string]time.Time)
 	p.starting = time.Time{}
@@ -121,33 +121,33 @@
 
 // leaseOver returns when no lease of the life's runs can last any more. A
 // leader that is new counts from when it began to lead.
-func (p *posts) leaseOver(life string) time.Time {
+func (p *sessions) leaseOver(life string) time.Time {
 	if t, ok := p.granted[life]; ok {
 		return t
 	}
 	return p.leadSince.Add(p.trust())
 }
 
-func (p *posts) trust() time.Duration { return p.lease + p.lease/_grantDrift + _grantMargin }
+func (p *sessions) trust() time.Duration { return p.lease + p.lease/_grantDrift + _grantMargin }
 
-// attach takes in an agent's first report and returns the post with its first
+// attach takes in an agent's first report and returns the session with its first
 // orders, or nil if this controller cannot be sure that it leads.
-func (c *Core) attach(now time.Time, in *pb.AgentReport) *post {
+func (c *Core) attach(now time.Time, in *pb.AgentReport) *session {
 	if c.failed != nil || !c.replica.HoldsLease(now) || in.GetTerm() > c.replica.Term() {
 		return nil
 	}
 	life := in.GetWorker().GetLife()
-	if old := c.posts.byLife[life]; old != nil {
+	if old := c.sessions.byLife[life]; old != nil {
 		old.out.close()
 	}
-	p := &post{
+	p := &session{
 		out:     newOutbox(),
 		ends:    make(map[uint64]submission.RunID),
 		refused: make(map[submission.RunID]bool),
 		stops:   make(map[submission.RunID]bool),
 		saved:   make(map[submission.RunID]string),
 	}
-	c.posts.byLife[life] = p
+	c.sessions.byLife[life] = p
 	c.log.Emit(event.AgentAttached, event.Fields{"worker": life, "term": c.replica.Term(), "runs": len(in.GetActive())},
 		"an agent reports to this leader")
 	c.endEarlierLives(now, life)
@@ -166,21 +166,21 @@
 	}
 }
 
-// detach forgets a post whose stream has ended. Its runs keep their leases.
-func (c *Core) detach(p *post) {
-	if c.posts.byLife[p.worker.Life] == p {
-		delete(c.posts.byLife, p.worker.Life)
+// detach forgets a session whose stream has ended. Its runs keep their leases.
+func (c *Core) detach(p *session) {
+	if c.sessions.byLife[p.worker.Life] == p {
+		delete(c.sessions.byLife, p.worker.Life)
 		c.log.Emit(event.AgentDetached, event.Fields{"worker": p.worker.Life}, "an agent's stream ended")
 	}
 }
 
 // report takes in what an agent tells of its worker and answers with orders.
-func (c *Core) report(now time.Time, p *post, in *pb.AgentReport) {
+func (c *Core) report(now time.Time, p *session, in *pb.AgentReport) {
 	if w := in.GetWorker(); w != nil {
 		p.describe(now, w)
-		c.posts.changed = true
+		c.sessions.changed = true
 	}
-	if c.posts.byLife[p.worker.Life] != p {
+	if c.sessions.byLife[p.worker.Life] != p {
 		return // replaced by a newer stream
 	}
 	p.heard = now
@@ -191,7 +191,7 @@
 	c.takeEnds(now, p, in)
 	if in.GetComplete() {
 		p.listed = true
-		c.posts.changed = true
+		c.sessions.changed = true
 		c.reconcile(now, p, in, order)
 		order.Controllers = c.controllers()
 	}
@@ -201,35 +201,35 @@
 }
 
 // takeFacts takes in what an agent tells of active runs.
-func (c *Core) takeFacts(now time.Time, p *post, in *pb.AgentReport) {
+func (c *Core) takeFacts(now time.Time, p *session, in *pb.AgentReport) {
 	stalled := 0
 	for _, r := range in.GetActive() {
 		run := wire.DecodeRun(r.GetRun())
 		if r.GetSaved() != "" {
 			p.saved[run] = r.GetSaved()
 		}
-		if r.GetStalled() && !c.posts.facts[run].Stalled {
+		if r.GetStalled() && !c.sessions.facts[run].Stalled {
 			stalled++
 		}
-		c.posts.facts[run] = dispatch.Fact{Share: int(r.GetShare()), Progress: int(r.GetProgress()), Stalled: r.GetStalled()}
+		c.sessions.facts[run] = dispatch.Fact{Share: int(r.GetShare()), Progress: int(r.GetProgress()), Stalled: r.GetStalled()}
 	}
 	if stalled > 0 {
-		c.posts.health.Stalled(now, p.worker.Life, stalled)
-		c.posts.changed = true
+		c.sessions.health.Stalled(now, p.worker.Life, stalled)
+		c.sessions.changed = true
 	}
 }
 
 // takeStrain takes in how the worker's serving tasks fare beside what fills.
-func (c *Core) takeStrain(now time.Time, p *post, strain int) {
+func (c *Core) takeStrain(now time.Time, p *session, strain int) {
 	if !p.listed {
 		return
 	}
 	p.worker.Strain = strain
 	u := c.machine.Submissions().Usage(p.worker.Life)
-	c.posts.known.Seen(now, dispatch.Beside(now, u, c.posts.facts, c.posts.begun), strain)
+	c.sessions.known.Seen(now, dispatch.Beside(now, u, c.sessions.facts, c.sessions.begun), strain)
 }
 
-func (p *post) describe(now time.Time, w *pb.WorkerLife) {
+func (p *session) describe(now time.Time, w *pb.WorkerLife) {
 	if w.GetLeaving() && !p.leaving {
 		p.stays = now.Add(time.Duration(w.GetRemaining()))
 	}
@@ -247,20 +247,20 @@
 }
 
 // grant renews the lease of the worker's runs, unless they are given up.
-func (c *Core) grant(now time.Time, p *post, in *pb.AgentReport, order *pb.AgentOrder) {
+func (c *Core) grant(now time.Time, p *session, in *pb.AgentReport, order *pb.AgentOrder) {
 	life := p.worker.Life
-	if _, lapsing := c.posts.lapsing[life]; lapsing || in.GetGone() || !c.replica.HoldsLease(now) {
+	if _, lapsing := c.sessions.lapsing[life]; lapsing || in.GetGone() || !c.replica.HoldsLease(now) {
 		return
 	}
 	order.Sent = in.GetSent()
-	order.Lease = int64(c.posts.lease)
-	if over := now.Add(c.posts.trust()); over.After(c.posts.granted[life]) {
-		c.posts.granted[life] = over
+	order.Lease = int64(c.sessions.lease)
+	if over := now.Add(c.sessions.trust()); over.After(c.sessions.granted[life]) {
+		c.sessions.granted[life] = over
 	}
 }
 
 // takeEnds proposes the ends that an agent lists.
-func (c *Core) takeEnds(now time.Time, p *post, in *pb.AgentReport) {
+func (c *Core) takeEnds(now time.Time, p *session, in *pb.AgentReport) {
 	book := c.machine.Submissions()
 	var ends []submission.End
 	for _, e := range in.GetEnds() {
@@ -315,7 +315,7 @@
 	if u == nil {
 		return nil
 	}
-	p := c.posts.byLife[life]
+	p := c.sessions.byLife[life]
 	var out []submission.End
 	for run := range u.Runs {
 		e := submission.End{Run: run, Worker: life, How: how}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -39,7 +39,7 @@
 			next = r.leaders.Any()
 		}
 		address = next
-		pause(ctx, _attachPause)
+		clock.Sleep(ctx, _attachPause)
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -185,17 +185,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // obey takes in the leader's orders. The lock is held.
 func (r *Runner) obey(ctx context.Context, o *pb.AgentOrder) {
 	if o.GetTerm() < r.term {
@@ -314,7 +303,7 @@
 		start := o.start
 		r.mu.Unlock()
 		if !ok {
-			pause(ctx, _retryPause)
+			clock.Sleep(ctx, _retryPause)
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, _callLimit)
@@ -327,7 +316,7 @@
 		if r.startAnswered(ctx, life, o, answer, at, err) {
 			return
 		}
-		pause(ctx, _retryPause)
+		clock.Sleep(ctx, _retryPause)
 	}
 }
 
@@ -395,6 +384,6 @@
 			wake(r.wakeHold)
 			return
 		}
-		pause(ctx, _retryPause)
+		clock.Sleep(ctx, _retryPause)
 	}
 }
