--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -24,7 +24,7 @@
 	// NoGPU workers lack accelerators.
 	NoGPU
 	// Sick workers have lately failed most of what they were given; they get
-	// one task at a time.
+	// one task at a time, and tasks that last if no other worker has room.
 	Sick
 	// Disturbed workers would take it, but it had better wait for another.
 	Disturbed
@@ -82,7 +82,7 @@
 	if step.MostPerWorker > 0 && already >= step.MostPerWorker {
 		return Spread
 	}
-	if n.Suspect && (n.runs > 0 || s.Attempts < 2) {
+	if n.Suspect && !step.LongRunning && (n.runs > 0 || s.Attempts < 2) {
 		return Sick
 	}
 	room, need := n.free, step.Room()
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -12,6 +12,7 @@
 	_healthHalfLife = 4 * time.Second // after which an outcome counts half; troubles of workers last some seconds
 	_failuresLeast  = 2.5             // decayed failures from which a worker can be suspect
 	_failuresShare  = 0.5             // of its decayed outcomes; tasks fail by their own fault far less often
+	_outcomesMost   = 8               // decayed outcomes that are held, so that a worker which has recovered is soon known to have
 	_slowFactor     = 2.5             // times the pool's pace from which a worker counts as slow
 	_paceOutcomes   = 1.5             // decayed ends needed to judge a worker's pace
 	_stallAfter     = 2 * time.Second // a run whose progress stands still for longer is stalled
@@ -69,11 +70,21 @@
 	case submission.Done:
 		r := h.record(now, life)
 		r.outcomes++
+		r.bound()
 		h.learnPace(r, step, took)
 	case submission.Failed, submission.Refused:
 		r := h.record(now, life)
 		r.outcomes++
 		r.failed++
+		r.bound()
+	}
+}
+
+// bound keeps a long trouble from counting for longer than a short one.
+func (r *record) bound() {
+	if r.outcomes > _outcomesMost {
+		r.failed *= _outcomesMost / r.outcomes
+		r.outcomes = _outcomesMost
 	}
 }
 
@@ -95,6 +106,7 @@
 	r := h.record(now, life)
 	r.outcomes += float64(runs)
 	r.failed += float64(runs)
+	r.bound()
 }
 
 // Suspect reports whether a worker should get tasks only if no other can take
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -65,3 +65,34 @@
 		t.Errorf("the suspect worker got %d tasks", len(u.Runs))
 	}
 }
+
+// TestSuspicionEnds plays a worker that failed all it was given for seconds and
+// is sound again: it must not be left out for much longer than one that failed
+// a few tasks.
+func TestSuspicionEnds(t *testing.T) {
+	step := &submission.Step{Count: 1, Estimate: time.Second}
+	var h Health
+	for range 60 {
+		h.Ended(testNow, "w", step, submission.Failed, 0)
+	}
+	if !h.Suspect(testNow, "w") {
+		t.Fatal("the worker is not suspect")
+	}
+	if after := 8 * time.Second; h.Suspect(testNow.Add(after), "w") {
+		t.Errorf("the worker is still suspect after %s", after)
+	}
+}
+
+// TestLastingTaskOnSuspectWorker has room on suspect workers alone: a task that
+// lasts starts there rather than not at all.
+func TestLastingTaskOnSuspectWorker(t *testing.T) {
+	var b submission.Book
+	workers := pool(4, 64000, 256000)
+	workers[0].Suspect = true
+	other := serving
+	other.Count = 16 // fills the sound workers and the suspect one in part
+	submit(&b, "a", 0, other)
+	if got := commit(t, &b, testNow, workers); got != 16 {
+		t.Errorf("%d tasks started, want 16", got)
+	}
+}
