Learn how much pairs of images disturb each other

The old rule judged a batch image by itself and cut all of a worker's batch tasks alike.

Ruled out: room by what is asked for (the speeds of runs at full share, by how much a worker is asked for, do not fall beside serving tasks).

Change: package interference learns the presses of pairs; agents report strains and loads by image; the leader tells them the presses; the pacer cuts the images that disturb the missed one first; serving tasks of one image are packed together.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,9 +7,12 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
+	"github.com/gentianrail/gentianrail/interference"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
@@ -21,6 +24,8 @@
 	_costDisturb    = 2.0 // a task that serves would share the worker with one that fills
 	_costCrowd      = 1.7 // runs whose CPU is not counted would get less than they want
 	_costOpen       = 1.5 // the task would be the first of its kind on the worker
+	_costMix        = 1.0 // the task would serve beside tasks of other images, which bear other images of tasks that fill
+	_costAlone      = 0.6 // a task that fills would take a worker without tasks that serve, which bears every image
 	_costFree       = 1.0 // a worker that is wholly free
 	_urgentPriority = 0   // queues whose tasks may take the headroom
 )
@@ -46,21 +51,22 @@
 	Rack     string
 	Labels   []string
 	Capacity submission.Resources
-	Open     bool // takes new tasks
-	Suspect  bool // has lately failed most of what it was given
-	Strain   int  // worst tail latency of its serving tasks in percent of the target; NoStrain if none is known
+	Open     bool                  // takes new tasks
+	Suspect  bool                  // has lately failed most of what it was given
+	Strains  []interference.Strain // how its serving tasks fare, as seen last
+	Fresh    []interference.Load   // of runs that its figures do not show yet
 }
 
 // node is a worker while a round lasts.
 type node struct {
 	Worker
 	free     submission.Resources
-	idle     int64 // CPU that no run wants, those whose CPU is not counted included; below 0 if they want too much
+	idle     int64 // CPU that no run is likely to use, those whose CPU is not counted included; below 0 if they want too much
 	serving  int
 	filling  int
 	runs     int
-	reserved bool // its headroom is kept for urgent tasks
-	joined   bool // a task that fills was given to it in this round, beside tasks that serve
+	images   map[string]int // serving runs by image, those of this round included
+	reserved bool           // its headroom is kept for urgent tasks
 }
 
 // Objective returns how long after its acceptance a submission should be
@@ -127,7 +133,7 @@
 
 // Starts returns the starts to record now. wall is the time of day, which the
 // start times of occurrences are given in.
-func Starts(now, wall time.Time, book *submission.Book, workers []Worker, known *Interference, approvals *Approvals) []submission.Start {
+func Starts(now, wall time.Time, book *submission.Book, workers []Worker, known *interference.Table, approvals *Approvals) []submission.Start {
 	r := newRound(now, makeNodes(book, workers), known)
 	r.approvals = approvals
 	if len(r.nodes) == 0 {
@@ -145,11 +151,13 @@
 		if !w.Open {
 			continue
 		}
-		n := &node{Worker: w, free: w.Capacity, idle: w.Capacity.CPU}
+		n := &node{Worker: w, free: w.Capacity, idle: w.Capacity.CPU, images: make(map[string]int)}
+		n.Fresh = slices.Clone(w.Fresh)
 		if u := book.Usage(w.Life); u != nil {
 			n.free = w.Capacity.Sub(u.Taken)
-			n.idle -= u.Wanted
+			n.idle -= u.Wanted - u.Served + usedBy(u.Served)
 			n.serving, n.filling, n.runs = u.Serving, u.Filling, len(u.Runs)
+			n.images = maps.Clone(u.Images)
 		}
 		out = append(out, n)
 	}
@@ -246,24 +254,21 @@
 type round struct {
 	now       time.Time
 	nodes     []*node
-	alone     map[string]bool // services that have workers without tasks that serve
 	spare     map[string]bool // services whose serving workers have the headroom for urgent tasks
-	known     *Interference
+	known     *interference.Table
 	approvals *Approvals
 	quiet     map[string]bool // services less than half of whose CPU is taken
 	begun     map[string]bool // submissions that have a start in this round
 	starts    []submission.Start
 }
 
-func newRound(now time.Time, nodes []*node, known *Interference) *round {
-	r := &round{now: now, known: known, nodes: nodes, alone: make(map[string]bool), spare: make(map[string]bool), quiet: make(map[string]bool), begun: make(map[string]bool)}
+func newRound(now time.Time, nodes []*node, known *interference.Table) *round {
+	r := &round{now: now, known: known, nodes: nodes, spare: make(map[string]bool), quiet: make(map[string]bool), begun: make(map[string]bool)}
 	type sum struct{ free, all, beside int64 }
 	sums := make(map[string]sum)
 	for _, n := range nodes {
 		s := sums[n.Service]
-		if n.serving == 0 {
-			r.alone[n.Service] = true
-		} else {
+		if n.serving > 0 {
 			s.beside += n.free.CPU
 		}
 		s.free += n.free.CPU
@@ -329,7 +334,6 @@
 		r.starts = append(r.starts, submission.Start{Run: run, Worker: n.Life})
 		r.begun[it.s.ID] = true
 		n.take(step, 1)
-		n.joined = n.joined || step.Fills() && n.serving > 0
 		onWorker[n.Life]++
 		onRack[n.Rack]++
 	}
@@ -356,12 +360,17 @@
 		}
 	}
 	n.runs += count
-	n.idle -= int64(count) * step.Needs.CPU
 	switch {
 	case step.Serves():
+		n.idle -= int64(count) * usedBy(step.Needs.CPU)
 		n.serving += count
+		n.images[step.Image] += count
 	case step.Fills():
+		n.idle -= int64(count) * step.Needs.CPU
 		n.filling += count
+		n.Fresh = append(n.Fresh, n.loadOf(step, count))
+	default:
+		n.idle -= int64(count) * step.Needs.CPU
 	}
 }
 
@@ -393,7 +402,7 @@
 		if r.mustWait(it, step, n) && !r.idles(it.s) {
 			continue
 		}
-		cost := n.cost(step, onRack)
+		cost := n.cost(step, onRack) + r.disturbance(step, n)
 		if best == nil || cost < bestCost {
 			best, bestCost = n, cost
 		}
@@ -415,12 +424,12 @@
 // whose CPU is not counted where it would get none and only hold its memory,
 // and one that fills beside tasks that serve, if their figures do not allow it.
 // There it would be paced, and its submission would be late for the one slow
-// task. Work that is late anyway takes what the figures leave.
+// task.
 func (r *round) mustWait(it item, step *submission.Step, n *node) bool {
 	if step.Leftover && step.Needs.CPU > n.idle && n.runs > 0 {
 		return true
 	}
-	return step.Fills() && n.serving > 0 && r.alone[n.Service] && !n.takesFiller(r.now, r.known, step.Image, it.class > 0)
+	return step.Fills() && n.serving > 0 && !r.bears(step, n)
 }
 
 // admits reports whether a task of the step may start on the worker.
@@ -432,10 +441,11 @@
 
 // cost ranks workers for a task of the step; the lowest is best.
 //
-// Tasks that fill and tasks that serve are packed on workers of their own, the
-// fullest that has room first, so that as few workers as possible hold both
-// whatever the order in which they come. Other tasks disturb nobody and take
-// the room beside those that serve.
+// Tasks that serve are packed, those of one image together, so that as many
+// workers as possible hold none and the others bear as many images of tasks
+// that fill as possible. Tasks that fill go beside those that serve where that
+// disturbs little. Other tasks disturb nobody and take the room beside those
+// that serve.
 func (n *node) cost(step *submission.Step, onRack map[string]int) float64 {
 	cost := _costFree * (1 - n.load())
 	cost += when(n.idle < step.Needs.CPU, _costCrowd)
@@ -451,8 +461,9 @@
 	switch {
 	case step.Serves():
 		cost += when(n.filling > 0, _costDisturb) + when(n.serving == 0, _costOpen)
+		cost += when(n.serving > 0 && n.images[step.Image] == 0, _costMix)
 	case step.Fills():
-		cost += when(n.serving > 0, _costDisturb) + when(n.filling == 0, _costOpen)
+		cost += when(n.serving == 0, _costAlone)
 	default:
 		cost += when(n.serving == 0, _costOpen)
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/gentianrail/gentianrail/interference"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
@@ -16,7 +17,7 @@
 	for i := range out {
 		out[i] = Worker{
 			Life: fmt.Sprintf("w%02d", i), Service: "s", Rack: fmt.Sprint("r", i/3), Labels: []string{"a", fmt.Sprint("r", i/3)},
-			Capacity: submission.Resources{CPU: cpu, Memory: memory}, Open: true, Strain: NoStrain,
+			Capacity: submission.Resources{CPU: cpu, Memory: memory}, Open: true,
 		}
 	}
 	return out
@@ -38,7 +39,7 @@
 // commit records the starts that a round decides and returns how many there were.
 func commit(t *testing.T, b *submission.Book, now time.Time, workers []Worker) int {
 	t.Helper()
-	starts := Starts(now, now, b, workers, &Interference{}, &Approvals{})
+	starts := Starts(now, now, b, workers, &interference.Table{}, &Approvals{})
 	if got := b.Start(starts, now); len(got) != len(starts) {
 		t.Fatalf("%d of %d starts were taken in", len(got), len(starts))
 	}
@@ -196,7 +197,7 @@
 	}, testNow)
 	workers := pool(3, 2000, 1000)
 	var a Approvals
-	if got := Starts(testNow, testNow, &b, workers, &Interference{}, &a); len(got) != 0 {
+	if got := Starts(testNow, testNow, &b, workers, &interference.Table{}, &a); len(got) != 0 {
 		t.Fatalf("%d tasks started without a ticket", len(got))
 	}
 	questions := a.Questions(testNow, testNow, &b, workers)
@@ -205,7 +206,7 @@
 	}
 	id := StepID{Submission: "a"}
 	a.Add(testNow, id, questions[0].Workers, map[string]string{"w01": "t1"}, time.Second)
-	starts := Starts(testNow, testNow, &b, workers, &Interference{}, &a)
+	starts := Starts(testNow, testNow, &b, workers, &interference.Table{}, &a)
 	if len(starts) != 2 {
 		t.Fatalf("%d tasks started, want the 2 that fit", len(starts))
 	}
@@ -218,7 +219,7 @@
 		t.Errorf("asked again while a ticket is valid: %v", got)
 	}
 	later := testNow.Add(time.Second)
-	if got := Starts(later, later, &b, workers, &Interference{}, &a); len(got) != 0 {
+	if got := Starts(later, later, &b, workers, &interference.Table{}, &a); len(got) != 0 {
 		t.Errorf("%d tasks started with an old ticket", len(got))
 	}
 	if got := a.Questions(later, later, &b, workers); len(got) != 1 || len(got[0].Workers) != 1 {
@@ -272,7 +273,7 @@
 				delete(ends, st)
 			}
 		}
-		for _, st := range b.Start(Starts(now, now, &b, workers, &Interference{}, &Approvals{}), now) {
+		for _, st := range b.Start(Starts(now, now, &b, workers, &interference.Table{}, &Approvals{}), now) {
 			ends[st] = now.Add(time.Duration(float64(filling.Estimate) * (0.8 + 0.4*rnd.Float64())))
 		}
 	}
@@ -320,7 +321,7 @@
 	submit(&b, "other", 2, filling)
 	for want := uint32(3); want <= 4; want++ {
 		now = now.Add(time.Second)
-		starts := Starts(now, now, &b, workers, &Interference{}, &Approvals{})
+		starts := Starts(now, now, &b, workers, &interference.Table{}, &Approvals{})
 		if len(starts) != 1 || starts[0].Run.Task.Submission != "hopeless" || starts[0].Run.Task.Index != 1 {
 			t.Fatalf("starts %v, want run %d of the doubted task", starts, want)
 		}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/gentianrail/gentianrail/interference"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
@@ -47,7 +48,7 @@
 
 // Waits returns why the steps that have waited longest wait, at most most of
 // them.
-func Waits(now, wall time.Time, book *submission.Book, workers []Worker, known *Interference, most int) []Wait {
+func Waits(now, wall time.Time, book *submission.Book, workers []Worker, known *interference.Table, most int) []Wait {
 	r := newRound(now, makeNodes(book, workers), known)
 	items := waiting(now, wall, book)
 	slices.SortStableFunc(items, func(a, b item) int { return a.s.Accepted.Compare(b.s.Accepted) })
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -71,6 +71,7 @@
 		Fills:      step.Fills(),
 		TailTarget: int64(step.TailTarget),
 		Gang:       step.Gang,
+		Image:      step.Image,
 		Ticket:     ticket,
 	}
 }
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gentianrail/gentianrail/dispatch"
+	"github.com/gentianrail/gentianrail/interference"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/state"
 	"github.com/gentianrail/gentianrail/submission"
@@ -69,7 +70,7 @@
 	s := dispatch.Summarize(now, time.Now(), c.machine.Submissions(), workers)
 	strains := make([]int, 0, len(workers))
 	for _, w := range workers {
-		strains = append(strains, w.Strain)
+		strains = append(strains, worstOf(w.Strains))
 	}
 	c.log.Emit(event.PoolState, event.Fields{
 		"strains": strains,
@@ -88,6 +89,16 @@
 	}
 }
 
+// worstOf returns the highest strain in percent of the target, or -1 if no task
+// serves.
+func worstOf(strains []interference.Strain) int {
+	worst := -1
+	for _, s := range strains {
+		worst = max(worst, s.Percent)
+	}
+	return worst
+}
+
 func obstacles(w dispatch.Wait) map[string]int {
 	out := make(map[string]int, len(w.Obstacles))
 	for o, n := range w.Obstacles {
@@ -104,6 +115,7 @@
 		if !lapsing && p.listed && now.Sub(p.heard) < _recentReport {
 			w := p.worker
 			w.Suspect = c.sessions.health.Suspect(now, life)
+			w.Fresh = c.freshLoads(now, p)
 			workers = append(workers, w)
 		}
 	}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gentianrail/gentianrail/dispatch"
+	"github.com/gentianrail/gentianrail/interference"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
@@ -79,6 +80,7 @@
 	refused map[submission.RunID]bool   // refused starts, not recorded yet
 	stops   map[submission.RunID]bool   // stop orders that were sent
 	saved   map[submission.RunID]string // latest checkpoints that were listed
+	presses map[interference.Pair]int   // as told to the agent, in percent
 }
 
 // sessions is the leader's own state of the workers, which a new leader builds
@@ -94,12 +96,13 @@
 	wakeAt    time.Time            // when a dispatch is due without a change
 	health    dispatch.Health
 	stopper   dispatch.Stopper
-	known     dispatch.Interference
+	known     interference.Table
 	approvals dispatch.Approvals
 	facts     map[submission.RunID]dispatch.Fact
 	lastStops time.Time
 	begun     map[submission.RunID]time.Time // when this leader ordered the starts of active runs
 	lastLook  time.Time
+	forgot    time.Time // when known was cleared of what is no longer seen
 	summed    time.Time // when the pool's state was logged last
 }
 
@@ -146,6 +149,7 @@
 		refused: make(map[submission.RunID]bool),
 		stops:   make(map[submission.RunID]bool),
 		saved:   make(map[submission.RunID]string),
+		presses: make(map[interference.Pair]int),
 	}
 	c.sessions.byLife[life] = p
 	c.log.Emit(event.AgentAttached, event.Fields{"worker": life, "term": c.replica.Term(), "runs": len(in.GetActive())},
@@ -187,7 +191,7 @@
 	order := &pb.AgentOrder{Term: c.replica.Term()}
 	c.grant(now, p, in, order)
 	c.takeFacts(now, p, in)
-	c.takeStrain(now, p, int(in.GetStrain()))
+	c.takeFigures(now, p, in)
 	c.takeEnds(now, p, in)
 	if in.GetComplete() {
 		p.listed = true
@@ -197,6 +201,7 @@
 	}
 	order.Taken = p.taken()
 	order.Settled = p.takeSettled(c.machine.Submissions())
+	order.Presses = c.newPresses(now, p)
 	p.out.put(order)
 }
 
@@ -219,16 +224,6 @@
 	}
 }
 
-// takeStrain takes in how the worker's serving tasks fare beside what fills.
-func (c *Core) takeStrain(now time.Time, p *session, strain int) {
-	if !p.listed {
-		return
-	}
-	p.worker.Strain = strain
-	u := c.machine.Submissions().Usage(p.worker.Life)
-	c.sessions.known.Seen(now, dispatch.Beside(now, u, c.sessions.facts, c.sessions.begun), strain)
-}
-
 func (p *session) describe(now time.Time, w *pb.WorkerLife) {
 	if w.GetLeaving() && !p.leaving {
 		p.stays = now.Add(time.Duration(w.GetRemaining()))
@@ -242,7 +237,7 @@
 		Labels:   w.GetLabels(),
 		Capacity: wire.DecodeResources(w.GetCapacity()),
 		Open:     !w.GetLeaving() && !w.GetSilent(),
-		Strain:   dispatch.NoStrain,
+		Strains:  p.worker.Strains,
 	}
 }
 
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/pacing"
 	"github.com/gentianrail/gentianrail/submission"
 )
@@ -222,7 +223,8 @@
 		tasks = append(tasks, t)
 		orders = append(orders, o)
 	}
-	for _, d := range r.pacer.Decide(now, tasks) {
+	r.noteFigures(tasks, orders)
+	for _, d := range r.pacer.Decide(now, tasks, r.presses) {
 		o := orders[d.Index]
 		if o.asked {
 			continue // one call at a time, so that none overtakes another
@@ -235,6 +237,37 @@
 	}
 }
 
+// noteFigures keeps what the leader learns the images' disturbance from. The
+// lock is held.
+func (r *Runner) noteFigures(tasks []pacing.Task, orders []*order) {
+	type step struct {
+		submission string
+		number     int
+	}
+	strains, loads := make(map[step]*pb.Strain), make(map[string]*pb.ImageLoad)
+	r.strains, r.loads = nil, nil
+	for i, t := range tasks {
+		switch id := orders[i].run.Task; {
+		case t.Serves && t.TailTarget > 0:
+			k := step{submission: id.Submission, number: id.Step}
+			if strains[k] == nil {
+				strains[k] = &pb.Strain{Submission: id.Submission, Step: int64(id.Step), Image: t.Image}
+				r.strains = append(r.strains, strains[k])
+			}
+			strains[k].Percent = max(strains[k].Percent, t.Figure*100/max(t.TailTarget.Milliseconds(), 1))
+		case t.Fills:
+			if loads[t.Image] == nil {
+				loads[t.Image] = &pb.ImageLoad{Image: t.Image}
+				r.loads = append(r.loads, loads[t.Image])
+			}
+			loads[t.Image].Cpu += t.Figure
+		}
+	}
+	if len(r.strains) == 0 {
+		r.loads = nil // nothing to learn from
+	}
+}
+
 // paceRun sets the share of one run. A call without an answer is repeated with
 // the next figures.
 func (r *Runner) paceRun(ctx context.Context, life Life, o *order, percent int, term uint64) {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -164,7 +164,7 @@
 func (r *Runner) nextReport(s *session) (report *pb.AgentReport, over bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	report = &pb.AgentReport{Sent: clock.Now().UnixNano(), Term: r.term, Strain: int64(r.pacer.Worst())}
+	report = &pb.AgentReport{Sent: clock.Now().UnixNano(), Term: r.term, Strains: r.strains, Loads: r.loads}
 	if r.life != s.life {
 		report.Gone = true
 		return report, true
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -19,6 +19,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/gentianrail/gentianrail/interference"
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/control"
 	"github.com/gentianrail/gentianrail/internal/event"
@@ -83,6 +84,9 @@
 	tries    int                         // listings without an answer, in a row
 	silent   bool
 	pacer    pacing.Pacer
+	presses  interference.Presses // of images on the worker, as the leader has told
+	strains  []*pb.Strain         // as the latest listing shows them; never changed in place
+	loads    []*pb.ImageLoad      // the same
 
 	wakeReport chan struct{} // size one
 	wakeHold   chan struct{} // size one
@@ -128,7 +132,8 @@
 	r.ends, r.highest, r.taken = nil, 0, 0
 	r.lease = lease{until: r.lease.until}
 	r.listed, r.silent, r.tries, r.departed = false, false, 0, false
-	r.pacer = pacing.Pacer{}
+	r.pacer, r.presses = pacing.Pacer{}, make(interference.Presses)
+	r.strains, r.loads = nil, nil
 }
 
 // Heard takes in what the worker tells of itself. Late news of an earlier life,
@@ -198,6 +203,9 @@
 		r.lease.granted(time.Unix(0, o.GetSent()), time.Duration(o.GetLease()))
 	}
 	r.leaders.Learn(o.GetControllers())
+	for _, p := range o.GetPresses() {
+		r.presses[interference.Pair{Fills: p.GetFills(), Serves: p.GetServes()}] = float64(p.GetPercent()) / 100
+	}
 	for _, run := range o.GetSettled() {
 		delete(r.refused, wire.DecodeRun(run))
 	}
@@ -239,7 +247,7 @@
 
 func (r *Runner) orderStart(ctx context.Context, s *pb.StartOrder) {
 	run := wire.DecodeRun(s.GetRun())
-	served := pacing.Task{Serves: s.GetServes(), Fills: s.GetFills(), TailTarget: time.Duration(s.GetTailTarget())}
+	served := pacing.Task{Serves: s.GetServes(), Fills: s.GetFills(), Image: s.GetImage(), TailTarget: time.Duration(s.GetTailTarget())}
 	if o := r.orders[run]; o != nil && !o.described {
 		o.pacing, o.described = served, true
 	}
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -46,7 +46,7 @@
 			missed = 0
 		}
 		longest = max(longest, missed)
-		for _, decision := range p.Decide(f.now, tasks) {
+		for _, decision := range p.Decide(f.now, tasks, nil) {
 			if decision.Index != 1 {
 				t.Fatalf("the task at %d was paced", decision.Index)
 			}
@@ -101,7 +101,7 @@
 
 func TestPacerWithoutServingTasks(t *testing.T) {
 	var p Pacer
-	got := p.Decide(time.Unix(1, 0), []Task{{Fills: true, Percent: 30}, {Fills: true, Percent: 100}, {Fills: true, Percent: -1}})
+	got := p.Decide(time.Unix(1, 0), []Task{{Fills: true, Percent: 30}, {Fills: true, Percent: 100}, {Fills: true, Percent: -1}}, nil)
 	want := []Decision{{Index: 0, Percent: 100}, {Index: 2, Percent: 100}}
 	if len(got) != len(want) || got[0] != want[0] || got[1] != want[1] {
 		t.Errorf("got %v, want %v", got, want)
--- a/submission/book.go
+++ b/submission/book.go
@@ -90,8 +90,10 @@
 	Taken   Resources
 	Wanted  int64 // CPU that the runs would use, with that which is not counted; thousandths of a core
 	Runs    map[RunID]*Submission
-	Serving int // runs of tasks that serve
-	Filling int // runs of tasks that may disturb those that serve
+	Served  int64          // CPU that the tasks that serve ask for; thousandths of a core
+	Serving int            // runs of tasks that serve
+	Filling int            // runs of tasks that may disturb those that serve
+	Images  map[string]int // runs of tasks that serve, by image
 }
 
 // Book is the aggregate of all submissions. The zero value is empty and ready.
@@ -270,7 +272,7 @@
 func (b *Book) take(s *Submission, run RunID, worker string) {
 	u := b.workers[worker]
 	if u == nil {
-		u = &Usage{Runs: make(map[RunID]*Submission)}
+		u = &Usage{Runs: make(map[RunID]*Submission), Images: make(map[string]int)}
 		b.workers[worker] = u
 	}
 	step := &s.Steps[run.Task.Step]
@@ -280,6 +282,8 @@
 	switch {
 	case step.Serves():
 		u.Serving++
+		u.Served += step.Needs.CPU
+		u.Images[step.Image]++
 	case step.Fills():
 		u.Filling++
 	}
@@ -295,6 +299,10 @@
 	switch {
 	case step.Serves():
 		u.Serving--
+		u.Served -= step.Needs.CPU
+		if u.Images[step.Image]--; u.Images[step.Image] == 0 {
+			delete(u.Images, step.Image)
+		}
 	case step.Fills():
 		u.Filling--
 	}
