Keep a margin when a pool counts as quiet

The pool had 101.5 of 200 cores free, so that the rule for submissions that stand still held only just; a worker that is not heard of for a moment ends it.

Change: the pool counts as quiet from 40% of its CPU free.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -35,6 +35,11 @@
 // pool. The urgent work of both users' pages takes about 6% of their pools.
 const Headroom = 0.06
 
+// _quietFree is the share of the counted CPU that is free in a quiet pool. The users
+// ask for no submission to stand still while half is free; the rest is a margin
+// for workers that are not heard of for a moment.
+const _quietFree = 0.4
+
 // _idleMost is how long a submission may have nothing running while half of the
 // CPU is not taken. The users allow 3 s.
 const _idleMost = 2 * time.Second
@@ -257,7 +262,7 @@
 	spare     map[string]bool // services whose serving workers have the headroom for urgent tasks
 	known     *interference.Table
 	approvals *Approvals
-	quiet     map[string]bool // services less than half of whose CPU is taken
+	quiet     map[string]bool // services much of whose CPU is free
 	begun     map[string]bool // submissions that have a start in this round
 	starts    []submission.Start
 }
@@ -276,7 +281,7 @@
 		sums[n.Service] = s
 	}
 	for service, s := range sums {
-		r.quiet[service] = 2*s.free > s.all
+		r.quiet[service] = float64(s.free) > _quietFree*float64(s.all)
 		r.spare[service] = float64(s.beside) >= Headroom*float64(s.all)
 	}
 	suspects, all := make(map[string]int), make(map[string]int)
