Learn presses and demands together

Cause: presses were learnt against the demand as it was when last seen without load, which is stale by half a swing: b56b45 beside c319ea was held for 3.7 to 4.1 where the plain figures show hardly any disturbance.

Change: a filter with one state for each demand and each pair's press; a quick rise is put down to the load, a slow one to the demand.

--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -35,9 +35,9 @@
 	load := []interference.Load{n.loadOf(step, 1)}
 	borne = len(n.Strains) > 0 // nothing is known of tasks that have just begun
 	for _, s := range n.Strains {
-		demand := r.known.Demand(r.now, s.Step)
-		rise := demand * r.known.Rise(r.now, s.Image, load)
-		after := interference.Pressure(s.Percent) + demand*r.known.Rise(r.now, s.Image, n.Fresh) + rise
+		demand := r.known.Demand(s.Step)
+		rise := demand * r.known.Rise(s.Image, load)
+		after := interference.Pressure(s.Percent) + demand*r.known.Rise(s.Image, n.Fresh) + rise
 		most = max(most, rise)
 		borne = borne && (rise <= _slightRise || after <= _calmPressure)
 	}
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -9,24 +9,23 @@
 // performs no I/O and reads no clock.
 package interference
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Constants of the model. The figures were read off listings of workers with
 // and without tasks that fill beside those that serve.
 const (
-	_idleTail       = 20                     // tail latency of a serving task without demand, in percent of its target; both users set targets of five times the idle tail
-	_usualDemand    = 0.45                   // demand of a step of which nothing is known: the mean of those seen
-	_pressHalfLife  = 20 * time.Second       // after which a sample of a pair counts half, so that a pair that changes is learnt anew
-	_demandHalfLife = 800 * time.Millisecond // the same for a demand, which swings with a period of 20 s
-	_demandKept     = 5 * time.Second        // a demand that was not seen for so long is forgotten
-	_clean          = 0.15                   // rise of the pressure up to which a sample tells the demand
-	_usualPress     = 2.5                    // press of a pair of which nothing is known: between the light and the heavy ones seen
-	_usualWeight    = 0.05                   // weight of that guess; two samples of a sixth of a worker's CPU
-	_mostRise       = 4.0                    // rise of the pressure above which a sample says no more
-	_between        = 200 * time.Millisecond // between two samples of one worker, whose figures cover half a second
+	_idleTail     = 20                     // tail latency of a serving task without demand, in percent of its target; both users set targets of five times the idle tail
+	_usualDemand  = 0.45                   // demand of a step of which nothing is known: the mean of those seen
+	_demandSpread = 0.15                   // standard deviation of that guess, and of a demand that was not seen for long: demands swing by half
+	_demandDrift  = 0.07                   // a second; the fastest change of a demand that swings by half in 20 s
+	_usualPress   = 2.0                    // press of a pair of which nothing is known: between the light and the heavy ones seen
+	_pressSpread  = 2.5                    // standard deviation of that guess
+	_pressDrift   = 0.1                    // a second; a pair that changes is learnt anew within a minute
+	_mostPress    = 15.0                   // above which more makes no difference
+	_noise        = 0.06                   // standard deviation of the pressure that one look shows
+	_behind       = 150                    // percent of the target from which a tail shows a backlog rather than a pressure
+	_between      = 200 * time.Millisecond // between two samples of one worker, whose figures cover half a second
+	_kept         = 10 * time.Second       // a demand that was not seen for so long is forgotten
 )
 
 // Pair is an image of tasks that fill and one of tasks that serve.
@@ -39,7 +38,7 @@
 type Strain struct {
 	Step    string // name of the step
 	Image   string
-	Percent int // worst tail latency, in percent of the target
+	Percent int // mean tail latency of the step's tasks, in percent of the target
 }
 
 // Load is what the tasks of one image that fill take of a worker.
@@ -70,54 +69,57 @@
 }
 
 // Table holds what has been learnt. The zero value is ready.
+//
+// It is a Kalman filter whose states are the demands of steps and the presses of
+// pairs, without the covariances between them. Demands change quickly and
+// presses hardly, so that a sudden rise beside a new load is put down to the
+// load, and a slow one to the demand.
 type Table struct {
-	presses map[Pair]*press
-	demands map[string]*demand
-	seen    map[string]time.Time // latest sample, by worker
+	presses map[Pair]*estimate
+	demands map[string]*estimate
+	seen    map[string]sample // latest sample, by worker
 }
 
-// press is a decayed least-squares estimate.
-type press struct {
-	at     time.Time
-	sum    float64 // of load times rise
-	weight float64 // of load squared
-}
-
-func (p *press) decay(now time.Time) {
-	if x := decayed(now.Sub(p.at), _pressHalfLife); x < 1 {
-		p.sum, p.weight, p.at = p.sum*x, p.weight*x, now
-	}
+type sample struct {
+	at       time.Time
+	percents map[string]int // by step
 }
 
-func (p *press) value() float64 {
-	return max(0, (p.sum+_usualPress*_usualWeight)/(p.weight+_usualWeight))
+// estimate is one state of the filter.
+type estimate struct {
+	at       time.Time
+	value    float64
+	variance float64
 }
 
-type demand struct {
-	at    time.Time
-	value float64
+// age lets the estimate's variance grow by its drift a second, up to its spread.
+func (e *estimate) age(now time.Time, drift, spread float64) {
+	if d := now.Sub(e.at).Seconds(); d > 0 {
+		e.variance = min(e.variance+drift*drift*d, spread*spread)
+		e.at = now
+	}
 }
 
-func decayed(d, halfLife time.Duration) float64 {
-	if d <= 0 {
-		return 1
-	}
-	return math.Exp2(-float64(d) / float64(halfLife))
+// correct moves the estimate by its share of what was measured beyond what was
+// expected. slope is the change of the measured value with the estimate's,
+// total the variance of the measured value.
+func (e *estimate) correct(slope, beyond, total, least, most float64) {
+	gain := e.variance * slope / total
+	e.value = min(max(e.value+gain*beyond, least), most)
+	e.variance *= 1 - gain*slope
 }
 
 // Press returns the press of a pair.
-func (t *Table) Press(now time.Time, pair Pair) float64 {
-	p := t.presses[pair]
-	if p == nil {
-		return _usualPress
+func (t *Table) Press(pair Pair) float64 {
+	if p := t.presses[pair]; p != nil {
+		return p.value
 	}
-	p.decay(now)
-	return p.value()
+	return _usualPress
 }
 
 // Demand returns how busy the tasks of a step are by themselves.
-func (t *Table) Demand(now time.Time, step string) float64 {
-	if d := t.demands[step]; d != nil && now.Sub(d.at) < _demandKept {
+func (t *Table) Demand(step string) float64 {
+	if d := t.demands[step]; d != nil {
 		return d.value
 	}
 	return _usualDemand
@@ -125,73 +127,91 @@
 
 // Rise returns by how much the loads raise the pressure on a step's tasks, as a
 // factor of their demand.
-func (t *Table) Rise(now time.Time, image string, loads []Load) float64 {
+func (t *Table) Rise(image string, loads []Load) float64 {
 	rise := 0.0
 	for _, l := range loads {
-		rise += l.Share * t.Press(now, Pair{Fills: l.Image, Serves: image})
+		rise += l.Share * t.Press(Pair{Fills: l.Image, Serves: image})
 	}
 	return rise
 }
 
 // Seen takes in the figures of a worker.
 func (t *Table) Seen(now time.Time, worker string, strains []Strain, loads []Load) {
-	if at, ok := t.seen[worker]; ok && now.Sub(at) < _between {
+	last := t.seen[worker]
+	if now.Sub(last.at) < _between {
 		return
 	}
 	if t.presses == nil {
-		t.presses, t.demands, t.seen = make(map[Pair]*press), make(map[string]*demand), make(map[string]time.Time)
+		t.presses, t.demands, t.seen = make(map[Pair]*estimate), make(map[string]*estimate), make(map[string]sample)
 	}
-	t.seen[worker] = now
+	percents := make(map[string]int, len(strains))
 	for _, s := range strains {
-		pressure := Pressure(s.Percent)
-		rise := t.Rise(now, s.Image, loads)
-		if rise <= _clean {
-			t.seenDemand(now, s.Step, pressure/(1+rise))
-			if len(loads) == 0 {
-				continue
-			}
+		percents[s.Step] = s.Percent
+		if s.Percent < _behind {
+			t.learn(now, s, loads, true)
+			continue
+		}
+		// What has queued drains for seconds after its cause is gone.
+		if before, ok := last.percents[s.Step]; ok && s.Percent > before {
+			t.learn(now, s, loads, false)
 		}
-		own := t.Demand(now, s.Step)
-		t.learn(now, s.Image, loads, min(pressure/max(own, 0.1)-1, _mostRise)-rise)
 	}
+	t.seen[worker] = sample{at: now, percents: percents}
 }
 
-func (t *Table) seenDemand(now time.Time, step string, value float64) {
-	d := t.demands[step]
-	if d == nil || now.Sub(d.at) >= _demandKept {
-		t.demands[step] = &demand{at: now, value: value}
+// learn corrects what explains a strain. A strain that shows a backlog tells a
+// least pressure only, and nothing of the demand.
+func (t *Table) learn(now time.Time, s Strain, loads []Load, exact bool) {
+	d := t.demands[s.Step]
+	if d == nil {
+		d = &estimate{at: now, value: _usualDemand, variance: _demandSpread * _demandSpread}
+		t.demands[s.Step] = d
+	}
+	d.age(now, _demandDrift, _demandSpread)
+	rise := t.Rise(s.Image, loads)
+	beyond := Pressure(s.Percent) - d.value*(1+rise)
+	if !exact && beyond <= 0 {
 		return
 	}
-	x := decayed(now.Sub(d.at), _demandHalfLife)
-	d.value, d.at = d.value*x+value*(1-x), now
+	slope := 1 + rise
+	total := _noise * _noise
+	if exact {
+		total += d.variance * slope * slope
+	}
+	presses := make([]*estimate, len(loads))
+	for i, l := range loads {
+		p := t.press(now, Pair{Fills: l.Image, Serves: s.Image})
+		presses[i] = p
+		total += p.variance * (d.value * l.Share) * (d.value * l.Share)
+	}
+	demand := d.value
+	if exact {
+		d.correct(slope, beyond, total, 0, 1)
+	}
+	for i, l := range loads {
+		presses[i].correct(demand*l.Share, beyond, total, 0, _mostPress)
+	}
 }
 
-// learn corrects the presses of the loads' images by what the rise of the
-// pressure differs from the one they explain.
-func (t *Table) learn(now time.Time, image string, loads []Load, missing float64) {
-	for _, l := range loads {
-		pair := Pair{Fills: l.Image, Serves: image}
-		p := t.presses[pair]
-		if p == nil {
-			p = &press{at: now}
-			t.presses[pair] = p
-		}
-		p.decay(now)
-		own := l.Share * p.value() // what the pair explains of the rise by itself
-		p.sum += l.Share * (own + missing)
-		p.weight += l.Share * l.Share
+func (t *Table) press(now time.Time, pair Pair) *estimate {
+	p := t.presses[pair]
+	if p == nil {
+		p = &estimate{at: now, value: _usualPress, variance: _pressSpread * _pressSpread}
+		t.presses[pair] = p
 	}
+	p.age(now, _pressDrift, _pressSpread)
+	return p
 }
 
 // Forget drops the demands of steps and the workers that were not seen lately.
 func (t *Table) Forget(now time.Time) {
 	for step, d := range t.demands {
-		if now.Sub(d.at) >= _demandKept {
+		if now.Sub(d.at) >= _kept {
 			delete(t.demands, step)
 		}
 	}
-	for w, at := range t.seen {
-		if now.Sub(at) >= _demandKept {
+	for w, s := range t.seen {
+		if now.Sub(s.at) >= _kept {
 			delete(t.seen, w)
 		}
 	}
--- a/internal/controller/figures.go
+++ b/internal/controller/figures.go
@@ -44,7 +44,7 @@
 
 // newPresses returns what the agent has not been told of the pairs of images on
 // its worker.
-func (c *Core) newPresses(now time.Time, p *session) []*pb.Press {
+func (c *Core) newPresses(p *session) []*pb.Press {
 	u := c.machine.Submissions().Usage(p.worker.Life)
 	if u == nil || u.Serving == 0 || u.Filling == 0 {
 		return nil
@@ -62,7 +62,7 @@
 				continue
 			}
 			looked[pair] = true
-			percent := int(100 * c.sessions.known.Press(now, pair))
+			percent := int(100 * c.sessions.known.Press(pair))
 			if old, ok := p.presses[pair]; ok && max(old-percent, percent-old) < _pressMoved {
 				continue
 			}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -201,7 +201,7 @@
 	}
 	order.Taken = p.taken()
 	order.Settled = p.takeSettled(c.machine.Submissions())
-	order.Presses = c.newPresses(now, p)
+	order.Presses = c.newPresses(p)
 	p.out.put(order)
 }
 
--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -244,7 +244,7 @@
 		submission string
 		number     int
 	}
-	strains, loads := make(map[step]*pb.Strain), make(map[string]*pb.ImageLoad)
+	strains, loads, tasksOf := make(map[step]*pb.Strain), make(map[string]*pb.ImageLoad), make(map[step]int64)
 	r.strains, r.loads = nil, nil
 	for i, t := range tasks {
 		switch id := orders[i].run.Task; {
@@ -254,7 +254,8 @@
 				strains[k] = &pb.Strain{Submission: id.Submission, Step: int64(id.Step), Image: t.Image}
 				r.strains = append(r.strains, strains[k])
 			}
-			strains[k].Percent = max(strains[k].Percent, t.Figure*100/max(t.TailTarget.Milliseconds(), 1))
+			strains[k].Percent += t.Figure * 100 / max(t.TailTarget.Milliseconds(), 1)
+			tasksOf[k]++
 		case t.Fills:
 			if loads[t.Image] == nil {
 				loads[t.Image] = &pb.ImageLoad{Image: t.Image}
@@ -263,6 +264,9 @@
 			loads[t.Image].Cpu += t.Figure
 		}
 	}
+	for k, n := range tasksOf {
+		strains[k].Percent /= n
+	}
 	if len(r.strains) == 0 {
 		r.loads = nil // nothing to learn from
 	}
