Ask for no headroom where no CPU is counted

Cause: on workers that serving tasks have taken whole, the headroom for urgent work left less than nothing, so that steps whose CPU is not counted found "no CPU" there: 7 to 10 of 11 workers, in the lines on steps that wait, with 80 to 100 cores not in use.

Change: only steps whose CPU is counted leave the headroom.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -87,7 +87,7 @@
 		return Sick
 	}
 	room, need := n.free, step.Room()
-	if s.Priority > _urgentPriority && !step.Gang && !n.empty() && n.reserved {
+	if need.CPU > 0 && s.Priority > _urgentPriority && !step.Gang && !n.empty() && n.reserved {
 		room.CPU -= int64(Headroom * float64(n.Capacity.CPU))
 	}
 	switch {
