Give no tasks without a lease; drop orders that outlive theirs

Its lease was given up, its report was heard while that was being recorded (and so not granted), and the worker counted as open at once. Each run placed there was given up 50 ms later, as the lease was still the old one, and placed anew: eight starts of one task were on their way.

Ruled out: a second leader (one term in the log), late orders of the worker (the starts come from the agent, within 30 ms).

Change: the leader gives tasks only to workers whose lease it has granted and which lasts; the agent counts the times that a grant finds the leader's lease run out, and refuses starts that were ordered before (or forbids them with a stop if a call went unanswered).

--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -107,12 +107,14 @@
 	return out
 }
 
-// openWorkers returns the workers that can be given tasks now.
+// openWorkers returns the workers that can be given tasks now. Without a lease
+// a run would be given up while its start is on its way.
 func (c *Core) openWorkers(now time.Time) []dispatch.Worker {
 	workers := make([]dispatch.Worker, 0, len(c.sessions.byLife))
 	for life, p := range c.sessions.byLife {
 		_, lapsing := c.sessions.lapsing[life]
-		if !lapsing && p.listed && now.Sub(p.heard) < _recentReport {
+		leased := now.Before(c.sessions.granted[life])
+		if leased && !lapsing && p.listed && now.Sub(p.heard) < _recentReport {
 			w := p.worker
 			w.Suspect = c.sessions.health.Suspect(now, life)
 			w.Fresh = c.freshLoads(now, p)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -49,6 +49,7 @@
 	share     int         // percent that the worker has confirmed
 	asked     bool        // a call that sets the share is under way
 	unsure    bool        // a start went unanswered
+	lapses    int         // of the lease when it was ordered
 	started   bool        // the worker has confirmed it
 	since     time.Time   // when it was confirmed
 	stop      bool        // it is to be stopped
@@ -73,6 +74,7 @@
 	departed bool         // the worker has taken its leave
 	term     uint64       // highest that a leader has named
 	lease    lease
+	lapses   int          // times that a grant found the leader's lease run out
 	orders   map[submission.RunID]*order
 	ends     []ListedEnd // not recorded yet, rising
 	highest  uint64      // number of the latest end that was listed
@@ -200,6 +202,9 @@
 		wake(r.wakeHold)
 	}
 	if o.GetSent() != 0 {
+		if !clock.Now().Before(r.lease.until) {
+			r.lapses++ // the leader has given up what it ordered before
+		}
 		r.lease.granted(time.Unix(0, o.GetSent()), time.Duration(o.GetLease()))
 	}
 	r.leaders.Learn(o.GetControllers())
@@ -256,6 +261,7 @@
 	}
 	o := &order{
 		run:       run,
+		lapses:    r.lapses,
 		share:     _fullShare,
 		described: true,
 		start:     StartOrder{Run: run, Text: s.GetText(), Saved: s.GetSaved(), Ticket: s.GetTicket()},
@@ -302,6 +308,11 @@
 			r.mu.Unlock()
 			return
 		}
+		if o.lapses != r.lapses {
+			r.forbid(ctx, life, o)
+			r.mu.Unlock()
+			return
+		}
 		var until time.Duration
 		ok := false
 		if !r.silent { // a worker that does not answer must not get a longer lease
@@ -360,17 +371,22 @@
 	case OtherLife:
 		return false
 	default:
-		if o.unsure {
-			// An unanswered start may still be carried out; a stop forbids it.
-			o.stop = true
-			r.tasks.Go(func() { r.stopRun(ctx, life, o) })
-			return true
-		}
-		r.refuse(o, submission.Refused)
+		r.forbid(ctx, life, o)
 		return true
 	}
 }
 
+// forbid settles a start that is not to be carried out. One that went unanswered
+// may still be; a stop prevents that. The lock is held.
+func (r *Runner) forbid(ctx context.Context, life Life, o *order) {
+	if !o.unsure {
+		r.refuse(o, submission.Refused)
+		return
+	}
+	o.stop = true
+	r.tasks.Go(func() { r.stopRun(ctx, life, o) })
+}
+
 // stopRun tries a stop until the worker has answered. The end shows in the
 // worker's list; a run that was never there is reported as refused.
 func (r *Runner) stopRun(ctx context.Context, life Life, o *order) {
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -299,3 +299,44 @@
 		}
 	}
 }
+
+// TestOrderDoesNotOutliveItsLease hands in a start whose lease runs out before
+// the worker is called. The leader has given the run up then, so that the order
+// must not be carried out under a later lease.
+func TestOrderDoesNotOutliveItsLease(t *testing.T) {
+	w := &fakeWorker{starts: []startResult{{answer: Started}}}
+	r := newRunner(t, w)
+	r.mu.Lock()
+	r.lease.until = clock.Now().Add(-time.Millisecond)
+	r.mu.Unlock()
+	r.give(startOrder(1))
+	time.Sleep(2 * _retryPause)
+	renewed := startOrder(2)
+	renewed.Sent, renewed.Lease = clock.Now().UnixNano(), int64(time.Minute)
+	r.give(renewed)
+	eventually(t, "the later start is carried out", func() bool { return len(w.called()) > 0 })
+	eventually(t, "the earlier start is refused", func() bool { return r.refusedAs(testRun(1)) == submission.Refused })
+	time.Sleep(2 * _retryPause)
+	if got := w.called(); len(got) != 1 {
+		t.Errorf("calls %v, want one start", got)
+	}
+}
+
+// TestUnansweredStartEndsWithItsLease loses the answer to a start, and then the
+// lease: the run is forbidden before its task can start anew.
+func TestUnansweredStartEndsWithItsLease(t *testing.T) {
+	w := &fakeWorker{starts: []startResult{{err: errNoAnswer}}}
+	r := newRunner(t, w)
+	r.give(startOrder(1))
+	eventually(t, "the start is tried", func() bool { return len(w.called()) > 0 })
+	r.mu.Lock()
+	r.lease.until = clock.Now().Add(-time.Millisecond)
+	r.mu.Unlock()
+	r.give(&pb.AgentOrder{Term: 1, Sent: clock.Now().UnixNano(), Lease: int64(time.Minute)})
+	eventually(t, "the run is stopped", func() bool { return slices.Contains(w.called(), "stop") })
+	tried := len(w.called())
+	time.Sleep(2 * _retryPause)
+	if got := w.called(); slices.Contains(got[tried:], "start") {
+		t.Errorf("calls %v: a start after the stop", got)
+	}
+}
