--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -59,6 +59,7 @@
 	Open     bool                  // takes new tasks
 	Suspect  bool                  // has lately failed most of what it was given
 	Strains  []interference.Strain // how its serving tasks fare, as seen last
+	Loads    []interference.Load   // what its tasks that fill use, as seen last
 	Fresh    []interference.Load   // of runs that its figures do not show yet
 }
 
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/gentianrail/gentianrail/interference"
 	"github.com/gentianrail/gentianrail/submission"
 )
@@ -10,9 +12,15 @@
 const (
 	_calmPressure = 0.7  // up to which a worker takes one more task that fills; the demand swings on while the task lasts
 	_slightRise   = 0.02 // of the pressure by a task that is let in whatever the pressure
+	_fullPressure = 0.77 // up to which it takes one that hardly raises it
+	_missed       = 100  // percent of the target from which it takes none
 	_riseCost     = 4.0  // cost of a task that fills, by the rise of the pressure that it brings
 )
 
+// _lookAhead is how far ahead demands are looked at: about as long as most batch
+// tasks of both users take.
+const _lookAhead = 2 * time.Second
+
 // _servingUse is the share of the CPU that they ask for which tasks that serve
 // use: the mean of those seen, whose demands swing apart from each other.
 const _servingUse = 0.5
@@ -30,16 +38,16 @@
 
 // rise returns by how much one more task of a step that fills raises the
 // pressure on the worker's tasks that serve at most, and whether all of them
-// are known to bear it.
+// are known to bear it for the next while.
 func (r *round) rise(step *submission.Step, n *node) (most float64, borne bool) {
 	load := []interference.Load{n.loadOf(step, 1)}
 	borne = len(n.Strains) > 0 // nothing is known of tasks that have just begun
 	for _, s := range n.Strains {
-		demand := r.known.Demand(s.Step)
-		rise := demand * r.known.Rise(s.Image, load)
-		after := interference.Pressure(s.Percent) + demand*r.known.Rise(s.Image, n.Fresh) + rise
+		demand := r.known.Demand(s.Step, _lookAhead)
+		rise := demand * r.known.CautiousRise(s.Image, load)
+		after := demand*(1+r.known.CautiousRise(s.Image, n.Loads)+r.known.CautiousRise(s.Image, n.Fresh)) + rise
 		most = max(most, rise)
-		borne = borne && (rise <= _slightRise || after <= _calmPressure)
+		borne = borne && s.Percent <= _missed && (after <= _calmPressure || rise <= _slightRise && after <= _fullPressure)
 	}
 	return most, borne
 }
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -9,23 +9,28 @@
 // performs no I/O and reads no clock.
 package interference
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Constants of the model. The figures were read off listings of workers with
 // and without tasks that fill beside those that serve.
 const (
-	_idleTail     = 20                     // tail latency of a serving task without demand, in percent of its target; both users set targets of five times the idle tail
-	_usualDemand  = 0.45                   // demand of a step of which nothing is known: the mean of those seen
-	_demandSpread = 0.15                   // standard deviation of that guess, and of a demand that was not seen for long: demands swing by half
-	_demandDrift  = 0.07                   // a second; the fastest change of a demand that swings by half in 20 s
-	_usualPress   = 2.0                    // press of a pair of which nothing is known: between the light and the heavy ones seen
-	_pressSpread  = 2.5                    // standard deviation of that guess
-	_pressDrift   = 0.1                    // a second; a pair that changes is learnt anew within a minute
-	_mostPress    = 15.0                   // above which more makes no difference
-	_noise        = 0.06                   // standard deviation of the pressure that one look shows
-	_behind       = 150                    // percent of the target from which a tail shows a backlog rather than a pressure
-	_between      = 200 * time.Millisecond // between two samples of one worker, whose figures cover half a second
-	_kept         = 10 * time.Second       // a demand that was not seen for so long is forgotten
+	_idleTail     = 20                      // tail latency of a serving task without demand, in percent of its target; both users set targets of five times the idle tail
+	_usualDemand  = 0.45                    // demand of a step of which nothing is known: the mean of those seen
+	_demandSpread = 0.15                    // standard deviation of that guess, and of a demand that was not seen for long: demands swing by half
+	_demandDrift  = 0.07                    // a second; the fastest change of a demand that swings by half in 20 s
+	_usualPress   = 2.0                     // press of a pair of which nothing is known: between the light and the heavy ones seen
+	_pressSpread  = 2.5                     // standard deviation of that guess
+	_pressDrift   = 0.1                     // a second; a pair that changes is learnt anew within a minute
+	_doubt        = 0.5                     // standard deviations by which a press is taken for higher than estimated, so that what is not known is tried with little
+	_trendOver    = 1500 * time.Millisecond // time over which the trend of a demand is taken: three looks or more
+	_mostPress    = 15.0                    // above which more makes no difference
+	_noise        = 0.06                    // standard deviation of the pressure that one look shows
+	_behind       = 150                     // percent of the target from which a tail shows a backlog rather than a pressure
+	_between      = 200 * time.Millisecond  // between two samples of one worker, whose figures cover half a second
+	_kept         = 10 * time.Second        // a demand that was not seen for so long is forgotten
 )
 
 // Pair is an image of tasks that fill and one of tasks that serve.
@@ -76,7 +81,7 @@
 // load, and a slow one to the demand.
 type Table struct {
 	presses map[Pair]*estimate
-	demands map[string]*estimate
+	demands map[string]*demand
 	seen    map[string]sample // latest sample, by worker
 }
 
@@ -92,6 +97,33 @@
 	variance float64
 }
 
+// demand is the estimate of a step's demand, with what it was a while ago.
+type demand struct {
+	estimate
+	marks [2]mark // the older one first
+}
+
+type mark struct {
+	at    time.Time
+	value float64
+}
+
+// note keeps marks for the trend, the older of them at least _trendOver old.
+func (d *demand) note(now time.Time) {
+	if d.marks[1].at.IsZero() || now.Sub(d.marks[1].at) >= _trendOver {
+		d.marks[0], d.marks[1] = d.marks[1], mark{at: now, value: d.value}
+	}
+}
+
+// trend returns the change a second.
+func (d *demand) trend() float64 {
+	span := d.at.Sub(d.marks[0].at)
+	if d.marks[0].at.IsZero() || span <= 0 {
+		return 0
+	}
+	return min((d.value-d.marks[0].value)/span.Seconds(), _demandDrift)
+}
+
 // age lets the estimate's variance grow by its drift a second, up to its spread.
 func (e *estimate) age(now time.Time, drift, spread float64) {
 	if d := now.Sub(e.at).Seconds(); d > 0 {
@@ -117,12 +149,31 @@
 	return _usualPress
 }
 
-// Demand returns how busy the tasks of a step are by themselves.
-func (t *Table) Demand(step string) float64 {
-	if d := t.demands[step]; d != nil {
-		return d.value
+// cautious returns the press of a pair with what may be wrong with it.
+func (t *Table) cautious(pair Pair) float64 {
+	if p := t.presses[pair]; p != nil {
+		return p.value + _doubt*math.Sqrt(p.variance)
+	}
+	return _usualPress + _doubt*_pressSpread
+}
+
+// CautiousRise is Rise with presses taken for as high as they may well be.
+func (t *Table) CautiousRise(image string, loads []Load) float64 {
+	rise := 0.0
+	for _, l := range loads {
+		rise += l.Share * t.cautious(Pair{Fills: l.Image, Serves: image})
+	}
+	return rise
+}
+
+// Demand returns how busy the tasks of a step will be by themselves after a
+// while, if that is more than now.
+func (t *Table) Demand(step string, ahead time.Duration) float64 {
+	d := t.demands[step]
+	if d == nil {
+		return _usualDemand
 	}
-	return _usualDemand
+	return min(d.value+max(0, d.trend())*ahead.Seconds(), 1)
 }
 
 // Rise returns by how much the loads raise the pressure on a step's tasks, as a
@@ -142,7 +193,7 @@
 		return
 	}
 	if t.presses == nil {
-		t.presses, t.demands, t.seen = make(map[Pair]*estimate), make(map[string]*estimate), make(map[string]sample)
+		t.presses, t.demands, t.seen = make(map[Pair]*estimate), make(map[string]*demand), make(map[string]sample)
 	}
 	percents := make(map[string]int, len(strains))
 	for _, s := range strains {
@@ -164,7 +215,7 @@
 func (t *Table) learn(now time.Time, s Strain, loads []Load, exact bool) {
 	d := t.demands[s.Step]
 	if d == nil {
-		d = &estimate{at: now, value: _usualDemand, variance: _demandSpread * _demandSpread}
+		d = &demand{estimate: estimate{at: now, value: _usualDemand, variance: _demandSpread * _demandSpread}}
 		t.demands[s.Step] = d
 	}
 	d.age(now, _demandDrift, _demandSpread)
@@ -184,12 +235,13 @@
 		presses[i] = p
 		total += p.variance * (d.value * l.Share) * (d.value * l.Share)
 	}
-	demand := d.value
+	own := d.value
 	if exact {
 		d.correct(slope, beyond, total, 0, 1)
+		d.note(now)
 	}
 	for i, l := range loads {
-		presses[i].correct(demand*l.Share, beyond, total, 0, _mostPress)
+		presses[i].correct(own*l.Share, beyond, total, 0, _mostPress)
 	}
 }
 
--- a/internal/controller/figures.go
+++ b/internal/controller/figures.go
@@ -27,7 +27,7 @@
 			Step: s.GetSubmission() + "." + strconv.FormatInt(s.GetStep(), 10), Image: s.GetImage(), Percent: int(s.GetPercent()),
 		})
 	}
-	p.worker.Strains = strains
+	p.worker.Strains, p.worker.Loads = strains, nil
 	if p.worker.Capacity.CPU <= 0 || len(strains) == 0 {
 		return
 	}
@@ -35,6 +35,7 @@
 	for _, l := range in.GetLoads() {
 		loads = append(loads, interference.Load{Image: l.GetImage(), Share: float64(l.GetCpu()) / float64(p.worker.Capacity.CPU)})
 	}
+	p.worker.Loads = loads
 	c.sessions.known.Seen(now, p.worker.Life, strains, loads)
 	if now.Sub(c.sessions.forgot) >= _forgetEvery {
 		c.sessions.forgot = now
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -238,6 +238,7 @@
 		Capacity: wire.DecodeResources(w.GetCapacity()),
 		Open:     !w.GetLeaving() && !w.GetSilent(),
 		Strains:  p.worker.Strains,
+		Loads:    p.worker.Loads,
 	}
 }
 
