--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -6,13 +6,14 @@
 	"slices"
 	"time"
 
+	"github.com/gentianrail/gentianrail/interference"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
 // Bounds of the decisions to stop runs.
 const (
 	_paceLow     = 40                     // percent; a run that is paced below it had better move
-	_worthMoving = 2 * time.Second        // estimated work left below which a move costs more than it brings
+	_worthMoving = 700 * time.Millisecond // estimated work left below which a move costs more than it brings: a stop and a start from a checkpoint take up to so long
 	_leaveMargin = 500 * time.Millisecond // a run that would end so close before its worker leaves is not left to it
 	_mostMoves   = 4                      // moves in one round, so that a new figure is seen before the next
 	_moveAgain   = 6 * time.Second        // between two moves of one task
@@ -63,7 +64,7 @@
 
 // Stops returns the runs to stop now. facts has what is known of active runs,
 // leaves the workers that leave, by their lives.
-func (s *Stopper) Stops(now time.Time, book *submission.Book, workers []Worker, facts map[submission.RunID]Fact, leaves map[string]Leave) []Stop {
+func (s *Stopper) Stops(now time.Time, book *submission.Book, workers []Worker, facts map[submission.RunID]Fact, leaves map[string]Leave, known *interference.Table) []Stop {
 	if s.moved == nil {
 		s.moved = make(map[submission.TaskID]time.Time)
 	}
@@ -80,7 +81,7 @@
 	}
 	runs := inOrder(facts)
 	out = append(out, s.stalled(book, runs, facts)...)
-	return append(out, s.crowded(now, book, workers, runs, facts)...)
+	return append(out, s.crowded(now, book, newRound(now, makeNodes(book, workers), known), runs, facts)...)
 }
 
 // inOrder returns the runs in a fixed order, so that equal inputs give equal
@@ -150,10 +151,9 @@
 	return !lately && !sub.Steps[run.Task.Step].Gang
 }
 
-// crowded returns paced runs that save their progress and for which a worker
-// without tasks that serve has room.
-func (s *Stopper) crowded(now time.Time, book *submission.Book, workers []Worker, runs []submission.RunID, facts map[submission.RunID]Fact) []Stop {
-	nodes := makeNodes(book, workers)
+// crowded returns paced runs that save their progress and for which another
+// worker has room, which does not serve or bears them.
+func (s *Stopper) crowded(now time.Time, book *submission.Book, round *round, runs []submission.RunID, facts map[submission.RunID]Fact) []Stop {
 	var out []Stop
 	for _, run := range runs {
 		f := facts[run]
@@ -169,8 +169,9 @@
 		if !step.Checkpointing || !step.Fills() || left < _worthMoving {
 			continue
 		}
-		for _, n := range nodes {
-			if n.serving == 0 && !n.Suspect && n.idle >= step.Needs.CPU && n.admits(sub, step, 0) {
+		for _, n := range round.nodes {
+			bears := n.serving == 0 || round.bears(step, n)
+			if n.Life != r.Worker && bears && !n.Suspect && n.idle >= step.Needs.CPU && n.admits(sub, step, 0) {
 				n.take(step, 1)
 				s.moved[run.Task] = now
 				out = append(out, Stop{Worker: r.Worker, Run: run, Reason: Crowded})
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -48,7 +48,7 @@
 			leaves[life] = dispatch.Leave{Until: p.stays}
 		}
 	}
-	for _, s := range c.sessions.stopper.Stops(now, c.machine.Submissions(), workers, c.sessions.facts, leaves) {
+	for _, s := range c.sessions.stopper.Stops(now, c.machine.Submissions(), workers, c.sessions.facts, leaves, &c.sessions.known) {
 		p := c.sessions.byLife[s.Worker]
 		if p == nil || p.stops[s.Run] {
 			continue
