--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -17,9 +17,9 @@
 	_riseCost     = 4.0  // cost of a task that fills, by the rise of the pressure that it brings
 )
 
-// _lookAhead is how far ahead demands are looked at: about as long as most batch
-// tasks of both users take.
-const _lookAhead = 2 * time.Second
+// _lookAhead is how far ahead demands are looked at: half of what most batch
+// tasks of both users take. A trend says little about more.
+const _lookAhead = time.Second
 
 // _servingUse is the share of the CPU that they ask for which tasks that serve
 // use: the mean of those seen, whose demands swing apart from each other.
