Hand submissions and queues in through the operator API and the tool

The product's own interface lacked the hand-in: submissions could only be listed, described and cancelled.

Hand-in goes to the operator API, not to the entries' caller API.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -405,7 +405,7 @@
 		if !n.admits(it.s, step, onWorker[n.Life]) || !r.approved(it, n) {
 			continue
 		}
-		if r.mustWait(it, step, n) && !r.idles(it.s) {
+		if r.mustWait(step, n) && !r.idles(it.s) {
 			continue
 		}
 		cost := n.cost(step, onRack) + r.disturbance(step, n)
@@ -431,7 +431,7 @@
 // and one that fills beside tasks that serve, if their figures do not allow it.
 // There it would be paced, and its submission would be late for the one slow
 // task.
-func (r *round) mustWait(it item, step *submission.Step, n *node) bool {
+func (r *round) mustWait(step *submission.Step, n *node) bool {
 	if step.Leftover && step.Needs.CPU > n.idle && n.runs > 0 {
 		return true
 	}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -62,7 +62,7 @@
 		onWorker, _ := r.spread(&it.s.Progress[it.occurrence][it.step])
 		for _, n := range r.nodes {
 			o := n.obstacle(it.s, step, onWorker[n.Life])
-			if o == 0 && r.mustWait(it, step, n) {
+			if o == 0 && r.mustWait(step, n) {
 				o = Disturbed
 			}
 			w.Obstacles[o]++
--- /dev/null
+++ b/internal/declaration/submission.go
@@ -0,0 +1,103 @@
+package declaration
+
+import (
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/unit"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+type submissionDocument struct {
+	ID       string         `json:"id"`
+	Queue    string         `json:"queue"`
+	Text     string         `json:"text,omitempty"`
+	Steps    []stepDocument `json:"steps"`
+	Repeat   int            `json:"repeat,omitzero"`
+	StartAt  time.Time      `json:"start_at,omitzero"` // of the first occurrence; RFC 3339
+	Interval unit.Duration  `json:"interval,omitzero"`
+}
+
+type stepDocument struct {
+	Count          int           `json:"count"`
+	CPU            unit.Cores    `json:"cpu"`
+	Memory         unit.Bytes    `json:"memory,omitzero"`
+	Accelerators   int64         `json:"accelerators,omitzero"`
+	Estimate       unit.Duration `json:"estimate,omitzero"`
+	DependsOn      []int         `json:"depends_on,omitempty"`
+	Checkpointing  bool          `json:"checkpointing,omitzero"`
+	Gang           bool          `json:"gang,omitzero"`
+	RackLocal      bool          `json:"rack_local,omitzero"`
+	Speculative    bool          `json:"speculative,omitzero"`
+	LongRunning    bool          `json:"long_running,omitzero"`
+	Leftover       bool          `json:"leftover,omitzero"`
+	Requirement    string        `json:"requirement,omitempty"`
+	DataRack       string        `json:"data_rack,omitempty"`
+	MostPerWorker  int           `json:"most_per_worker,omitzero"`
+	Image          string        `json:"image,omitempty"`
+	TailTarget     unit.Duration `json:"tail_target,omitzero"`
+	MaxUnavailable int           `json:"max_unavailable,omitzero"`
+}
+
+const (
+	_mib     = 1 << 20
+	_mostIDs = 64 // bytes of a submission's identifier
+)
+
+// ParseSubmission returns the specification that a document declares.
+func ParseSubmission(data []byte) (submission.Spec, error) {
+	var d submissionDocument
+	if err := json.Unmarshal(data, &d, json.RejectUnknownMembers(true)); err != nil {
+		return submission.Spec{}, fault.New(fault.BadDeclaration, "submission: %s", err)
+	}
+	if d.Queue == "" {
+		return submission.Spec{}, fault.New(fault.BadDeclaration, "submission: queue: found none")
+	}
+	if !wellNamed(d.ID) {
+		return submission.Spec{}, fault.New(fault.BadDeclaration, "submission: id: found %q, allowed are 1 to %d letters, digits and dashes", d.ID, _mostIDs)
+	}
+	s := submission.Spec{
+		ID: d.ID, Queue: d.Queue, Text: d.Text, Repeat: d.Repeat, StartAt: d.StartAt.UTC(), Interval: time.Duration(d.Interval),
+	}
+	for _, e := range d.Steps {
+		s.Steps = append(s.Steps, e.step())
+	}
+	if err := s.Validate(); err != nil {
+		return submission.Spec{}, fault.New(fault.BadDeclaration, "submission %q: %s", d.ID, err)
+	}
+	return s, nil
+}
+
+func (d *stepDocument) step() submission.Step {
+	return submission.Step{
+		Count:          d.Count,
+		Needs:          submission.Resources{CPU: int64(d.CPU), Memory: int64(d.Memory) / _mib, GPU: d.Accelerators},
+		Estimate:       time.Duration(d.Estimate),
+		DependsOn:      d.DependsOn,
+		Checkpointing:  d.Checkpointing,
+		Gang:           d.Gang,
+		RackLocal:      d.RackLocal,
+		Speculative:    d.Speculative,
+		LongRunning:    d.LongRunning,
+		Leftover:       d.Leftover,
+		Requirement:    d.Requirement,
+		DataRack:       d.DataRack,
+		MostPerWorker:  d.MostPerWorker,
+		Image:          d.Image,
+		TailTarget:     time.Duration(d.TailTarget),
+		MaxUnavailable: d.MaxUnavailable,
+	}
+}
+
+// wellNamed reports whether an identifier can be part of a path and of a task's
+// name, which separates its parts by dots.
+func wellNamed(id string) bool {
+	for _, c := range id {
+		if (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return id != "" && len(id) <= _mostIDs
+}
--- /dev/null
+++ b/internal/declaration/submission_test.go
@@ -0,0 +1,107 @@
+package declaration
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+const _plan = `{"id": "p-1", "queue": "plans", "text": "x", "steps": [
+	{"count": 2, "cpu": "500m", "memory": "256MiB", "estimate": "900ms"},
+	{"count": 3, "cpu": "2", "memory": "1GiB", "estimate": "3s", "depends_on": [0], "checkpointing": true, "gang": true,
+	 "rack_local": true, "speculative": true, "leftover": true, "requirement": "a", "data_rack": "r", "most_per_worker": 2,
+	 "image": "i", "accelerators": 1},
+	{"count": 1, "cpu": "1", "long_running": true, "tail_target": "25ms", "max_unavailable": 1}],
+	"repeat": 3, "start_at": "2026-12-04T05:00:00Z", "interval": "10s"}`
+
+func TestParseSubmission(t *testing.T) {
+	s, err := ParseSubmission([]byte(_plan))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.ID != "p-1" || s.Queue != "plans" || s.Repeat != 3 || s.Interval != 10*time.Second || !s.StartAt.Equal(time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC)) {
+		t.Errorf("got %+v", s)
+	}
+	first, second, third := s.Steps[0], s.Steps[1], s.Steps[2]
+	if first.Needs != (submission.Resources{CPU: 500, Memory: 256}) || first.Estimate != 900*time.Millisecond {
+		t.Errorf("first step: %+v", first)
+	}
+	want := submission.Step{
+		Count: 3, Needs: submission.Resources{CPU: 2000, Memory: 1024, GPU: 1}, Estimate: 3 * time.Second, DependsOn: second.DependsOn,
+		Checkpointing: true, Gang: true, RackLocal: true, Speculative: true, Leftover: true, Requirement: "a", DataRack: "r",
+		MostPerWorker: 2, Image: "i",
+	}
+	if len(second.DependsOn) != 1 || second.DependsOn[0] != 0 {
+		t.Errorf("second step depends on %v", second.DependsOn)
+	}
+	second.DependsOn, want.DependsOn = nil, nil
+	if got, w := second, want; !sameStep(got, w) {
+		t.Errorf("second step: %+v, want %+v", got, w)
+	}
+	if !third.LongRunning || third.TailTarget != 25*time.Millisecond || third.MaxUnavailable != 1 {
+		t.Errorf("third step: %+v", third)
+	}
+}
+
+func sameStep(a, b submission.Step) bool {
+	return a.Count == b.Count && a.Needs == b.Needs && a.Estimate == b.Estimate && a.Checkpointing == b.Checkpointing && a.Gang == b.Gang &&
+		a.RackLocal == b.RackLocal && a.Speculative == b.Speculative && a.Leftover == b.Leftover && a.Requirement == b.Requirement &&
+		a.DataRack == b.DataRack && a.MostPerWorker == b.MostPerWorker && a.Image == b.Image
+}
+
+func TestSubmissionFaults(t *testing.T) {
+	for _, tc := range []struct{ old, new, want string }{
+		{`"id": "p-1"`, `"id": "p.1"`, "letters, digits and dashes"},
+		{`"queue": "plans"`, `"queue": ""`, "queue"},
+		{`"count": 2`, `"count": 0`, "found 0 tasks"},
+		{`"depends_on": [0]`, `"depends_on": [2]`, "depends on step 2"},
+		{`"gang": true`, `"gnag": true`, "gnag"},
+		{`"500m"`, `"half"`, "half"},
+		{`"text": "x"`, `"text": "` + strings.Repeat("x", submission.MostText+1) + `"`, "bytes"},
+	} {
+		if !strings.Contains(_plan, tc.old) {
+			t.Fatalf("%q is not in the document", tc.old)
+		}
+		_, err := ParseSubmission([]byte(strings.Replace(_plan, tc.old, tc.new, 1)))
+		if fault.CodeOf(err) != fault.BadDeclaration || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s: got %v, want a fault with %q", tc.new, err, tc.want)
+		}
+	}
+}
+
+const _queues = `{"version": 4, "services": [{"name": "w", "guards": true}], "queues": [
+	{"name": "plans", "host": "h.example", "prefix": "/p/", "service": "w", "priority": 2, "attempts": 4, "slack": 2,
+	 "target": "1s", "timeout": "3s", "advice": {"latency": "10ms", "per_worker": "2ms", "validity": "1s"}}]}`
+
+func TestQueuesRoundTrip(t *testing.T) {
+	table, err := ParseQueues([]byte(_queues))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q, ok := table.Queue("plans")
+	if !ok || table.Version != 4 || q.Timeout != 3*time.Second || q.Advice == nil || q.Advice.PerWorker != 2*time.Millisecond {
+		t.Fatalf("got %+v", table)
+	}
+	d := FormatQueues(table)
+	if d.Version != 4 || len(d.Queues) != 1 || d.Queues[0].Advice == nil || time.Duration(d.Queues[0].Target) != time.Second || !d.Services[0].Guards {
+		t.Errorf("formatted %+v", d)
+	}
+}
+
+func TestQueuesFaults(t *testing.T) {
+	for _, tc := range []struct{ old, new, want string }{
+		{`"version": 4`, `"version": 0`, "version"},
+		{`"timeout": "3s"`, `"timeout": "0s"`, "timeout"},
+		{`"service": "w"`, `"service": "v"`, "no service"},
+		{`"attempts": 4`, `"attempts": 0`, "attempts"},
+		{`"slack": 2`, `"slak": 2`, "slak"},
+	} {
+		_, err := ParseQueues([]byte(strings.Replace(_queues, tc.old, tc.new, 1)))
+		if fault.CodeOf(err) != fault.BadDeclaration || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s: got %v, want a fault with %q", tc.new, err, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/queues.go
@@ -0,0 +1,96 @@
+package operator
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/declaration"
+	"github.com/gentianrail/gentianrail/internal/web"
+	"github.com/gentianrail/gentianrail/state"
+)
+
+const _mostQueuesBytes = 4 << 20 // of a table; thousands of queues
+
+func body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if err != nil {
+		return nil, fault.New(fault.BodyTooLarge, "the body could not be read within %d bytes: %s", most, err)
+	}
+	return data, nil
+}
+
+// putQueues puts a table of queues in force. A table that is not newer than the
+// one in force is a conflict, unless it is the same.
+func (o *operator) putQueues(w http.ResponseWriter, r *http.Request) {
+	data, err := body(w, r, _mostQueuesBytes)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	t, err := declaration.ParseQueues(data)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), _operatorDeadline)
+	defer cancel()
+	if _, err := o.client.Propose(ctx, state.ReplaceQueues{Table: t}); err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	inForce, err := o.client.Queues(ctx)
+	if err == nil && inForce.Version > t.Version {
+		err = fault.New(fault.VersionConflict, "version %d of the queues is in force", inForce.Version)
+	}
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, declaration.FormatQueues(inForce))
+}
+
+func (o *operator) getQueues(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), _operatorDeadline)
+	defer cancel()
+	t, err := o.client.Queues(ctx)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, declaration.FormatQueues(t))
+}
+
+// postSubmission hands a submission in. The identifier makes resends harmless.
+func (o *operator) postSubmission(w http.ResponseWriter, r *http.Request) {
+	data, err := body(w, r, declaration.MostBytes)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	spec, err := declaration.ParseSubmission(data)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), _operatorDeadline)
+	defer cancel()
+	t, err := o.client.Queues(ctx)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	q, ok := t.Queue(spec.Queue)
+	if !ok {
+		web.WriteFault(w, fault.New(fault.EntryNotFound, "no queue %q", spec.Queue))
+		return
+	}
+	call := control.Call{Host: q.Host, Path: q.Prefix + spec.ID, Verb: control.Submit, Spec: spec}
+	if _, err := o.client.Call(ctx, call); err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	o.describe(w, r, spec.ID)
+}
--- a/internal/operator/submissions.go
+++ b/internal/operator/submissions.go
@@ -85,7 +85,11 @@
 }
 
 func (o *operator) getSubmission(w http.ResponseWriter, r *http.Request) {
-	id := web.Var(r, "id")
+	o.describe(w, r, web.Var(r, "id"))
+}
+
+// describe answers with a submission's description.
+func (o *operator) describe(w http.ResponseWriter, r *http.Request, id string) {
 	var out *SubmissionDocument
 	err := o.read(r.Context(), func(rd controller.Reading) {
 		s, ok := rd.Machine.Submissions().Submission(id)
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -348,7 +348,7 @@
 	holds int
 }
 
-func (w *deafWorker) Hold(ctx context.Context, _ string, h Hold) (Listing, error) {
+func (w *deafWorker) Hold(ctx context.Context, _ string, _ Hold) (Listing, error) {
 	w.mu.Lock()
 	w.holds++
 	n := w.holds
--- a/internal/tool/submissions.go
+++ b/internal/tool/submissions.go
@@ -13,13 +13,14 @@
 
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/client"
+	"github.com/gentianrail/gentianrail/internal/declaration"
 	"github.com/gentianrail/gentianrail/internal/operator"
 )
 
 func submissionsCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "submissions",
-		Usage: "look at the submissions that callers handed in, and cancel them",
+		Usage: "hand submissions in, look at those that were handed in, and cancel them",
 		Commands: []*cli.Command{
 			{
 				Name:  "list",
@@ -30,12 +31,32 @@
 				},
 				Action: listSubmissions,
 			},
+			{Name: "submit", Usage: "hand a submission in", Flags: []cli.Flag{fileFlag()}, Action: submitSubmission},
 			{Name: "describe", Usage: "show a submission's steps and active runs", ArgsUsage: "ID", Action: describeSubmission},
 			{Name: "cancel", Usage: "cancel a submission", ArgsUsage: "ID", Action: cancelSubmission},
 		},
 	}
 }
 
+func submitSubmission(ctx context.Context, cmd *cli.Command) error {
+	data, err := readFile(cmd.String("file"))
+	if err != nil {
+		return err
+	}
+	if _, err := declaration.ParseSubmission(data); err != nil {
+		return err
+	}
+	a, err := serverOf(cmd).Do(ctx, client.Call{Method: http.MethodPost, Path: "/v1/submissions", Body: data})
+	if err != nil {
+		return err
+	}
+	var doc operator.SubmissionDocument
+	if err := json.Unmarshal(a.Body, &doc); err != nil {
+		return fault.Wrap(fault.Internal, err, "decode the answer")
+	}
+	return printSubmission(cmd, doc)
+}
+
 func listSubmissions(ctx context.Context, cmd *cli.Command) error {
 	q := url.Values{}
 	for _, name := range []string{"queue", "state"} {
