Read the examples of submissions as what they are in the tests

TestExamples took every example outside the catalogue for settings. It leaves the submissions' folder to TestSubmissionExamples, which reads both files with the parsers that the tool uses.

--- a/internal/declaration/submission_test.go
+++ b/internal/declaration/submission_test.go
@@ -1,6 +1,7 @@
 package declaration
 
 import (
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -72,6 +73,28 @@
 	}
 }
 
+// TestSubmissionExamples reads the files that the README's walk-through uses.
+func TestSubmissionExamples(t *testing.T) {
+	read := func(name string) []byte {
+		data, err := os.ReadFile("../../examples/submissions/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	table, err := ParseQueues(read("queues.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := ParseSubmission(read("plan.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := table.Queue(s.Queue); !ok {
+		t.Errorf("no queue %q in queues.json", s.Queue)
+	}
+}
+
 const _queues = `{"version": 4, "services": [{"name": "w", "guards": true}], "queues": [
 	{"name": "plans", "host": "h.example", "prefix": "/p/", "service": "w", "priority": 2, "attempts": 4, "slack": 2,
 	 "target": "1s", "timeout": "3s", "advice": {"latency": "10ms", "per_worker": "2ms", "validity": "1s"}}]}`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -71,8 +71,8 @@
 	}
 	files = append(files, "../../examples/single.json")
 	for _, file := range files {
-		if strings.Contains(file, "catalogue") {
-			continue
+		if strings.Contains(file, "catalogue") || strings.Contains(file, "submissions") {
+			continue // not settings; the declarations' tests read them
 		}
 		if _, err := Load(file); err != nil {
 			t.Error(err)
