Send a failed task to another worker; try a failing worker once a second

Ruled out: suspicion itself (the worker was suspect; a suspect worker got one task at a time, but at once the next, and the same task again).

Change: a task that has failed on a worker goes to another for 20 s, if its service has one where it has not failed; a suspect worker that has failed something gets nothing for a second.

Tests: TestFailingWorkerEndsNoSubmission, TestFailedTaskGoesElsewhere; without the two rules both are red.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -56,11 +56,13 @@
 	Rack     string
 	Labels   []string
 	Capacity submission.Resources
-	Open     bool                  // takes new tasks
-	Suspect  bool                  // has lately failed most of what it was given
-	Strains  []interference.Strain // how its serving tasks fare, as seen last
-	Loads    []interference.Load   // what its tasks that fill use, as seen last
-	Fresh    []interference.Load   // of runs that its figures do not show yet
+	Open     bool                       // takes new tasks
+	Suspect  bool                       // has lately failed most of what it was given
+	Resting  bool                       // has failed something a moment ago as well; gets nothing for now
+	Failed   map[submission.TaskID]bool // tasks that have failed here lately
+	Strains  []interference.Strain      // how its serving tasks fare, as seen last
+	Loads    []interference.Load        // what its tasks that fill use, as seen last
+	Fresh    []interference.Load        // of runs that its figures do not show yet
 }
 
 // node is a worker while a round lasts.
@@ -328,14 +330,17 @@
 		if t.Done || len(t.Runs) > 0 || it.doubted && !step.Gang && t.Failed < _doubtAfter {
 			continue
 		}
-		n := r.best(it, onWorker, onRack)
+		id := submission.TaskID{Submission: it.s.ID, Occurrence: it.occurrence, Step: it.step, Index: i}
+		n := r.best(it, id, onWorker, onRack)
 		if n == nil {
 			if step.Gang {
 				r.undo(mark, it)
 			}
+			if t.Failed > 0 && !step.Gang {
+				continue // it may not go where the others may
+			}
 			return // the step's tasks are alike, so the others do not fit either
 		}
-		id := submission.TaskID{Submission: it.s.ID, Occurrence: it.occurrence, Step: it.step, Index: i}
 		run := submission.RunID{Task: id, Number: max(number, t.Last) + 1}
 		r.starts = append(r.starts, submission.Start{Run: run, Worker: n.Life})
 		r.begun[it.s.ID] = true
@@ -396,12 +401,18 @@
 	return onWorker, onRack
 }
 
-// best returns the worker that suits a task of the step best, or nil.
-func (r *round) best(it item, onWorker, onRack map[string]int) *node {
+// best returns the worker that suits a task of the step best, or nil. A task
+// that has failed on a worker goes to another, if its service has one where it
+// has not.
+func (r *round) best(it item, id submission.TaskID, onWorker, onRack map[string]int) *node {
 	step := &it.s.Steps[it.step]
 	var best *node
 	var bestCost float64
+	elsewhere := r.hasOther(it.s.Service, id)
 	for _, n := range r.nodes {
+		if n.Failed[id] && elsewhere {
+			continue
+		}
 		if !n.admits(it.s, step, onWorker[n.Life]) || !r.approved(it, n) {
 			continue
 		}
@@ -416,6 +427,16 @@
 	return best
 }
 
+// hasOther reports whether a service has a worker on which a task has not failed.
+func (r *round) hasOther(service string, id submission.TaskID) bool {
+	for _, n := range r.nodes {
+		if n.Service == service && !n.Failed[id] {
+			return true
+		}
+	}
+	return false
+}
+
 // approved reports whether the step may run on the worker, as far as its queue
 // asks for advice.
 func (r *round) approved(it item, n *node) bool {
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -83,7 +83,7 @@
 	if step.MostPerWorker > 0 && already >= step.MostPerWorker {
 		return Spread
 	}
-	if n.Suspect && !step.LongRunning && (n.runs > 0 || s.Attempts < 2) {
+	if n.Suspect && !step.LongRunning && (n.runs > 0 || n.Resting || s.Attempts < 2) {
 		return Sick
 	}
 	room, need := n.free, step.Room()
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -17,6 +17,8 @@
 	_paceOutcomes   = 1.5             // decayed ends needed to judge a worker's pace
 	_stallAfter     = 2 * time.Second // a run whose progress stands still for longer is stalled
 	_shortestRun    = 50 * time.Millisecond
+	_probeEvery     = time.Second      // between two tasks for a worker that fails them; it costs a task an attempt each time
+	_failureKept    = 20 * time.Second // for which a task is kept from a worker where it failed; troubles of workers last less
 )
 
 // Health holds what the ends of runs have told of each worker: how many failed,
@@ -26,8 +28,9 @@
 // ready.
 type Health struct {
 	workers map[string]*record
-	pace    float64 // mean of log(duration/estimate) over all workers
-	paced   float64 // weight of that mean, at most _paceMost
+	failed  map[submission.TaskID]map[string]time.Time // when a task failed on which worker
+	pace    float64                                    // mean of log(duration/estimate) over all workers
+	paced   float64                                    // weight of that mean, at most _paceMost
 }
 
 // _paceMost bounds the weight of the pool's mean pace, so that it follows.
@@ -36,6 +39,7 @@
 // record is what the ends on one worker have told, with decay.
 type record struct {
 	at       time.Time
+	fault    time.Time // latest failure
 	failed   float64
 	outcomes float64
 	pace     float64 // sum of log(duration/estimate)
@@ -65,9 +69,10 @@
 }
 
 // Ended takes in the end of a run of a step that took the given time.
-func (h *Health) Ended(now time.Time, life string, step *submission.Step, how submission.How, took time.Duration) {
+func (h *Health) Ended(now time.Time, life string, run submission.RunID, step *submission.Step, how submission.How, took time.Duration) {
 	switch how {
 	case submission.Done:
+		delete(h.failed, run.Task)
 		r := h.record(now, life)
 		r.outcomes++
 		r.bound()
@@ -76,7 +81,41 @@
 		r := h.record(now, life)
 		r.outcomes++
 		r.failed++
+		r.fault = now
 		r.bound()
+		h.noteFailure(now, life, run.Task)
+	}
+}
+
+func (h *Health) noteFailure(now time.Time, life string, task submission.TaskID) {
+	if h.failed == nil {
+		h.failed = make(map[submission.TaskID]map[string]time.Time)
+	}
+	if h.failed[task] == nil {
+		h.failed[task] = make(map[string]time.Time)
+	}
+	h.failed[task][life] = now
+}
+
+// Judge sets what is known of a worker.
+func (h *Health) Judge(now time.Time, w *Worker) {
+	w.Suspect = h.Suspect(now, w.Life)
+	w.Resting = w.Suspect && now.Sub(h.workers[w.Life].fault) < _probeEvery
+	w.Failed = nil
+	for task, lives := range h.failed {
+		at, ok := lives[w.Life]
+		switch {
+		case !ok:
+		case now.Sub(at) >= _failureKept:
+			if delete(lives, w.Life); len(lives) == 0 {
+				delete(h.failed, task)
+			}
+		default:
+			if w.Failed == nil {
+				w.Failed = make(map[submission.TaskID]bool)
+			}
+			w.Failed[task] = true
+		}
 	}
 }
 
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/gentianrail/gentianrail/interference"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
@@ -35,11 +37,11 @@
 			var h Health
 			now := testNow
 			for range 30 { // the rest of the pool keeps to the estimates
-				h.Ended(now, "other", step, submission.Done, time.Second)
+				h.Ended(now, "other", submission.RunID{}, step, submission.Done, time.Second)
 			}
 			for _, e := range tc.ends {
 				for range e.count {
-					h.Ended(now, "w", step, e.how, e.took)
+					h.Ended(now, "w", submission.RunID{}, step, e.how, e.took)
 				}
 			}
 			if got := h.Suspect(now.Add(tc.after), "w"); got != tc.want {
@@ -73,7 +75,7 @@
 	step := &submission.Step{Count: 1, Estimate: time.Second}
 	var h Health
 	for range 60 {
-		h.Ended(testNow, "w", step, submission.Failed, 0)
+		h.Ended(testNow, "w", submission.RunID{}, step, submission.Failed, 0)
 	}
 	if !h.Suspect(testNow, "w") {
 		t.Fatal("the worker is not suspect")
@@ -96,3 +98,98 @@
 		t.Errorf("%d tasks started, want 16", got)
 	}
 }
+
+// TestFailingWorkerEndsNoSubmission plays a full pool in which one worker fails
+// all that it starts at once, so that it is the one with room: no submission is
+// given up for it, and it is tried again often enough to be found sound.
+func TestFailingWorkerEndsNoSubmission(t *testing.T) {
+	var b submission.Book
+	var h Health
+	workers := pool(3, 64000, 256000)
+	bad := workers[0].Life
+	now := testNow
+	const tick, troubled, length = 50 * time.Millisecond, 6 * time.Second, 14 * time.Second
+	type begin struct {
+		worker string
+		at     time.Time
+	}
+	begun := make(map[submission.RunID]begin)
+	tried, onBad, next := 0, 0, 0
+	for ; now.Before(testNow.Add(length)); now = now.Add(tick) {
+		if since := now.Sub(testNow); since >= time.Duration(next)*500*time.Millisecond {
+			step := filling
+			step.Image = ""
+			b.Submit(submission.Submission{
+				Spec: submission.Spec{ID: fmt.Sprint("s", next), Queue: "q", Steps: []submission.Step{step}}, Service: "s", Priority: 2,
+				Attempts: 4, Slack: 2, Target: time.Second,
+			}, now)
+			next++
+		}
+		var ends []submission.End
+		for run, r := range begun {
+			switch {
+			case r.worker == bad && now.Sub(testNow) < troubled:
+				ends = append(ends, submission.End{Run: run, Worker: r.worker, How: submission.Failed})
+			case now.Sub(r.at) >= filling.Estimate:
+				ends = append(ends, submission.End{Run: run, Worker: r.worker, How: submission.Done})
+			}
+		}
+		for _, e := range ends {
+			h.Ended(now, e.Worker, e.Run, &filling, e.How, now.Sub(begun[e.Run].at))
+			delete(begun, e.Run)
+			b.End(e, now)
+		}
+		for i := range workers {
+			h.Judge(now, &workers[i])
+		}
+		for _, st := range b.Start(Starts(now, now, &b, workers, &interference.Table{}, &Approvals{}), now) {
+			begun[st.Run] = begin{worker: st.Worker, at: now}
+			if st.Worker != bad {
+				continue
+			}
+			if now.Sub(testNow) < troubled {
+				tried++
+			} else {
+				onBad++
+			}
+		}
+	}
+	for _, s := range b.All() {
+		if s.State == submission.GaveUp {
+			t.Errorf("%s was given up", s.ID)
+		}
+	}
+	if most := 24; tried > most {
+		t.Errorf("%d starts on the failing worker, want at most %d", tried, most)
+	}
+	if onBad < 10 {
+		t.Errorf("%d starts on the worker when it was sound again, want 10 or more", onBad)
+	}
+}
+
+// TestFailedTaskGoesElsewhere has a task that failed on the worker with most
+// room: it starts on another, and on the same only if there is no other.
+func TestFailedTaskGoesElsewhere(t *testing.T) {
+	for _, size := range []int{1, 2} {
+		var b submission.Book
+		var h Health
+		workers := pool(size, 64000, 256000)
+		step := plain
+		step.Count = 1
+		submit(&b, "a", 0, step)
+		started := b.Start(Starts(testNow, testNow, &b, workers, &interference.Table{}, &Approvals{}), testNow)
+		first := started[0]
+		h.Ended(testNow, first.Worker, first.Run, &step, submission.Failed, 0)
+		b.End(submission.End{Run: first.Run, Worker: first.Worker, How: submission.Failed}, testNow)
+		for i := range workers {
+			h.Judge(testNow, &workers[i])
+		}
+		again := Starts(testNow, testNow, &b, workers, &interference.Table{}, &Approvals{})
+		if len(again) != 1 {
+			t.Fatalf("%d workers: %d starts, want 1", size, len(again))
+		}
+		if same := again[0].Worker == first.Worker; same != (size == 1) {
+			t.Errorf("%d workers: the task starts on %s after it failed on %s", size, again[0].Worker, first.Worker)
+		}
+	}
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -190,7 +190,7 @@
 		delete(c.sessions.lapsing, e.Worker)
 		s, ok := book.Submission(e.Run.Task.Submission)
 		if begun, known := c.sessions.begun[e.Run]; ok && known {
-			c.sessions.health.Ended(now, e.Worker, &s.Steps[e.Run.Task.Step], e.How, now.Sub(begun))
+			c.sessions.health.Ended(now, e.Worker, e.Run, &s.Steps[e.Run.Task.Step], e.How, now.Sub(begun))
 		}
 		delete(c.sessions.begun, e.Run)
 		delete(c.sessions.facts, e.Run)
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -116,7 +116,7 @@
 		leased := now.Before(c.sessions.granted[life])
 		if leased && !lapsing && p.listed && now.Sub(p.heard) < _recentReport {
 			w := p.worker
-			w.Suspect = c.sessions.health.Suspect(now, life)
+			c.sessions.health.Judge(now, &w)
 			w.Fresh = c.freshLoads(now, p)
 			workers = append(workers, w)
 		}
