--- a/internal/controller/figures.go
+++ b/internal/controller/figures.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gentianrail/gentianrail/interference"
+	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/submission"
 )
@@ -64,10 +65,17 @@
 			}
 			looked[pair] = true
 			percent := int(100 * c.sessions.known.Press(pair))
-			if old, ok := p.presses[pair]; ok && max(old-percent, percent-old) < _pressMoved {
+			old, told := p.presses[pair]
+			switch {
+			case !told:
+				old = -1
+			case max(old-percent, percent-old) < _pressMoved:
 				continue
 			}
 			p.presses[pair] = percent
+			c.log.Emit(event.PressLearnt, event.Fields{
+				"worker": p.worker.Life, "fills": pair.Fills, "serves": pair.Serves, "percent": percent, "before": old,
+			}, "an agent is told how much an image disturbs another")
 			out = append(out, &pb.Press{Fills: pair.Fills, Serves: pair.Serves, Percent: int64(percent)})
 		}
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,6 +51,7 @@
 	Ended          Number = 223
 	QueuesInForce  Number = 224
 	OrderAnswered  Number = 225
+	PressLearnt    Number = 226
 	AgentJoined    Number = 301
 	ControllerLost Number = 302
 	TaskStarted    Number = 303
@@ -116,6 +117,7 @@
 	{Ended, "submission_ended", logrus.InfoLevel},
 	{QueuesInForce, "queues_in_force", logrus.InfoLevel},
 	{OrderAnswered, "order_answered", logrus.InfoLevel},
+	{PressLearnt, "press_learnt", logrus.InfoLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
