Repeat fenced starts; have agents report anew when a proposal is lost

(1) A start of the former term that the worker refuses as fenced was forgotten by the agent, while the new leader, which had been told of it as ordered, did not order it anew. (2) Ends that a leader could not propose while it handed its leadership over were never proposed again if it stayed leader.

Change: a fenced start is repeated in the term that the agent knows by then; a leader that cannot propose a change of its own ends the agents' streams, so that they report everything again.

Tests, red before: TestFencedStartIsRepeated, TestLostProposalEndsSessions.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -233,7 +233,7 @@
 		}
 		break
 	}
-	c.proposeAll(clock.Now(), proposals)
+	_ = c.proposeAll(clock.Now(), proposals) // the proposers are told
 	return true
 }
 
@@ -267,9 +267,9 @@
 	return result{err: fault.New(fault.NoLeader, "this controller does not lead")}
 }
 
-func (c *Core) proposeAll(now time.Time, proposals []proposal) {
+func (c *Core) proposeAll(now time.Time, proposals []proposal) error {
 	if len(proposals) == 0 {
-		return
+		return nil
 	}
 	data := make([][]byte, 0, len(proposals))
 	kept := proposals[:0]
@@ -286,7 +286,7 @@
 		for _, p := range kept {
 			p.reply <- notLeader()
 		}
-		return
+		return c.failed
 	}
 	first, err := c.replica.Propose(now, data)
 	for i, p := range kept {
@@ -296,6 +296,7 @@
 		}
 		c.waiting[first+uint64(i)] = pending{term: c.replica.Term(), since: now, reply: p.reply}
 	}
+	return err
 }
 
 // carryOut does what the replica asks until it asks for nothing more now.
--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -137,7 +137,7 @@
 	for _, cmd := range commands {
 		proposals = append(proposals, proposal{cmd: cmd, reply: make(chan result, 1)})
 	}
-	c.proposeAll(now, proposals)
+	_ = c.proposeAll(now, proposals) // the next round proposes anew
 }
 
 // worthARound reports whether a placement round could decide otherwise than
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -300,9 +300,21 @@
 	}
 }
 
-// proposeOwn proposes a command whose outcome shows in the state.
+// proposeOwn proposes a command whose outcome shows in the state. A leader that
+// cannot, as while it hands its leadership over, ends the agents' streams: they
+// tell everything again, to whoever leads then.
 func (c *Core) proposeOwn(now time.Time, cmd state.Command) {
-	c.proposeAll(now, []proposal{{cmd: cmd, reply: make(chan result, 1)}})
+	err := c.proposeAll(now, []proposal{{cmd: cmd, reply: make(chan result, 1)}})
+	if err == nil {
+		return
+	}
+	c.log.Emit(event.ProposalLost, event.Fields{"error": err.Error(), "sessions": len(c.sessions.byLife)},
+		"a change could not be proposed; the agents have to report anew")
+	c.sessions.starting = time.Time{}
+	for life, p := range c.sessions.byLife {
+		p.out.close()
+		delete(c.sessions.byLife, life)
+	}
 }
 
 // lostRuns returns the ends of all active runs of a life, in a fixed order.
--- a/internal/controller/sessions_test.go
+++ b/internal/controller/sessions_test.go
@@ -1,11 +1,16 @@
 package controller
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/gentianrail/gentianrail/dispatch"
+	"github.com/gentianrail/gentianrail/internal/clock"
+	"github.com/gentianrail/gentianrail/internal/disk"
+	"github.com/gentianrail/gentianrail/replica"
 	"github.com/gentianrail/gentianrail/state"
+	"github.com/gentianrail/gentianrail/submission"
 )
 
 // TestNoTasksWithoutLease looks at workers whose agents have just reported. One
@@ -36,3 +41,31 @@
 		})
 	}
 }
+
+// TestLostProposalEndsSessions reports an end to a leader that cannot record it,
+// as while it hands its leadership over: the agent has to tell it again, even if
+// the leader stays.
+func TestLostProposalEndsSessions(t *testing.T) {
+	files, err := disk.OpenFolder(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := clock.Now()
+	c, err := NewCore(CoreConfig{
+		Replica: replica.Config{
+			ID: "a", Founders: []replica.Member{{ID: "a"}, {ID: "b"}}, ElectionTimeout: time.Second,
+			Heartbeat: 100 * time.Millisecond, Rand: rand.New(rand.NewPCG(1, 1)),
+		},
+		Files: files, Send: func([]replica.Message) {}, SnapshotEntries: 1000, Lease: time.Second, RunLease: time.Second,
+	}, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &session{worker: dispatch.Worker{Life: "w"}, out: newOutbox()}
+	c.sessions.reset(now)
+	c.sessions.byLife["w"] = p
+	c.proposeEnds(now, []submission.End{{Run: submission.RunID{Number: 1}, Worker: "w", How: submission.Done}})
+	if _, closed := p.out.takeAll(); !closed || len(c.sessions.byLife) != 0 {
+		t.Error("the agent's stream goes on, though what it told is lost")
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -52,6 +52,7 @@
 	QueuesInForce  Number = 224
 	OrderAnswered  Number = 225
 	PressLearnt    Number = 226
+	ProposalLost   Number = 227
 	AgentJoined    Number = 301
 	ControllerLost Number = 302
 	TaskStarted    Number = 303
@@ -118,6 +119,7 @@
 	{QueuesInForce, "queues_in_force", logrus.InfoLevel},
 	{OrderAnswered, "order_answered", logrus.InfoLevel},
 	{PressLearnt, "press_learnt", logrus.InfoLevel},
+	{ProposalLost, "proposal_lost", logrus.WarnLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -366,10 +366,8 @@
 		return true
 	case TooLate:
 		return false
-	case Fenced:
-		delete(r.orders, o.run) // the newer leader orders anew what it wants
-		return true
-	case OtherLife:
+	case Fenced, OtherLife:
+		// A newer leader counts the run as ordered, or has it stopped.
 		return false
 	default:
 		r.forbid(ctx, life, o)
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -420,3 +420,18 @@
 		})
 	}
 }
+
+// TestFencedStartIsRepeated has a new leader attach while a start of the former
+// leader's term is on its way: the worker refuses it, and the run, which the new
+// leader counts as ordered, is started in the new term.
+func TestFencedStartIsRepeated(t *testing.T) {
+	w := &fakeWorker{starts: []startResult{{answer: Fenced}, {answer: Started}}}
+	r := newRunner(t, w)
+	r.give(startOrder(1))
+	eventually(t, "the start is repeated", func() bool { return len(w.called()) >= 2 })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.orders[testRun(1)] == nil {
+		t.Error("the order is forgotten")
+	}
+}
