Let lasting tasks return to a worker where they failed

Change: the rule does not hold for tasks that last, nor for a submission that would stand still.

Test, red before: TestLastingTaskReturnsWhereItFailed.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -408,7 +408,7 @@
 	step := &it.s.Steps[it.step]
 	var best *node
 	var bestCost float64
-	elsewhere := r.hasOther(it.s.Service, id)
+	elsewhere := !step.LongRunning && !r.idles(it.s) && r.hasOther(it.s.Service, id)
 	for _, n := range r.nodes {
 		if n.Failed[id] && elsewhere {
 			continue
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -193,3 +193,29 @@
 		}
 	}
 }
+
+// TestLastingTaskReturnsWhereItFailed has a task that lasts fail on the only
+// worker with room: it starts there again, as it has no limit of attempts and
+// must not be away for long.
+func TestLastingTaskReturnsWhereItFailed(t *testing.T) {
+	var b submission.Book
+	var h Health
+	workers := pool(2, 64000, 256000)
+	full := serving
+	full.Count, full.Requirement = 4, "only"
+	workers[1].Labels = append(workers[1].Labels, "only")
+	submit(&b, "full", 0, full)
+	commit(t, &b, testNow, workers)
+	step := serving
+	step.Count = 1
+	submit(&b, "a", 0, step)
+	first := b.Start(Starts(testNow, testNow, &b, workers, &interference.Table{}, &Approvals{}), testNow)[0]
+	h.Ended(testNow, first.Worker, first.Run, &step, submission.Failed, time.Second)
+	b.End(submission.End{Run: first.Run, Worker: first.Worker, How: submission.Failed}, testNow)
+	for i := range workers {
+		h.Judge(testNow, &workers[i])
+	}
+	if got := commit(t, &b, testNow, workers); got != 1 {
+		t.Errorf("%d starts, want 1", got)
+	}
+}
