--- a/internal/operator/queues.go
+++ b/internal/operator/queues.go
@@ -14,25 +14,27 @@
 
 const _mostQueuesBytes = 4 << 20 // of a table; thousands of queues
 
-func body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
+// parseBody reads a request's body and parses it. ok is false if that failed,
+// which the caller has been told.
+func parseBody[T any](w http.ResponseWriter, r *http.Request, most int64, parse func([]byte) (T, error)) (out T, ok bool) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	if err != nil {
-		return nil, fault.New(fault.BodyTooLarge, "the body could not be read within %d bytes: %s", most, err)
+		err = fault.New(fault.BodyTooLarge, "the body could not be read within %d bytes: %s", most, err)
+	} else {
+		out, err = parse(data)
 	}
-	return data, nil
+	if err != nil {
+		web.WriteFault(w, err)
+		return out, false
+	}
+	return out, true
 }
 
 // putQueues puts a table of queues in force. A table that is not newer than the
 // one in force is a conflict, unless it is the same.
 func (o *operator) putQueues(w http.ResponseWriter, r *http.Request) {
-	data, err := body(w, r, _mostQueuesBytes)
-	if err != nil {
-		web.WriteFault(w, err)
-		return
-	}
-	t, err := declaration.ParseQueues(data)
-	if err != nil {
-		web.WriteFault(w, err)
+	t, ok := parseBody(w, r, _mostQueuesBytes, declaration.ParseQueues)
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), _operatorDeadline)
@@ -65,14 +67,8 @@
 
 // postSubmission hands a submission in. The identifier makes resends harmless.
 func (o *operator) postSubmission(w http.ResponseWriter, r *http.Request) {
-	data, err := body(w, r, declaration.MostBytes)
-	if err != nil {
-		web.WriteFault(w, err)
-		return
-	}
-	spec, err := declaration.ParseSubmission(data)
-	if err != nil {
-		web.WriteFault(w, err)
+	spec, ok := parseBody(w, r, declaration.MostBytes, declaration.ParseSubmission)
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), _operatorDeadline)
--- a/internal/tool/submissions.go
+++ b/internal/tool/submissions.go
@@ -50,11 +50,7 @@
 	if err != nil {
 		return err
 	}
-	var doc operator.SubmissionDocument
-	if err := json.Unmarshal(a.Body, &doc); err != nil {
-		return fault.Wrap(fault.Internal, err, "decode the answer")
-	}
-	return printSubmission(cmd, doc)
+	return printAnswer(cmd, a)
 }
 
 func listSubmissions(ctx context.Context, cmd *cli.Command) error {
@@ -97,6 +93,15 @@
 	return printSubmission(cmd, doc)
 }
 
+// printAnswer prints the submission in an answer.
+func printAnswer(cmd *cli.Command, a client.Answer) error {
+	var doc operator.SubmissionDocument
+	if err := json.Unmarshal(a.Body, &doc); err != nil {
+		return fault.Wrap(fault.Internal, err, "decode the answer")
+	}
+	return printSubmission(cmd, doc)
+}
+
 func printSubmission(cmd *cli.Command, doc operator.SubmissionDocument) error {
 	if wantsJSON(cmd) {
 		return printJSON(cmd.Root().Writer, doc)
@@ -126,9 +131,5 @@
 	if err != nil {
 		return err
 	}
-	var doc operator.SubmissionDocument
-	if err := json.Unmarshal(a.Body, &doc); err != nil {
-		return fault.Wrap(fault.Internal, err, "decode the answer")
-	}
-	return printSubmission(cmd, doc)
+	return printAnswer(cmd, a)
 }
