Tell the life of a submission from collected logs

gentianrail logs explain ID FILE... puts the lines of all processes on one submission in order and counts what delayed or ended it.

--- /dev/null
+++ b/internal/tool/logs.go
@@ -0,0 +1,74 @@
+package tool
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/explain"
+)
+
+func logsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "logs",
+		Usage: "read collected logs",
+		Commands: []*cli.Command{{
+			Name: "explain", Usage: "tell the life of a submission over all processes, and what delayed it",
+			ArgsUsage: "ID FILE...", Action: explainLogs,
+		}},
+	}
+}
+
+func explainLogs(_ context.Context, cmd *cli.Command) error {
+	args := cmd.Args().Slice()
+	const fewest = 2
+	if len(args) < fewest {
+		return fault.New(fault.BadRequest, "expected a submission and one file or more, found %d arguments", len(args))
+	}
+	id, files := args[0], args[1:]
+	var story explain.Story
+	for _, name := range files {
+		if err := readLog(&story, name, id); err != nil {
+			return err
+		}
+	}
+	lines := story.Lines()
+	if len(lines) == 0 {
+		return fault.New(fault.JobNotFound, "no line of %d files names the submission %q", len(files), id)
+	}
+	out := cmd.Root().Writer
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "AFTER S\tPROCESS\tEVENT\tDETAILS")
+	for _, l := range lines {
+		fmt.Fprintf(t, "%.3f\t%s\t%s\t%s\n", l.Time.Sub(lines[0].Time).Seconds(), l.Process, l.Event, l.Detail())
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "\n%d lines from %s", len(lines), lines[0].Time.Format(time.RFC3339Nano))
+	if n := story.Skipped(); n > 0 {
+		fmt.Fprintf(out, "; %d could not be read", n)
+	}
+	fmt.Fprintln(out)
+	for _, f := range story.Findings() {
+		fmt.Fprintf(out, "%d times: %s\n", f.Count, f.Text)
+	}
+	return nil
+}
+
+func readLog(story *explain.Story, name, id string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return fault.New(fault.BadRequest, "%s", err)
+	}
+	defer file.Close()
+	if err := story.Read(file, id); err != nil {
+		return fault.New(fault.BadRequest, "%s: %s", name, err)
+	}
+	return nil
+}
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -63,7 +63,7 @@
 		},
 		Commands: []*cli.Command{
 			applyCommand(), diffCommand(), getCommand(), describeCommand(), deleteCommand(), validateCommand(),
-			statusCommand(), workersCommand(), tasksCommand(), jobsCommand(), queuesCommand(), submissionsCommand(), drainCommand(), reportCommand(),
+			statusCommand(), workersCommand(), tasksCommand(), jobsCommand(), queuesCommand(), submissionsCommand(), logsCommand(), drainCommand(), reportCommand(),
 			loadCommand(), versionCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
