--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/gentianrail/gentianrail/internal/clock"
@@ -131,6 +132,9 @@
 // unanswered notes a listing without an answer. Once the worker's lease is
 // over for certain, its runs are. The lock is held.
 func (r *Runner) unanswered(now time.Time, err error) {
+	if errors.Is(err, ErrFenced) {
+		return // it has answered; the term comes with the leader's next order
+	}
 	r.tries++
 	if r.tries >= _silentTries && !r.silent {
 		r.silent = true
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -435,3 +436,17 @@
 		t.Error("the order is forgotten")
 	}
 }
+
+// TestFencedListingIsNoSilence has a worker refuse to list its runs to an agent
+// that does not know the term yet: it has answered, and is not given up.
+func TestFencedListingIsNoSilence(t *testing.T) {
+	r := newRunner(t, &fakeWorker{starts: []startResult{{answer: Started}}})
+	for range 2 * _silentTries {
+		r.held(context.Background(), r.currentLife(), clock.Now(), Listing{}, fmt.Errorf("list: %w", ErrFenced))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.silent {
+		t.Error("the worker counts as silent")
+	}
+}
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/gentianrail/gentianrail/submission"
@@ -94,6 +95,10 @@
 	Wait     time.Duration // how long the answer may wait for an end
 }
 
+// ErrFenced is a worker's answer to a term that is lower than one that it has
+// seen.
+var ErrFenced = errors.New("the worker has seen a higher term")
+
 // Worker is the interface to the worker on this machine. A call that returns
 // an error may have been carried out, or may still be, seconds later.
 type Worker interface {
