Have lasting tasks leave the headroom to short urgent work

Change: a lasting task leaves a worker's headroom free unless it would fit into it; one that fits may take it, since it must not be away beside room for it.

Test, red before: TestLastingTasksLeaveHeadroom.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -349,3 +349,26 @@
 		t.Errorf("%d urgent tasks started, want %d", got, urgent.Count)
 	}
 }
+
+// TestLastingTasksLeaveHeadroom hands in more lasting tasks of an urgent queue
+// than the pool holds, and then short urgent work: it starts at once. A lasting
+// task that would fit the headroom may take it, as it must not be away beside
+// free room.
+func TestLastingTasksLeaveHeadroom(t *testing.T) {
+	var b submission.Book
+	workers := pool(2, 64000, 256000)
+	lasting := serving
+	lasting.Needs.CPU, lasting.Count = 15500, 8 // four take all but 3% of a worker
+	submit(&b, "lasting", 0, lasting)
+	commit(t, &b, testNow, workers)
+	submit(&b, "short", 0, plain)
+	if got := commit(t, &b, testNow, workers); got != plain.Count {
+		t.Errorf("%d short tasks started, want %d", got, plain.Count)
+	}
+	small := serving
+	small.Needs.CPU, small.Count = 3000, 1
+	submit(&b, "small", 0, small)
+	if got := commit(t, &b, testNow, workers); got != 1 {
+		t.Errorf("%d small lasting tasks started, want 1", got)
+	}
+}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -87,8 +87,8 @@
 		return Sick
 	}
 	room, need := n.free, step.Room()
-	if need.CPU > 0 && s.Priority > _urgentPriority && !step.Gang && !n.empty() && n.reserved {
-		room.CPU -= int64(Headroom * float64(n.Capacity.CPU))
+	if headroom := int64(Headroom * float64(n.Capacity.CPU)); n.reserved && leavesHeadroom(s, step, headroom) && !n.empty() {
+		room.CPU -= headroom
 	}
 	switch {
 	case need.CPU > room.CPU:
@@ -100,3 +100,16 @@
 	}
 	return 0
 }
+
+// leavesHeadroom reports whether a step's tasks leave a worker's headroom to
+// short urgent ones: those of other queues, and those that last and would not
+// fit into it.
+func leavesHeadroom(s *submission.Submission, step *submission.Step, headroom int64) bool {
+	switch {
+	case step.Gang || step.Room().CPU == 0:
+		return false
+	case step.LongRunning:
+		return step.Room().CPU > headroom
+	}
+	return s.Priority > _urgentPriority
+}
