Start a lasting task that fits twice, headroom or not

Cause: the users' rule on tasks that last holds wherever there is capacity for the task twice over. With the headroom kept from them, such a task could wait beside two workers that have room for it.

Change: a lasting task leaves the headroom only if the pool has room for fewer than two of it. Test, red before: TestLastingTaskStartsWhereItFitsTwice.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -87,14 +87,14 @@
 // Questions returns the calls that bring waiting steps forward, the most
 // urgent first.
 func (a *Approvals) Questions(now, wall time.Time, book *submission.Book, workers []Worker) []Question {
-	nodes := makeNodes(book, workers)
+	r := newRound(now, makeNodes(book, workers), nil)
 	var out []Question
 	for _, it := range waiting(now, wall, book) {
 		if !it.s.Advised {
 			continue
 		}
 		id := StepID{Submission: it.s.ID, Occurrence: it.occurrence, Step: it.step}
-		if named := a.worthAsking(now, id, it, nodes); len(named) > 0 {
+		if named := a.worthAsking(id, it, r); len(named) > 0 {
 			out = append(out, Question{Step: id, Workers: named})
 		}
 	}
@@ -103,18 +103,18 @@
 
 // worthAsking returns the workers that could take the step's tasks, if those
 // that are approved cannot.
-func (a *Approvals) worthAsking(now time.Time, id StepID, it item, nodes []*node) []string {
+func (a *Approvals) worthAsking(id StepID, it item, r *round) []string {
 	step := &it.s.Steps[it.step]
 	var fit []*node
-	for _, n := range nodes {
-		if n.obstacle(it.s, step, 0) != 0 {
+	for _, n := range r.nodes {
+		if r.obstacle(n, it.s, step, 0) != 0 {
 			continue
 		}
-		if _, ok := a.Ticket(now, id, n.Life); ok {
+		if _, ok := a.Ticket(r.now, id, n.Life); ok {
 			return nil
 		}
 		if s := a.steps[id]; s != nil {
-			if at, denied := s.denied[n.Life]; denied && now.Sub(at) < _askAgain {
+			if at, denied := s.denied[n.Life]; denied && r.now.Sub(at) < _askAgain {
 				continue
 			}
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -413,7 +413,7 @@
 		if n.Failed[id] && elsewhere {
 			continue
 		}
-		if !n.admits(it.s, step, onWorker[n.Life]) || !r.approved(it, n) {
+		if !r.admits(n, it.s, step, onWorker[n.Life]) || !r.approved(it, n) {
 			continue
 		}
 		if r.mustWait(step, n) && !r.idles(it.s) {
@@ -460,8 +460,8 @@
 }
 
 // admits reports whether a task of the step may start on the worker.
-func (n *node) admits(s *submission.Submission, step *submission.Step, already int) bool {
-	return n.obstacle(s, step, already) == 0
+func (r *round) admits(n *node, s *submission.Submission, step *submission.Step, already int) bool {
+	return r.obstacle(n, s, step, already) == 0
 }
 
 func (n *node) empty() bool { return n.runs == 0 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -372,3 +372,23 @@
 		t.Errorf("%d small lasting tasks started, want 1", got)
 	}
 }
+
+// TestLastingTaskStartsWhereItFitsTwice has a lasting task that would leave no
+// headroom wherever it starts. It waits if only one worker has room, and starts
+// if two have: tasks that last must not be away while there is room for two.
+func TestLastingTaskStartsWhereItFitsTwice(t *testing.T) {
+	for _, size := range []int{1, 2} {
+		var b submission.Book
+		workers := pool(size, 64000, 256000)
+		first := serving
+		first.Needs.CPU, first.Count, first.MostPerWorker = 48000, size, 1
+		submit(&b, "first", 0, first)
+		commit(t, &b, testNow, workers)
+		second := serving
+		second.Needs.CPU, second.Count = 15000, 1
+		submit(&b, "second", 0, second)
+		if got, want := commit(t, &b, testNow, workers), size-1; got != want {
+			t.Errorf("%d workers with room: %d tasks started, want %d", size, got, want)
+		}
+	}
+}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -61,7 +61,7 @@
 		}
 		onWorker, _ := r.spread(&it.s.Progress[it.occurrence][it.step])
 		for _, n := range r.nodes {
-			o := n.obstacle(it.s, step, onWorker[n.Life])
+			o := r.obstacle(n, it.s, step, onWorker[n.Life])
 			if o == 0 && r.mustWait(step, n) {
 				o = Disturbed
 			}
@@ -73,7 +73,7 @@
 }
 
 // obstacle returns why the worker does not admit a task of the step, or 0.
-func (n *node) obstacle(s *submission.Submission, step *submission.Step, already int) Obstacle {
+func (r *round) obstacle(n *node, s *submission.Submission, step *submission.Step, already int) Obstacle {
 	if n.Service != s.Service {
 		return OtherService
 	}
@@ -87,8 +87,8 @@
 		return Sick
 	}
 	room, need := n.free, step.Room()
-	if headroom := int64(Headroom * float64(n.Capacity.CPU)); n.reserved && leavesHeadroom(s, step, headroom) && !n.empty() {
-		room.CPU -= headroom
+	if n.reserved && !n.empty() && r.leavesHeadroom(n, s, step) {
+		room.CPU -= n.headroom()
 	}
 	switch {
 	case need.CPU > room.CPU:
@@ -101,15 +101,29 @@
 	return 0
 }
 
+// headroom returns the CPU that a worker keeps for short urgent tasks.
+func (n *node) headroom() int64 { return int64(Headroom * float64(n.Capacity.CPU)) }
+
 // leavesHeadroom reports whether a step's tasks leave a worker's headroom to
-// short urgent ones: those of other queues, and those that last and would not
-// fit into it.
-func leavesHeadroom(s *submission.Submission, step *submission.Step, headroom int64) bool {
+// short urgent ones: those of other queues do. A task that lasts does unless it
+// fits into the headroom or the pool has room for two of it: it must not be away
+// beside room for it.
+func (r *round) leavesHeadroom(n *node, s *submission.Submission, step *submission.Step) bool {
+	room := step.Room()
 	switch {
-	case step.Gang || step.Room().CPU == 0:
+	case step.Gang || room.CPU == 0:
+		return false
+	case !step.LongRunning:
+		return s.Priority > _urgentPriority
+	case room.CPU <= n.headroom() || room.CPU <= n.free.CPU-n.headroom():
 		return false
-	case step.LongRunning:
-		return step.Room().CPU > headroom
 	}
-	return s.Priority > _urgentPriority
+	places := int64(0)
+	for _, other := range r.nodes {
+		if other.Service == s.Service && room.Fits(other.free) {
+			places += other.free.CPU / room.CPU
+		}
+	}
+	const twice = 2
+	return places < twice
 }
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -171,7 +171,7 @@
 		}
 		for _, n := range round.nodes {
 			bears := n.serving == 0 || round.bears(step, n)
-			if n.Life != r.Worker && bears && !n.Suspect && n.idle >= step.Needs.CPU && n.admits(sub, step, 0) {
+			if n.Life != r.Worker && bears && !n.Suspect && n.idle >= step.Needs.CPU && round.admits(n, sub, step, 0) {
 				n.take(step, 1)
 				s.moved[run.Task] = now
 				out = append(out, Stop{Worker: r.Worker, Run: run, Reason: Crowded})
