--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -14,7 +14,7 @@
 	_slightRise   = 0.02 // of the pressure by a task that is let in whatever the pressure
 	_fullPressure = 0.77 // up to which it takes one that hardly raises it
 	_missed       = 100  // percent of the target from which it takes none
-	_riseCost     = 4.0  // cost of a task that fills, by the rise of the pressure that it brings
+	_riseCost     = 4.0  // cost of a task that fills, by the rise of the pressure that it brings; a rise of 0.15, what one task of an image that disturbs brings, costs as much as a worker that serves nobody
 )
 
 // _lookAhead is how far ahead demands are looked at: half of what most batch
--- a/interference/interference.go
+++ b/interference/interference.go
@@ -31,6 +31,7 @@
 	_behind       = 150                     // percent of the target from which a tail shows a backlog rather than a pressure
 	_between      = 200 * time.Millisecond  // between two samples of one worker, whose figures cover half a second
 	_kept         = 10 * time.Second        // a demand that was not seen for so long is forgotten
+	_pressKept    = 10 * time.Minute        // the same for a press, so that images of former days take no memory
 )
 
 // Pair is an image of tasks that fill and one of tasks that serve.
@@ -255,13 +256,18 @@
 	return p
 }
 
-// Forget drops the demands of steps and the workers that were not seen lately.
+// Forget drops the demands, presses and workers that were not seen lately.
 func (t *Table) Forget(now time.Time) {
 	for step, d := range t.demands {
 		if now.Sub(d.at) >= _kept {
 			delete(t.demands, step)
 		}
 	}
+	for pair, p := range t.presses {
+		if now.Sub(p.at) >= _pressKept {
+			delete(t.presses, pair)
+		}
+	}
 	for w, s := range t.seen {
 		if now.Sub(s.at) >= _kept {
 			delete(t.seen, w)
--- a/interference/interference_test.go
+++ b/interference/interference_test.go
@@ -186,13 +186,17 @@
 func TestForget(t *testing.T) {
 	var table Table
 	now := time.Unix(1000, 0)
-	table.Seen(now, "w", []Strain{{Step: "a", Image: "s", Percent: 100}}, nil)
+	table.Seen(now, "w", []Strain{{Step: "a", Image: "s", Percent: 100}}, []Load{{Image: "f", Share: 0.1}})
 	table.Forget(now.Add(_kept - time.Second))
-	if len(table.demands) != 1 || len(table.seen) != 1 {
+	if len(table.demands) != 1 || len(table.seen) != 1 || len(table.presses) != 1 {
 		t.Error("what was seen lately is forgotten")
 	}
 	table.Forget(now.Add(_kept))
-	if len(table.demands) != 0 || len(table.seen) != 0 {
-		t.Error("what was not seen for long is kept")
+	if len(table.demands) != 0 || len(table.seen) != 0 || len(table.presses) != 1 {
+		t.Error("demands that were not seen for long are kept, or presses are not")
+	}
+	table.Forget(now.Add(_pressKept))
+	if len(table.presses) != 0 {
+		t.Error("a press that was not seen for long is kept")
 	}
 }
