Remove what the pacer told and nobody asks any more

Listings wait equally long whether tasks that serve are watched or not, and the agent reports strains by step, so Watching and Worst had no caller. The check of Watching in TestPacerWithoutServingTasks goes with it; its decisions are still checked. No behaviour changes.

--- a/internal/runner/hold.go
+++ b/internal/runner/hold.go
@@ -80,10 +80,7 @@
 
 // holdWait returns how long a listing may wait for an end. The lock is held.
 func (r *Runner) holdWait() time.Duration {
-	switch {
-	case !r.listed || r.silent || !r.lease.known:
-		return 0
-	case r.unconfirmed():
+	if !r.listed || r.silent || !r.lease.known || r.unconfirmed() {
 		return 0
 	}
 	return _holdWait
--- a/pacing/pacing.go
+++ b/pacing/pacing.go
@@ -51,11 +51,10 @@
 
 // Pacer holds what one worker's figures have shown. The zero value is ready.
 type Pacer struct {
-	paces    map[string]*pace    // by image of tasks that fill
-	served   map[string]*service // by image of tasks that serve
-	worst    int                 // as seen last; meaningful while any is set
-	any      bool                // a task serves
-	watching bool                // a task that serves shares the worker with fillers
+	paces  map[string]*pace    // by image of tasks that fill
+	served map[string]*service // by image of tasks that serve
+	worst  int                 // highest tail latency in percent of its target, as seen last
+	any    bool                // a task serves
 }
 
 // pace is the share of an image's tasks.
@@ -73,18 +72,6 @@
 	present bool
 }
 
-// Watching reports whether the figures should be read often.
-func (p *Pacer) Watching() bool { return p.watching }
-
-// Worst returns the highest tail latency seen last, in percent of its target,
-// or -1 if no task serves.
-func (p *Pacer) Worst() int {
-	if !p.any {
-		return -1
-	}
-	return p.worst
-}
-
 // Decide returns the shares to set.
 func (p *Pacer) Decide(now time.Time, tasks []Task, presses interference.Presses) []Decision {
 	if p.paces == nil {
@@ -148,7 +135,6 @@
 		}
 		s.note(now)
 	}
-	p.watching = p.any && len(p.paces) > 0
 }
 
 func (s *service) note(now time.Time) {
--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -106,7 +106,4 @@
 	if len(got) != len(want) || got[0] != want[0] || got[1] != want[1] {
 		t.Errorf("got %v, want %v", got, want)
 	}
-	if p.Watching() {
-		t.Error("it watches although nothing serves")
-	}
 }
