--- a/pacing/pacing_test.go
+++ b/pacing/pacing_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/gentianrail/gentianrail/interference"
 )
 
 // fleet plays one worker: a task that serves, whose tail latency follows what
@@ -107,3 +109,44 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
+
+// TestPacerCutsWhatDisturbs has two images fill a worker, of which one disturbs
+// what serves: it alone is cut when the target is missed, both are if that does
+// not help, and the light one is back first.
+func TestPacerCutsWhatDisturbs(t *testing.T) {
+	presses := interference.Presses{{Fills: "heavy", Serves: "web"}: 4, {Fills: "light", Serves: "web"}: 0.1}
+	target := 10 * time.Millisecond
+	shares := map[string]int{"heavy": 100, "light": 100}
+	var p Pacer
+	now := time.Unix(1, 0)
+	play := func(d time.Duration, figure int64) {
+		for end := now.Add(d); now.Before(end); now = now.Add(testLook) {
+			tasks := []Task{
+				{Serves: true, Image: "web", TailTarget: target, Percent: 100, Figure: figure},
+				{Fills: true, Image: "heavy", Percent: shares["heavy"]},
+				{Fills: true, Image: "light", Percent: shares["light"]},
+			}
+			for _, d := range p.Decide(now, tasks, presses) {
+				shares[tasks[d.Index].Image] = d.Percent
+			}
+		}
+	}
+	steps := []struct {
+		what         string
+		d            time.Duration
+		figure       int64
+		heavy, light int
+	}{
+		{"the target is met", time.Second, 5, 100, 100},
+		{"it is missed a little", testLook, 11, 50, 100},
+		{"it is missed by far", testLook, 20, 0, 100},
+		{"it is still missed", _allAfter, 12, 0, 0},
+		{"it is met with a margin", 2 * _settle, 5, 10, 100}, // a light image waits for no margin, and gets half at a time
+	}
+	for _, s := range steps {
+		play(s.d, s.figure)
+		if shares["heavy"] != s.heavy || shares["light"] != s.light {
+			t.Errorf("%s: shares %v, want %d and %d", s.what, shares, s.heavy, s.light)
+		}
+	}
+}
