Split feed and identity off package controller

A change of the view is now found by binary search instead of a scan of all retained changes. TestAgentWaitsForLeader sets its own wait, so that a slow machine doesn't end it early. No change of behaviour otherwise; the tests of controller, feed and identity pass.

--- a/internal/controller/attach_test.go
+++ b/internal/controller/attach_test.go
@@ -103,6 +103,7 @@
 func TestAgentWaitsForLeader(t *testing.T) {
 	g := &testGroup{members: []replica.Member{{ID: "a", Address: "address of a"}, {ID: "b", Address: "address of b"}}}
 	a := g.start(t, "a") // has no majority alone
+	a.attachWait = 10 * time.Second
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	stream := newAgentStream(ctx)
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"path"
 	"sync"
@@ -208,7 +209,7 @@
 		}); err != nil {
 			return nil, "", err
 		}
-		if sess != nil || settled || clock.Now().Sub(began) >= _attachWait {
+		if sess != nil || settled || clock.Now().Sub(began) >= cmp.Or(s.attachWait, _attachWait) {
 			return sess, leader, nil
 		}
 		if !waitForSignal(ctx, changed, _attachKeepAlive) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,6 +18,7 @@
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/disk"
 	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/internal/identity"
 	"github.com/gentianrail/gentianrail/internal/link"
 	"github.com/gentianrail/gentianrail/internal/peers"
 	"github.com/gentianrail/gentianrail/internal/settings"
@@ -59,7 +60,7 @@
 
 func (c *Controller) start(s *settings.Settings, files disk.Files, log event.Log) error {
 	cfg := s.Controller
-	id, initialMembers, err := loadOrCreateIdentity(files, cfg)
+	id, initialMembers, err := identity.LoadOrCreate(files, cfg)
 	if err != nil {
 		return err
 	}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -20,6 +20,7 @@
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/disk"
 	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/internal/feed"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/replica"
 	"github.com/gentianrail/gentianrail/state"
@@ -62,7 +63,7 @@
 	writing        bool             // a write is in progress
 	latestSnapshot replica.Snapshot
 	machine        *state.Machine
-	feed           *feed
+	feed           *feed.Feed
 	send           func([]replica.Message)
 	messages       chan replica.Message
 	propose        chan proposal
@@ -160,7 +161,7 @@
 	c.advice = advice{client: cfg.AdviceClient, results: make(chan adviceResult, 1)}
 	c.group = group{replicas: cfg.Replicas, onMembersChange: cfg.OnMembersChange, address: cfg.Address}
 	c.replica = replica.New(cfg.Replica, restored, func() replica.Snapshot { return c.latestSnapshot }, now)
-	c.feed = newFeed(c.machine.Revision())
+	c.feed = feed.New(c.machine.Revision())
 	return c, nil
 }
 
@@ -248,7 +249,7 @@
 func (c *Core) tick(now time.Time) {
 	c.replica.Tick(now)
 	c.proposeMemberChange(now)
-	c.feed.setLeaderContact(c.diskErr == nil && c.replica.HasRecentContact(now))
+	c.feed.SetLeaderContact(c.diskErr == nil && c.replica.HasRecentContact(now))
 	for index, p := range c.pendingProposals {
 		if now.Sub(p.since) >= _proposalTimeout {
 			delete(c.pendingProposals, index)
@@ -373,7 +374,7 @@
 		return err
 	}
 	c.latestSnapshot = *ready.Snapshot
-	c.feed.reset(c.machine.Revision())
+	c.feed.Reset(c.machine.Revision())
 	c.sched.reset()
 	c.sessions.reset(clock.Now())
 	c.log.Emit(event.SnapshotLoaded, event.Fields{"index": ready.Snapshot.Index}, "leader's snapshot installed")
@@ -428,7 +429,7 @@
 			c.handleAppliedCommand(e.Term, cmd, r)
 			c.logCommand(cmd, r)
 		}
-		c.feed.advance(e.Index, r.Events)
+		c.feed.Advance(e.Index, r.Events)
 	}
 	p, ok := c.pendingProposals[e.Index]
 	if !ok {
--- a/internal/controller/read.go
+++ b/internal/controller/read.go
@@ -66,7 +66,7 @@
 // ChangesSince returns the changes of the view after a revision. ok is false if
 // some of them are discarded. updated is closed at the next change.
 func (c *Core) ChangesSince(revision uint64) (u *pb.ViewUpdate, ok bool, updated <-chan struct{}) {
-	return c.feed.changesSince(revision)
+	return c.feed.ChangesSince(revision)
 }
 
 // Stopped returns a channel that is closed when the core has stopped.
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/control"
+	"github.com/gentianrail/gentianrail/internal/feed"
 	"github.com/gentianrail/gentianrail/internal/peers"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
@@ -22,8 +23,9 @@
 
 // rpcService serves the controller to other processes over drpc.
 type rpcService struct {
-	core  *Core
-	peers *peers.Set
+	core       *Core
+	peers      *peers.Set
+	attachWait time.Duration // until an agent is told to ask another controller; 0 for _attachWait
 }
 
 var _ pb.DRPCControllerServer = (*rpcService)(nil)
@@ -166,12 +168,12 @@
 	defer bookmark.Stop()
 	loaded := false
 	for {
-		if !s.core.feed.canServe() {
+		if !s.core.feed.CanServe() {
 			return fault.New(fault.NotReady, "this controller has no contact with its leader")
 		}
-		update, ok, updated := s.core.feed.changesSince(revision)
+		update, ok, updated := s.core.feed.ChangesSince(revision)
 		if !ok || !loaded && revision == 0 {
-			err := s.core.Do(stream.Context(), func(c *Core, _ time.Time) { update = snapshotUpdate(c.machine) })
+			err := s.core.Do(stream.Context(), func(c *Core, _ time.Time) { update = feed.SnapshotUpdate(c.machine) })
 			if err != nil {
 				return err
 			}
--- a/internal/controller/feed.go
+++ b/internal/feed/feed.go
@@ -1,6 +1,9 @@
-package controller
+// Package feed keeps the latest changes of the controllers' view for the processes that
+// hold copies of it.
+package feed
 
 import (
+	"sort"
 	"sync"
 
 	"github.com/gentianrail/gentianrail/internal/wire"
@@ -17,23 +20,24 @@
 	event    state.Event
 }
 
-// feed retains the latest changes of the view. The core writes it; the streams
-// that serve the view read it.
-type feed struct {
+// Feed retains the latest changes of the view. The core writes it; the streams that
+// serve the view read it.
+type Feed struct {
 	mu               sync.Mutex
-	base             uint64 // revision up to which changes are discarded
-	changes          []change
+	base             uint64        // revision up to which changes are discarded
+	changes          []change      // revisions ascend
 	revision         uint64        // latest applied revision
 	updated          chan struct{} // closed when changes are added
 	hasLeaderContact bool          // the replica has recent contact with its leader
 }
 
-func newFeed(revision uint64) *feed {
-	return &feed{base: revision, revision: revision, updated: make(chan struct{})}
+// New returns a feed without changes.
+func New(revision uint64) *Feed {
+	return &Feed{base: revision, revision: revision, updated: make(chan struct{})}
 }
 
-// advance sets the revision of the state and appends the events that led to it.
-func (f *feed) advance(revision uint64, events []state.Event) {
+// Advance sets the revision of the state and appends the events that led to it.
+func (f *Feed) Advance(revision uint64, events []state.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision = revision
@@ -50,8 +54,8 @@
 	f.notifyReaders()
 }
 
-// reset discards all changes, since a snapshot has replaced the state.
-func (f *feed) reset(revision uint64) {
+// Reset discards all changes, since a snapshot has replaced the state.
+func (f *Feed) Reset(revision uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.base = revision
@@ -60,39 +64,38 @@
 	f.notifyReaders()
 }
 
-func (f *feed) notifyReaders() {
+func (f *Feed) notifyReaders() {
 	close(f.updated)
 	f.updated = make(chan struct{})
 }
 
-// setLeaderContact records whether the replica has recent contact with its
+// SetLeaderContact records whether the replica has recent contact with its
 // leader.
-func (f *feed) setLeaderContact(ok bool) {
+func (f *Feed) SetLeaderContact(ok bool) {
 	f.mu.Lock()
 	f.hasLeaderContact = ok
 	f.mu.Unlock()
 }
 
-// canServe reports whether the view is recent enough to be served.
-func (f *feed) canServe() bool {
+// CanServe reports whether the view is recent enough to be served.
+func (f *Feed) CanServe() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.hasLeaderContact
 }
 
-// changesSince returns the changes after a revision. ok is false if some of them
+// ChangesSince returns the changes after a revision. ok is false if some of them
 // are discarded. updated is closed at the next change.
-func (f *feed) changesSince(revision uint64) (u *pb.ViewUpdate, ok bool, updated <-chan struct{}) {
+func (f *Feed) ChangesSince(revision uint64) (u *pb.ViewUpdate, ok bool, updated <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if revision < f.base {
 		return nil, false, f.updated
 	}
 	u = &pb.ViewUpdate{Revision: f.revision}
-	for _, c := range f.changes {
-		if c.revision > revision {
-			addEvent(u, c.event)
-		}
+	first := sort.Search(len(f.changes), func(i int) bool { return f.changes[i].revision > revision })
+	for _, c := range f.changes[first:] {
+		addEvent(u, c.event)
 	}
 	return u, true, f.updated
 }
@@ -112,7 +115,7 @@
 	case state.WorkerRetired:
 		u.GoneWorkers = append(u.GoneWorkers, e.ID)
 	default:
-		panic("controller: unexpected event")
+		panic("feed: unexpected event")
 	}
 }
 
@@ -126,7 +129,8 @@
 	return out
 }
 
-func snapshotUpdate(m *state.Machine) *pb.ViewUpdate {
+// SnapshotUpdate returns the whole view.
+func SnapshotUpdate(m *state.Machine) *pb.ViewUpdate {
 	u := &pb.ViewUpdate{Revision: m.Revision(), Snapshot: true}
 	for _, e := range m.Catalogue().Entries() {
 		u.Entries = append(u.Entries, wire.EncodeEntry(e))
--- a/internal/controller/identity.go
+++ b/internal/identity/identity.go
@@ -1,15 +1,13 @@
-package controller
+// Package identity loads a controller's identifier and the initial members of its
+// group.
+package identity
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"slices"
-	"time"
 
 	"github.com/gentianrail/gentianrail/fault"
-	"github.com/gentianrail/gentianrail/internal/clock"
-	"github.com/gentianrail/gentianrail/internal/control"
 	"github.com/gentianrail/gentianrail/internal/disk"
 	"github.com/gentianrail/gentianrail/internal/settings"
 	"github.com/gentianrail/gentianrail/internal/wire"
@@ -17,21 +15,17 @@
 )
 
 const (
-	_identityFile  = "identity"
-	_identityBytes = 8                      // random bytes in the identifier of a controller that joins
-	_joinInterval  = 200 * time.Millisecond // between join requests
-	// _joinDelay is the time without a leader after which a member requests to
-	// join again, and the timeout of a request.
-	_joinDelay = time.Second
+	_file  = "identity"
+	_bytes = 8 // random bytes in the identifier of a controller that joins
 )
 
-// loadOrCreateIdentity returns this controller's identifier and the initial
+// LoadOrCreate returns this controller's identifier and the initial
 // members of its group. In a fixed group both are in the settings. Otherwise the
 // first start decides both and stores them on disk. With the bootstrap setting a
 // seed uses its address as identifier, so that the initial members know each
 // other. Any other controller, including one that lost its disk, generates a new
 // identifier and joins.
-func loadOrCreateIdentity(files disk.Files, cfg *settings.Controller) (replica.ID, []replica.Member, error) {
+func LoadOrCreate(files disk.Files, cfg *settings.Controller) (replica.ID, []replica.Member, error) {
 	if cfg.Replicas == 0 {
 		return replica.ID(cfg.ID), fixedMembers(cfg.Members), nil
 	}
@@ -39,10 +33,10 @@
 	if err != nil {
 		return "", nil, fault.Wrap(fault.DataUnusable, err, "list the data folder")
 	}
-	if slices.Contains(names, _identityFile) {
-		data, err := files.Read(_identityFile)
+	if slices.Contains(names, _file) {
+		data, err := files.Read(_file)
 		if err != nil {
-			return "", nil, fault.Wrap(fault.DataUnusable, err, "read %s", _identityFile)
+			return "", nil, fault.Wrap(fault.DataUnusable, err, "read %s", _file)
 		}
 		return wire.UnmarshalIdentity(data)
 	}
@@ -52,13 +46,13 @@
 			members = append(members, replica.Member{ID: replica.ID(s), Address: s})
 		}
 	} else {
-		var b [_identityBytes]byte
+		var b [_bytes]byte
 		if _, err := rand.Read(b[:]); err != nil {
 			return "", nil, fault.Wrap(fault.Internal, err, "generate an identifier")
 		}
 		id += replica.ID("#" + hex.EncodeToString(b[:]))
 	}
-	return id, members, saveIdentity(files, id, members)
+	return id, members, save(files, id, members)
 }
 
 // fixedMembers returns the members of a fixed group, sorted by ID.
@@ -76,12 +70,12 @@
 	return out
 }
 
-func saveIdentity(files disk.Files, id replica.ID, members []replica.Member) error {
+func save(files disk.Files, id replica.ID, members []replica.Member) error {
 	data, err := wire.MarshalIdentity(id, members)
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "encode the identity")
 	}
-	temporary := "new_" + _identityFile
+	temporary := "new_" + _file
 	f, err := files.Create(temporary)
 	if err != nil {
 		return fault.Wrap(fault.DataUnusable, err, "create %s", temporary)
@@ -94,48 +88,13 @@
 		err = closeErr
 	}
 	if err == nil {
-		err = files.Rename(temporary, _identityFile)
+		err = files.Rename(temporary, _file)
 	}
 	if err == nil {
 		err = files.SyncFolder()
 	}
 	if err != nil {
-		return fault.Wrap(fault.DataUnusable, err, "write %s", _identityFile)
+		return fault.Wrap(fault.DataUnusable, err, "write %s", _file)
 	}
 	return nil
 }
-
-// requestMembership sends join requests until this controller is a member, and
-// again whenever it has no contact with a leader: at the first start, after a
-// disk loss, and when the group has continued without this controller.
-func (c *Controller) requestMembership(ctx context.Context, id replica.ID, s *settings.Settings) {
-	client := control.NewClient(s.Controllers)
-	defer client.Close()
-	lastContact := clock.Now()
-	joined := false
-	for ctx.Err() == nil {
-		clock.Sleep(ctx, _joinInterval)
-		var addresses []string
-		leaderless, member := false, false
-		err := c.core.Do(ctx, func(c *Core, now time.Time) {
-			if c.replica.HasRecentContact(now) {
-				lastContact = now
-			}
-			leaderless = now.Sub(lastContact) >= _joinDelay
-			addresses = c.memberAddresses()
-			member = slices.ContainsFunc(c.replica.Members(), func(m replica.Member) bool { return m.ID == id })
-		})
-		if err != nil {
-			return
-		}
-		client.SetMembers(addresses)
-		joined = joined || member
-		if joined && !leaderless {
-			continue
-		}
-		joinCtx, cancel := context.WithTimeout(ctx, _joinDelay)
-		// The next iteration repeats a failed request.
-		_ = client.Join(joinCtx, string(id), s.Controller.Address)
-		cancel()
-	}
-}
