Tell crashes of workers from partitions in logs and metrics

The logs of the incident could not tell whether a count of lost runs would be a remedy: a run whose worker crashed ended as lapsed, like one behind a partition. The agent now reports what it has seen: a worker whose address refuses connections has no process any more, one behind a partition answers nothing. A run on a crashed worker ends as crashed, with the time from its start order to the crash; event worker_crashed and the counter controller.crashed_runs show it. The end is repeated on the next streams until it is recorded, also if the worker is back in another incarnation before that. No decision depends on it yet.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -90,8 +90,8 @@
 // recorded.
 func (s *session) popRecordedInferredEnds(store *submission.Store) []*pb.Run {
 	var out []*pb.Run
-	for run := range s.unrecordedInferredEnds {
-		if !isActive(store, s.worker.Incarnation, run) {
+	for run, incarnation := range s.unrecordedInferredEnds {
+		if !isActive(store, incarnation, run) {
 			delete(s.unrecordedInferredEnds, run)
 			out = append(out, wire.EncodeRun(run))
 		}
@@ -209,9 +209,14 @@
 			ended[s.ID] = true
 			c.logSubmissionEnded(s)
 		}
-		c.log.Emit(event.RunEnded, event.Fields{
+		fields := event.Fields{
 			"submission": e.Run.Task.Submission, "task": e.Run.Task.String(), "run": e.Run.Number, "worker": e.Worker, "how": e.Reason.String(),
-		}, "run ended")
+		}
+		if e.Reason == submission.Crashed {
+			fields["ran_ms"] = e.Ran.Milliseconds()
+			c.crashedRuns.Inc(1)
+		}
+		c.log.Emit(event.RunEnded, fields, "run ended")
 		sess := c.sessions.byIncarnation[e.Worker]
 		if sess == nil {
 			continue
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -81,7 +81,7 @@
 	outbox                 *outbox
 	unrecordedEnds         map[uint64]submission.RunID // by number; reported, not recorded yet
 	highestEnd             uint64                      // number of the latest reported end
-	unrecordedInferredEnds map[submission.RunID]bool   // of runs that the worker does not have; reported, not recorded yet
+	unrecordedInferredEnds map[submission.RunID]string // worker incarnations of runs that the worker does not have; reported, not recorded yet
 	orderedStops           map[submission.RunID]bool   // stop orders that were sent
 	checkpoints            map[submission.RunID]string // latest reported checkpoints
 	sentCoefficients       map[interference.Pair]int   // interference coefficients sent to the agent, in percent
@@ -157,7 +157,7 @@
 	sess := &session{
 		outbox:                 newOutbox(),
 		unrecordedEnds:         make(map[uint64]submission.RunID),
-		unrecordedInferredEnds: make(map[submission.RunID]bool),
+		unrecordedInferredEnds: make(map[submission.RunID]string),
 		orderedStops:           make(map[submission.RunID]bool),
 		checkpoints:            make(map[submission.RunID]string),
 		sentCoefficients:       make(map[interference.Pair]int),
@@ -192,9 +192,9 @@
 	sess.lastReport = now
 	if in.GetGone() {
 		sess.lastReport = time.Time{}
-		c.proposeEnds(now, c.endsOfActiveRuns(sess.worker.Incarnation, submission.Lost))
 	}
-	if sess.othersUnsettled {
+	c.proposeReportedEnds(now, sess, in)
+	if sess.othersUnsettled { // after the reported ends, which say more than that a run was lost
 		c.endOtherIncarnations(now, sess)
 	}
 	if wall := in.GetWallClock(); wall != 0 {
@@ -204,7 +204,6 @@
 	c.renewLease(now, sess, in, order)
 	c.updateRunStatuses(now, sess, in)
 	c.recordTailLatencies(now, sess, in)
-	c.proposeReportedEnds(now, sess, in)
 	if in.GetComplete() {
 		sess.hasLists = true
 		c.sessions.changed = true
@@ -290,11 +289,11 @@
 	}
 	for _, e := range in.GetRefused() {
 		end := wire.DecodeRunEnd(e)
-		if sess.unrecordedInferredEnds[end.Run] {
+		if _, ok := sess.unrecordedInferredEnds[end.Run]; ok {
 			continue
 		}
-		sess.unrecordedInferredEnds[end.Run] = true
-		if isActive(store, sess.worker.Incarnation, end.Run) {
+		sess.unrecordedInferredEnds[end.Run] = end.Worker
+		if isActive(store, end.Worker, end.Run) {
 			ends = append(ends, end)
 		}
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,6 +67,7 @@
 	StartAnswered      Number = 310
 	RunPaced           Number = 311
 	WorkerIgnored      Number = 312
+	WorkerCrashed      Number = 313
 	ViewLost           Number = 401
 	ConnectionDead     Number = 402
 	WorkerEjected      Number = 403
@@ -136,6 +137,7 @@
 	{StartAnswered, "start_answered", logrus.InfoLevel},
 	{RunPaced, "run_paced", logrus.InfoLevel},
 	{WorkerIgnored, "worker_ignored", logrus.WarnLevel},
+	{WorkerCrashed, "worker_crashed", logrus.WarnLevel},
 	{ViewLost, "view_lost", logrus.WarnLevel},
 	{ConnectionDead, "connection_dead", logrus.WarnLevel},
 	{WorkerEjected, "worker_ejected", logrus.WarnLevel},
--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -7,6 +7,7 @@
 
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/submission"
 )
 
 // candidate is an announced incarnation that the worker has not confirmed yet.
@@ -64,7 +65,10 @@
 	incarnation := Incarnation{ID: a.ID, StartTimeMS: a.StartTimeMS}
 	r.log.Emit(event.WorkerAdded, event.Fields{"worker": r.incarnationName(incarnation), "before": r.incarnationName(r.incarnation)},
 		"worker started a new incarnation")
+	r.endRuns(submission.Lost)
+	inferredEnds := r.inferredEnds // repeated until the leader has recorded them
 	r.reset()
+	r.inferredEnds = inferredEnds
 	r.candidate = nil
 	r.incarnation, r.announcement = incarnation, a
 	wake(r.wakeReport)
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -119,7 +119,7 @@
 		r.log.Emit(event.TargetBack, event.Fields{"worker": r.incarnationName(incarnation)}, "worker answers again")
 		wake(r.wakeReport)
 	}
-	r.failedPolls, r.unresponsive = 0, false
+	r.failedPolls, r.unresponsive, r.outage = 0, false, outage{}
 	r.lease.recordWorkerClock(list.Clock, now)
 	first := !r.listed
 	r.listed = true
@@ -137,6 +137,7 @@
 		return // the worker has answered; the leader's next order carries the term
 	}
 	r.failedPolls++
+	r.outage.record(now, err)
 	if r.failedPolls >= _maxFailedPolls && !r.unresponsive {
 		r.unresponsive = true
 		r.log.Emit(event.TargetSilent, event.Fields{"worker": r.incarnationName(r.incarnation), "error": err.Error()},
@@ -146,9 +147,7 @@
 	if !r.unresponsive || !r.lease.hasExpired(now) {
 		return
 	}
-	for _, tr := range r.runs {
-		r.inferEnd(tr, submission.LeaseExpired)
-	}
+	r.endRuns(submission.LeaseExpired)
 }
 
 // reconcileRuns updates the tracked runs from the worker's listing. r.mu must be
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -90,7 +90,7 @@
 	r.goroutines.Go(func() { receiveOrders(ctx, stream, orders) })
 	defer stream.Close()
 	incarnation := r.currentIncarnation()
-	s := session{incarnation: incarnation}
+	s := session{incarnation: incarnation, inferredEnds: make(map[submission.RunID]bool)}
 	leader, err = r.exchangeReports(ctx, stream, &s, orders)
 	return leader, s.attached, err
 }
@@ -186,6 +186,7 @@
 		Sent: clock.Now().UnixNano(), WallClock: time.Now().UnixNano(), Term: r.term, Strains: r.tailLatencies, Loads: r.loads,
 	}
 	if r.incarnation != s.incarnation {
+		r.addInferredEnds(s, report)
 		report.Gone = true
 		return report, true
 	}
@@ -194,11 +195,11 @@
 		s.announced, s.departed, s.unresponsive = r.announcement, r.departed, r.unresponsive
 	}
 	if !r.listed {
+		r.addInferredEnds(s, report) // of an earlier incarnation
 		return report, false
 	}
 	if !s.complete {
 		s.complete = true
-		s.inferredEnds = make(map[submission.RunID]bool)
 		report.Complete = true
 		for run, tr := range r.runs {
 			if !tr.confirmed {
@@ -226,6 +227,7 @@
 	}
 }
 
+// addEnds adds the ends that the session has not sent yet. r.mu must be held.
 func (r *Runner) addEnds(s *session, report *pb.AgentReport) {
 	for _, e := range r.ends {
 		if e.Number <= s.lastSentEnd {
@@ -236,6 +238,12 @@
 			Number: e.Number, Run: wire.EncodeRun(e.Run), How: uint32(e.Reason), Saved: e.Checkpoint,
 		})
 	}
+	r.addInferredEnds(s, report)
+}
+
+// addInferredEnds adds the inferred ends that the session has not sent yet. r.mu
+// must be held.
+func (r *Runner) addInferredEnds(s *session, report *pb.AgentReport) {
 	for run, e := range r.inferredEnds {
 		if !s.inferredEnds[run] {
 			s.inferredEnds[run] = true
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"time"
@@ -57,6 +58,7 @@
 	startUnanswered bool          // a call that starts the run got no answer
 	estimate        time.Duration // of the task's run time; 0 if unknown
 	lateGrants      int           // Runner.lateGrants when the run was ordered
+	startedAt       time.Time     // first call that may have started the run; zero if an earlier agent made it
 	confirmed       bool          // the worker has answered a start or stop, or has listed the run
 	confirmedAt     time.Time     // when the run was confirmed
 	stopOrdered     bool          // the run is to be stopped
@@ -92,6 +94,7 @@
 	unreported      map[submission.RunID]bool           // runs with changes that were not reported
 	listed          bool                                // the worker has listed its runs in this incarnation
 	failedPolls     int                                 // consecutive, without an answer
+	outage          outage                              // the consecutive failed polls
 	unresponsive    bool
 	pacer           pacing.Pacer
 	coefficients    interference.Coefficients // of images on the worker, from the leader
@@ -142,6 +145,7 @@
 	r.ends, r.lastListedEnd, r.lastRecordedEnd = nil, 0, 0
 	r.lease = lease{grantEnd: r.lease.grantEnd}
 	r.listed, r.unresponsive, r.failedPolls, r.departed = false, false, 0, false
+	r.outage = outage{}
 	r.pacer, r.coefficients = pacing.Pacer{}, make(interference.Coefficients)
 	r.tailLatencies, r.loads = nil, nil
 }
@@ -348,6 +352,11 @@
 		if r.startTimer != nil {
 			r.startTimer.Update(clock.Now().Sub(began))
 		}
+		r.mu.Lock()
+		if tr.startedAt.IsZero() && !errors.Is(err, ErrRefused) {
+			tr.startedAt = began
+		}
+		r.mu.Unlock()
 		if r.handleStartAnswer(ctx, incarnation, tr, answer, workerClock, err) {
 			return
 		}
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -103,6 +103,10 @@
 // ErrOtherIncarnation means that another incarnation of the worker has answered.
 var ErrOtherIncarnation = errors.New("another incarnation of the worker has answered")
 
+// ErrRefused means that the worker's address refused the connection: no process
+// listens there. The call has had no effect.
+var ErrRefused = errors.New("the worker's address refuses connections")
+
 // Worker is the interface to the worker on this machine. A call that returns an
 // error may have been carried out, or may be carried out seconds later.
 type Worker interface {
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -207,13 +207,14 @@
 
 // EncodeRunEnd returns the message of a run's end.
 func EncodeRunEnd(e submission.End) *pb.RunEnd {
-	return &pb.RunEnd{Run: EncodeRun(e.Run), Worker: e.Worker, How: uint32(e.Reason), Saved: e.Checkpoint}
+	return &pb.RunEnd{Run: EncodeRun(e.Run), Worker: e.Worker, How: uint32(e.Reason), Saved: e.Checkpoint, Ran: int64(e.Ran)}
 }
 
 // DecodeRunEnd returns the run's end of a message.
 func DecodeRunEnd(m *pb.RunEnd) submission.End {
 	return submission.End{
 		Run: DecodeRun(m.GetRun()), Worker: m.GetWorker(), Reason: submission.EndReason(m.GetHow()), Checkpoint: m.GetSaved(),
+		Ran: decodeDuration(m.GetRan()),
 	}
 }
 
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -233,11 +233,14 @@
 	Lost
 	// Rejected runs were never started by their worker.
 	Rejected
+	// Crashed runs were on a worker whose process ended unexpectedly, as its agent
+	// has seen.
+	Crashed
 )
 
 // String returns the reason's name in lower case.
 func (r EndReason) String() string {
-	names := [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "refused"}
+	names := [...]string{"", "done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "refused", "crashed"}
 	if int(r) < len(names) {
 		return names[r]
 	}
@@ -250,6 +253,9 @@
 	Worker     string // incarnation of the worker
 	Reason     EndReason
 	Checkpoint string // latest checkpoint; empty for none
+	// Ran is the time from the start order of a crashed run to the crash; zero if
+	// unknown.
+	Ran time.Duration
 }
 
 // State is the state of a submission.
