Reproduce: a task that crashes its workers is started without end

A simulated pool of 11 workers, in which a worker crashes 10 ms (or 0.9 s) after the start of a task that crashes it and is back after 3.2 s.

--- /dev/null
+++ b/dispatch/crash_test.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// Times of the simulated workers.
+const (
+	_simTick       = 10 * time.Millisecond
+	_simCrashDelay = 10 * time.Millisecond   // from a start to the crash that it causes
+	_simDetection  = 2600 * time.Millisecond // from a crash until the ends are recorded
+	_simDowntime   = 3200 * time.Millisecond
+	_simMaxStarts  = 5 // of a task that crashes workers: three, and fewer than three more
+)
+
+// crashSim simulates a pool whose workers crash.
+type crashSim struct {
+	t          *testing.T
+	now        time.Time
+	store      submission.Store
+	s          Scheduler
+	workers    []Worker
+	crashers   map[submission.TaskID]time.Duration // tasks that crash their worker, and after which time
+	crashAt    map[string]time.Time                // of workers that are about to crash
+	downSince  map[string]time.Time                // of crashed workers
+	endAt      map[submission.RunID]submission.End // ends that are not recorded yet
+	due        map[submission.RunID]time.Time      // when an end is recorded
+	startedAt  map[submission.RunID]time.Time
+	starts     map[submission.TaskID]int
+	lostRuns   int  // runs of tasks that crash no worker
+	silentLoss bool // crashes show as expired leases
+}
+
+func newCrashSim(t *testing.T, workers int) *crashSim {
+	sim := &crashSim{
+		t: t, now: testNow, workers: newWorkers(workers, 16000, 62500),
+		crashers: make(map[submission.TaskID]time.Duration), crashAt: make(map[string]time.Time), downSince: make(map[string]time.Time),
+		endAt: make(map[submission.RunID]submission.End), due: make(map[submission.RunID]time.Time),
+		startedAt: make(map[submission.RunID]time.Time), starts: make(map[submission.TaskID]int),
+	}
+	sim.s.setWorkers(&sim.store, sim.workers)
+	return sim
+}
+
+func (sim *crashSim) submit(id string, priority int, steps ...submission.Step) {
+	sim.store.Submit(submission.Submission{
+		Spec: submission.Spec{ID: id, Queue: fmt.Sprint("q", priority), Steps: steps}, Service: "s", Priority: priority,
+		MaxAttempts: 4, Slack: 2, BaseObjective: time.Second,
+	}, sim.now)
+}
+
+// crash ends a worker's process. Its agent reports the crash, unless the loss is
+// silent.
+func (sim *crashSim) crash(i int) {
+	w := &sim.workers[i]
+	sim.s.RemoveWorker(w.Incarnation)
+	delete(sim.crashAt, w.Incarnation)
+	sim.downSince[w.Incarnation] = sim.now
+	u := sim.store.Usage(w.Incarnation)
+	if u == nil {
+		return
+	}
+	for run := range u.Runs {
+		e := submission.End{Run: run, Worker: w.Incarnation, Reason: submission.Crashed, Ran: sim.now.Sub(sim.startedAt[run])}
+		if sim.silentLoss {
+			e.Reason, e.Ran = submission.LeaseExpired, 0
+		}
+		sim.endAt[run], sim.due[run] = e, sim.now.Add(_simDetection)
+		if _, ok := sim.crashers[run.Task]; !ok {
+			sim.lostRuns++
+		}
+		sim.breakGang(run)
+	}
+}
+
+// breakGang ends the runs of a gang on other workers than a member's that is lost.
+func (sim *crashSim) breakGang(lost submission.RunID) {
+	sub, _ := sim.store.Submission(lost.Task.Submission)
+	if !sub.Steps[lost.Task.Step].Gang {
+		return
+	}
+	for _, st := range sub.Runs() {
+		if _, down := sim.downSince[st.Worker]; !down && st.Run.Number == lost.Number {
+			sim.endAt[st.Run] = submission.End{Run: st.Run, Worker: st.Worker, Reason: submission.GangBroken}
+			sim.due[st.Run] = sim.now.Add(_simTick)
+		}
+	}
+}
+
+// step advances the time by one tick.
+func (sim *crashSim) step() {
+	sim.now = sim.now.Add(_simTick)
+	for i := range sim.workers {
+		w := &sim.workers[i]
+		if at, ok := sim.crashAt[w.Incarnation]; ok && !sim.now.Before(at) {
+			sim.crash(i)
+		}
+		if at, ok := sim.downSince[w.Incarnation]; ok && sim.now.Sub(at) >= _simDowntime {
+			delete(sim.downSince, w.Incarnation)
+			w.Incarnation += "+"
+			sim.s.SetWorker(&sim.store, *w)
+		}
+	}
+	var ends []submission.End
+	for run, at := range sim.due {
+		if !sim.now.Before(at) {
+			ends = append(ends, sim.endAt[run])
+			delete(sim.due, run)
+			delete(sim.endAt, run)
+		}
+	}
+	slices.SortFunc(ends, func(a, b submission.End) int { return compareRuns(a.Run, b.Run) })
+	sim.store.EndAll(ends, sim.now)
+	for _, e := range ends {
+		sim.s.RecordEnd(sim.now, &sim.store, e, sim.now.Sub(sim.startedAt[e.Run]))
+	}
+	for _, st := range sim.s.startTasks(sim.t, &sim.store, sim.now) {
+		sim.handleStart(st)
+	}
+}
+
+func (sim *crashSim) handleStart(st submission.Start) {
+	sim.startedAt[st.Run] = sim.now
+	sim.starts[st.Run.Task]++
+	if after, ok := sim.crashers[st.Run.Task]; ok {
+		if _, crashing := sim.crashAt[st.Worker]; !crashing {
+			sim.crashAt[st.Worker] = sim.now.Add(after)
+		}
+	}
+	sub, _ := sim.store.Submission(st.Run.Task.Submission)
+	step := &sub.Steps[st.Run.Task.Step]
+	if step.LongRunning {
+		return
+	}
+	sim.endAt[st.Run] = submission.End{Run: st.Run, Worker: st.Worker, Reason: submission.Done}
+	sim.due[st.Run] = sim.now.Add(step.Estimate)
+}
+
+func (sim *crashSim) run(d time.Duration) {
+	for end := sim.now.Add(d); sim.now.Before(end); {
+		sim.step()
+	}
+}
+
+func (sim *crashSim) state(id string) submission.State {
+	sub, ok := sim.store.Submission(id)
+	if !ok {
+		return 0
+	}
+	return sub.State
+}
+
+var (
+	lookupStep = submission.Step{Count: 6, Needs: submission.Resources{CPU: 240, Memory: 500}, Estimate: 640 * time.Millisecond}
+	planStep   = submission.Step{Count: 8, Needs: submission.Resources{CPU: 1800, Memory: 4000}, Estimate: 1700 * time.Millisecond}
+	watchStep  = submission.Step{Count: 6, Needs: submission.Resources{CPU: 400, Memory: 500}, LongRunning: true}
+)
+
+// TestTaskThatCrashesWorkersIsGivenUp has tasks that crash each worker that starts
+// them, beside other work.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	gang, lasting := lookupStep, watchStep
+	gang.Gang = true
+	tests := []struct {
+		name  string
+		step  submission.Step
+		after time.Duration // from the start to the crash
+	}{
+		{name: "task", step: lookupStep, after: _simCrashDelay},
+		{name: "gang", step: gang, after: _simCrashDelay},
+		{name: "lasting task", step: lasting, after: _simCrashDelay},
+		{name: "large task", step: planStep, after: _simCrashDelay},
+		{name: "later crash", step: planStep, after: 900 * time.Millisecond},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			sim := newCrashSim(t, 11)
+			sim.submit("watch", 0, watchStep)
+			innocent := 0
+			for i := range 40 {
+				sim.submit(fmt.Sprint("lookup", i), 0, lookupStep, lookupStep)
+				if i%4 == 0 {
+					sim.submit(fmt.Sprint("plan", i), 2, planStep, planStep)
+				}
+				if i%10 == 3 {
+					id := submission.TaskID{Submission: fmt.Sprint("bad", i), Index: i % tc.step.Count}
+					sim.crashers[id] = tc.after
+					sim.submit(id.Submission, 0, tc.step, lookupStep)
+				}
+				innocent++
+				sim.run(250 * time.Millisecond)
+			}
+			sim.run(40 * time.Second)
+			for id := range sim.crashers {
+				if sim.starts[id] > _simMaxStarts || sim.state(id.Submission) != submission.OutOfAttempts {
+					t.Errorf("%s was started %d times and its submission is %s; want at most %d times and failed", id, sim.starts[id], sim.state(id.Submission), _simMaxStarts)
+				}
+			}
+			for i := range innocent {
+				if id := fmt.Sprint("lookup", i); sim.state(id) != submission.Completed {
+					t.Errorf("%s is %s, want completed", id, sim.state(id))
+				}
+			}
+			if sim.state("watch") != submission.Running {
+				t.Errorf("the watch is %s, want running", sim.state("watch"))
+			}
+		})
+	}
+}
--- a/state/machine.go
+++ b/state/machine.go
@@ -165,9 +165,7 @@
 	case StartRuns:
 		return Result{Outcome: Outcome{Starts: m.submissions.Start(c.Starts, m.now)}}
 	case EndRuns:
-		for _, e := range c.Ends {
-			m.submissions.End(e, m.now)
-		}
+		m.submissions.EndAll(c.Ends, m.now)
 		return Result{}
 	default:
 		panic(fmt.Sprintf("state: unexpected command %T", c))
--- a/submission/store.go
+++ b/submission/store.go
@@ -402,6 +402,13 @@
 	return true
 }
 
+// EndAll records the ends of runs, in order.
+func (store *Store) EndAll(ends []End, now time.Time) {
+	for _, e := range ends {
+		store.End(e, now)
+	}
+}
+
 // End records the end of a run. It returns false if the run is not active.
 func (store *Store) End(e End, now time.Time) bool {
 	s, ok := store.all[e.Run.Task.Submission]
