Give up tasks that crash worker after worker

What callers saw: one lookup whose task crashes its worker took down worker after worker, 18 times in 45 s, and with each worker the runs of a dozen other submissions.

Cause: a run that was lost with its worker left no trace. Only runs that end as failed count as attempts, so the task was placed again like one that had never run, beside other work.

Change: the record of a task holds the crashes of workers under its runs: how long the run had run, and whether it was alone, that is, whether all runs of other submissions had been at work for 500 ms when it started. A task under which a worker crashed within 500 ms is suspected: its next run starts on a worker without other runs that have just started, and none joins it for 500 ms. So the next crash shows whether it is the cause, and takes little with it. After three crashes in that window, two of them alone, its submission ends as failed. Four such crashes beside others, or five at the same point later in the run, count as well.

Told apart: silent losses (power, partition), announced departures and runs whose order was in transit are no crashes; a crash with several fresh tasks leads to isolation only; a run that survived its start clears its task; lasting tasks are never judged by late crashes.

Each such task now crashes three workers.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -89,7 +89,7 @@
 // AdviceRequests returns the requests that waiting steps need before they can
 // start, the most urgent first.
 func (s *Scheduler) AdviceRequests(at Clocks, store *submission.Store) []AdviceRequest {
-	r := s.newRound(at)
+	r := s.newRound(at, store)
 	defer r.end(store)
 	var out []AdviceRequest
 	for _, ws := range s.waitingSteps(at, store) {
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 // Times of the simulated workers.
 const (
 	_simTick       = 10 * time.Millisecond
+	_simRoundTicks = 5                       // between rounds without ends
 	_simCrashDelay = 10 * time.Millisecond   // from a start to the crash that it causes
 	_simDetection  = 2600 * time.Millisecond // from a crash until the ends are recorded
 	_simDowntime   = 3200 * time.Millisecond
@@ -32,8 +34,11 @@
 	due        map[submission.RunID]time.Time      // when an end is recorded
 	startedAt  map[submission.RunID]time.Time
 	starts     map[submission.TaskID]int
-	lostRuns   int  // runs of tasks that crash no worker
-	silentLoss bool // crashes show as expired leases
+	round      int
+	lostRuns   int                      // runs of tasks that crash no worker
+	waits      map[string]time.Duration // of submissions without an active run
+	longest    time.Duration            // of these waits
+	silentLoss bool                     // crashes show as expired leases
 }
 
 func newCrashSim(t *testing.T, workers int) *crashSim {
@@ -41,7 +46,7 @@
 		t: t, now: testNow, workers: newWorkers(workers, 16000, 62500),
 		crashers: make(map[submission.TaskID]time.Duration), crashAt: make(map[string]time.Time), downSince: make(map[string]time.Time),
 		endAt: make(map[submission.RunID]submission.End), due: make(map[submission.RunID]time.Time),
-		startedAt: make(map[submission.RunID]time.Time), starts: make(map[submission.TaskID]int),
+		startedAt: make(map[submission.RunID]time.Time), waits: make(map[string]time.Duration), starts: make(map[submission.TaskID]int),
 	}
 	sim.s.setWorkers(&sim.store, sim.workers)
 	return sim
@@ -119,8 +124,18 @@
 	for _, e := range ends {
 		sim.s.RecordEnd(sim.now, &sim.store, e, sim.now.Sub(sim.startedAt[e.Run]))
 	}
-	for _, st := range sim.s.startTasks(sim.t, &sim.store, sim.now) {
-		sim.handleStart(st)
+	if sim.round++; sim.round%_simRoundTicks == 0 || len(ends) > 0 {
+		for _, st := range sim.s.startTasks(sim.t, &sim.store, sim.now) {
+			sim.handleStart(st)
+		}
+	}
+	for _, sub := range sim.store.Unended() {
+		if sub.ActiveRuns() > 0 {
+			delete(sim.waits, sub.ID)
+			continue
+		}
+		sim.waits[sub.ID] += _simTick
+		sim.longest = max(sim.longest, sim.waits[sub.ID])
 	}
 }
 
@@ -206,9 +221,93 @@
 					t.Errorf("%s is %s, want completed", id, sim.state(id))
 				}
 			}
+			if limit := 3 * time.Second; sim.longest >= limit {
+				t.Errorf("a submission had no active run for %s, want less than %s", sim.longest, limit)
+			}
 			if sim.state("watch") != submission.Running {
 				t.Errorf("the watch is %s, want running", sim.state("watch"))
 			}
 		})
 	}
 }
+
+// TestNewLeaderKeepsWhatIsKnownOfCrashes changes the leader after each crash.
+func TestNewLeaderKeepsWhatIsKnownOfCrashes(t *testing.T) {
+	sim := newCrashSim(t, 11)
+	id := submission.TaskID{Submission: "bad", Index: 2}
+	sim.crashers[id] = _simCrashDelay
+	sim.submit("bad", 0, lookupStep)
+	for range 10 {
+		sim.submit(fmt.Sprint("lookup", sim.round), 0, lookupStep, lookupStep)
+		sim.run(time.Second)
+		sim.s.Reset()
+		sim.s.setWorkers(&sim.store, sim.upWorkers())
+	}
+	if sim.starts[id] > _simMaxStarts || sim.state("bad") != submission.OutOfAttempts {
+		t.Errorf("started %d times, the submission is %s; want at most %d times and failed", sim.starts[id], sim.state("bad"), _simMaxStarts)
+	}
+}
+
+func (sim *crashSim) upWorkers() []Worker {
+	var out []Worker
+	for _, w := range sim.workers {
+		if _, down := sim.downSince[w.Incarnation]; !down {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// TestCrashesOfOtherCausesGiveUpNoTask crashes workers for reasons that are not in
+// their tasks. No submission may fail.
+func TestCrashesOfOtherCausesGiveUpNoTask(t *testing.T) {
+	long := planStep
+	long.Estimate = 12 * time.Second
+	tests := []struct {
+		name   string
+		silent bool
+		every  time.Duration
+		count  int // workers at a time
+	}{
+		{name: "one worker at a time", every: 2 * time.Second, count: 1},
+		{name: "a rack", every: 5 * time.Second, count: 3},
+		{name: "half of the pool", every: 6 * time.Second, count: 6},
+		{name: "the whole pool", every: 8 * time.Second, count: 11},
+		{name: "partitions", every: 2 * time.Second, count: 3, silent: true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				rnd := rand.New(rand.NewPCG(seed, 7))
+				sim := newCrashSim(t, 11)
+				sim.silentLoss = tc.silent
+				sim.submit("watch", 0, watchStep)
+				next := sim.now.Add(tc.every)
+				for i := range 200 {
+					sim.submit(fmt.Sprint("lookup", i), 0, lookupStep, lookupStep)
+					if i%8 == 0 {
+						sim.submit(fmt.Sprint("plan", i), 2, planStep)
+					}
+					if i%25 == 0 {
+						sim.submit(fmt.Sprint("long", i), 2, long)
+					}
+					sim.run(time.Duration(100+rnd.IntN(200)) * time.Millisecond)
+					if sim.now.Before(next) {
+						continue
+					}
+					next = sim.now.Add(tc.every)
+					for _, w := range rnd.Perm(len(sim.workers))[:tc.count] {
+						if _, down := sim.downSince[sim.workers[w].Incarnation]; !down {
+							sim.crash(w)
+						}
+					}
+				}
+				for _, sub := range sim.store.All() {
+					if sub.State == submission.OutOfAttempts {
+						t.Errorf("seed %d: %s was given up", seed, sub.ID)
+					}
+				}
+			}
+		})
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -55,15 +55,16 @@
 	mover       mover
 	tolerance   *tolerance // of the estimator's coefficients at toleranceAt
 	toleranceAt time.Time
-	steps       []waitingStep // of the latest round, for reuse
-	lossAt      time.Time     // when workers with service tasks were lost last; zero before the first round
-	searchAll   bool          // searches are not bounded; for tests
+	steps       []waitingStep     // of the latest round, for reuse
+	cordons     map[string]cordon // by worker incarnation
+	lossAt      time.Time         // when workers with service tasks were lost last; zero before the first round
+	searchAll   bool              // searches are not bounded; for tests
 }
 
 // Reset forgets the workers, their health and the moves. The estimates of
 // interference and of run times and the approvals are kept.
 func (s *Scheduler) Reset() {
-	s.pool, s.health, s.mover, s.lossAt = pool{}, health.Tracker{}, mover{}, time.Time{}
+	s.pool, s.health, s.mover, s.lossAt, s.cordons = pool{}, health.Tracker{}, mover{}, time.Time{}, nil
 }
 
 // SetWorker adds or updates a worker that can receive tasks now. A worker that is
@@ -134,7 +135,8 @@
 	if len(s.pool.nodes) == 0 {
 		return nil
 	}
-	r := s.newRound(at)
+	s.pruneCordons(at)
+	r := s.newRound(at, store)
 	r.absent = s.absences(at, store)
 	defer r.end(store)
 	for _, ws := range s.waitingSteps(at, store) {
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -29,11 +29,13 @@
 	// Deferred workers could run the task, but the task should wait for another
 	// worker.
 	Deferred
+	// Isolated workers run a task that may crash them, or wait for one.
+	Isolated
 )
 
 // String returns the obstacle's name in lower case.
 func (o Obstacle) String() string {
-	return [...]string{"none", "other_service", "no_label", "spread", "no_cpu", "no_memory", "no_gpu", "sick", "disturbed"}[o]
+	return [...]string{"none", "other_service", "no_label", "spread", "no_cpu", "no_memory", "no_gpu", "sick", "disturbed", "isolated"}[o]
 }
 
 // Wait explains why a step's tasks wait.
@@ -54,7 +56,7 @@
 // ExplainWaits explains why steps wait. It returns at most limit steps, those
 // of the submissions accepted first.
 func (s *Scheduler) ExplainWaits(at Clocks, store *submission.Store, limit int) []Wait {
-	r := s.newRound(at)
+	r := s.newRound(at, store)
 	defer r.end(store)
 	steps := slices.Clone(s.waitingSteps(at, store))
 	slices.SortStableFunc(steps, func(a, b waitingStep) int { return a.sub.Accepted.Compare(b.sub.Accepted) })
@@ -97,6 +99,9 @@
 	if step.MaxPerWorker > 0 && runsOnWorker >= step.MaxPerWorker {
 		return Spread
 	}
+	if r.isolates(n, s.ID) {
+		return Isolated
+	}
 	if r.unhealthy[n.Incarnation] && !step.LongRunning && (n.runs > 0 || s.MaxAttempts < 2 || r.health.IsInBackoff(r.at.Now, n.Incarnation)) {
 		return Unhealthy
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -45,6 +45,10 @@
 	serviceImages map[string]int      // runs of service tasks by image
 	newLoads      []newLoad           // of recorded runs
 	roundLoads    []interference.Load // of runs that the present round starts
+	roundStarts   []string            // submissions whose runs the present round starts
+	// The submission for which the worker is isolated until a log time; "" for none.
+	isolatedFor   string
+	isolatedUntil time.Time
 
 	freeIndex, idleIndex position
 	rackIndex            int
@@ -206,12 +210,14 @@
 	}
 	n.free, n.idleCPU = n.Capacity, n.Capacity.CPU
 	n.serviceRuns, n.serviceCPU, n.batchRuns, n.runs = 0, 0, 0, 0
-	n.roundLoads, n.changed = nil, false
+	n.roundLoads, n.roundStarts, n.changed = nil, nil, false
+	n.isolatedFor, n.isolatedUntil = "", time.Time{}
 	if u := store.Usage(incarnation); u != nil {
 		n.free = n.Capacity.Sub(u.Reserved)
 		n.idleCPU -= u.RequestedCPU - u.ServiceCPU + expectedServiceCPU(u.ServiceCPU)
 		n.serviceRuns, n.serviceCPU, n.batchRuns, n.runs = u.ServiceRuns, u.ServiceCPU, u.BatchRuns, len(u.Runs)
 		n.serviceImages = maps.Clone(u.ServiceImages)
+		n.isolatedFor, n.isolatedUntil = u.IsolatedFor()
 	} else {
 		n.serviceImages = nil
 	}
--- a/dispatch/pool_test.go
+++ b/dispatch/pool_test.go
@@ -112,7 +112,7 @@
 			step.Count = 1 + rnd.IntN(24)
 			step.DataRack = []string{"", "r1"}[rnd.IntN(2)]
 			submitSteps(&store, fmt.Sprint("s", i), 2, step)
-			r := s.newRound(clocksAt(testNow))
+			r := s.newRound(clocksAt(testNow), &store)
 			for _, ws := range s.waitingSteps(clocksAt(testNow), &store) {
 				p := &placement{round: r, ws: ws, step: &ws.sub.Steps[ws.step], onWorker: map[string]int{}, onRack: map[string]int{}}
 				before := len(r.starts)
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -43,18 +43,21 @@
 type round struct {
 	*Scheduler
 	at              Clocks
+	store           *submission.Store
 	serviceHeadroom map[string]bool    // services whose workers with service tasks have the headroom for urgent tasks
 	lightlyLoaded   map[string]bool    // services with a large share of free CPU
 	unhealthy       map[string]bool    // worker incarnations
 	absent          map[string]absence // by service
+	isolatedWorkers map[string]int     // by service; filled when first needed
 	started         map[string]bool    // submissions with a start in this round
 	starts          []submission.Start
 	changed         []*node // workers with starts in this round
 }
 
-func (s *Scheduler) newRound(at Clocks) *round {
+func (s *Scheduler) newRound(at Clocks, store *submission.Store) *round {
 	r := &round{
-		Scheduler: s, at: at, serviceHeadroom: make(map[string]bool), lightlyLoaded: make(map[string]bool), started: make(map[string]bool),
+		Scheduler: s, at: at, store: store, serviceHeadroom: make(map[string]bool), lightlyLoaded: make(map[string]bool), started: make(map[string]bool),
+		isolatedWorkers: make(map[string]int),
 	}
 	for name, service := range s.pool.services {
 		r.lightlyLoaded[name] = float64(service.free) > _lightLoadFreeShare*float64(service.capacity)
@@ -150,18 +153,22 @@
 			continue
 		}
 		id := submission.TaskID{Submission: ws.sub.ID, Occurrence: ws.occurrence, Step: ws.step, Index: i}
-		n := p.bestWorker(id)
+		isolation := p.step.Isolation(t)
+		n := p.bestWorker(id, isolation > 0)
 		if n == nil {
 			if p.step.Gang {
 				r.undoStarts(firstStart, p.step)
 				return
 			}
-			if t.FailedRuns > 0 || r.mover.destination(id) != "" {
+			if t.FailedRuns > 0 || r.mover.destination(id) != "" || isolation > 0 {
 				continue // this task excludes workers that other tasks may use
 			}
 			return // the step's tasks are alike, so the rest do not fit either
 		}
 		p.start(submission.RunID{Task: id, Number: max(lastRun, t.LastRun) + 1}, n)
+		if isolation > 0 {
+			p.isolate(n, isolation)
+		}
 	}
 }
 
@@ -173,6 +180,7 @@
 	p.markChanged(n)
 	p.updateAbsence(n, p.step)
 	n.addRuns(p.step, 1)
+	n.roundStarts = append(n.roundStarts, run.Task.Submission)
 	p.onWorker[n.Incarnation]++
 	p.found = 0
 	firstOnRack := false
@@ -223,11 +231,14 @@
 // nil. A task avoids workers on which it has failed if the submission's service has
 // a worker on which the task has not failed. Long-running tasks and the tasks of a
 // starved submission do not avoid workers. A task that is being moved starts at its
-// destination.
-func (p *placement) bestWorker(id submission.TaskID) *node {
+// destination. A task that is suspected of crashing workers is isolated.
+func (p *placement) bestWorker(id submission.TaskID, isolated bool) *node {
 	if destination := p.mover.destination(id); destination != "" {
 		return p.destinationWorker(destination)
 	}
+	if isolated {
+		return p.bestIsolatedWorker()
+	}
 	avoidFailed := !p.step.LongRunning && !p.isStarved(p.ws.sub) && p.hasWorkerWithoutFailure(id)
 	for {
 		best := -1
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -103,7 +103,7 @@
 // may be returned again.
 func (s *Scheduler) Stops(at Clocks, store *submission.Store) []Stop {
 	s.mover.prune(at.Now)
-	r := s.newRound(at)
+	r := s.newRound(at, store)
 	defer r.end(store)
 	var out []Stop
 	for _, incarnation := range slices.Sorted(maps.Keys(s.mover.departures)) {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -84,6 +84,7 @@
 	sessions         sessions
 	commits          metrics.Timer // from a proposal to its application
 	crashedRuns      metrics.Counter
+	tasksGivenUp     metrics.Counter
 	firstStarts      metrics.Timer // from a submission to the first start of its first task
 	advice           advice
 	holders          map[string]Holder
@@ -159,6 +160,7 @@
 	}
 	c.commits = metrics.NewRegisteredTimer("controller.commits", registry)
 	c.crashedRuns = metrics.NewRegisteredCounter("controller.crashed_runs", registry)
+	c.tasksGivenUp = metrics.NewRegisteredCounter("controller.tasks_given_up", registry)
 	c.firstStarts = metrics.NewRegisteredTimer("controller.first_starts", registry)
 	c.advice = advice{client: cfg.AdviceClient, results: make(chan adviceResult, 1)}
 	c.group = group{replicas: cfg.Replicas, onMembersChange: cfg.OnMembersChange, address: cfg.Address}
--- a/internal/controller/incarnation_test.go
+++ b/internal/controller/incarnation_test.go
@@ -24,15 +24,20 @@
 	t.Helper()
 	l := &leader{T: t, core: startCore(t), run: submission.RunID{Task: submission.TaskID{Submission: "s1"}, Number: 1}}
 	l.rpc = &rpcService{core: l.core}
-	l.propose(state.ReplaceQueues{Table: queue.Table{
-		Version: 1, Services: []queue.Service{{Name: "s"}},
-		Queues: []queue.Queue{{Name: "q", Host: "h.example", Prefix: "/", Service: "s", MaxAttempts: 3, Slack: 1, Timeout: time.Minute}},
-	}})
+	l.propose(state.ReplaceQueues{Table: testQueues()})
 	step := submission.Step{Count: 1, Needs: submission.Resources{CPU: 1000, Memory: 1}, Estimate: 10 * time.Second}
 	l.propose(state.Submit{Submission: submission.Submission{Spec: submission.Spec{ID: "s1", Queue: "q", Steps: []submission.Step{step}}}})
 	return l
 }
 
+// testQueues is a table with one queue.
+func testQueues() queue.Table {
+	return queue.Table{
+		Version: 1, Services: []queue.Service{{Name: "s"}},
+		Queues: []queue.Queue{{Name: "q", Host: "h.example", Prefix: "/", Service: "s", MaxAttempts: 3, Slack: 1, Timeout: time.Minute}},
+	}
+}
+
 // setLease sets the length of the leases that are granted from now on.
 func (l *leader) setLease(d time.Duration) {
 	l.Helper()
@@ -58,9 +63,14 @@
 
 // attach opens a stream for a worker's incarnation. Its first report lists the runs.
 func (l *leader) attach(incarnation string, runs ...submission.RunID) (stream *agentStream, stop func()) {
+	return l.attachWith(report(incarnation, runs...))
+}
+
+// attachWith opens a stream whose first report is first.
+func (l *leader) attachWith(first *pb.AgentReport) (stream *agentStream, stop func()) {
 	ctx, cancel := context.WithCancel(l.Context())
 	stream = &agentStream{ctx: ctx, reports: make(chan *pb.AgentReport, 100), orders: make(chan *pb.AgentOrder, 1000)}
-	stream.reports <- report(incarnation, runs...)
+	stream.reports <- first
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -149,6 +149,21 @@
 	}, "submission ended")
 }
 
+// logTaskGivenUp logs which task's crashes have ended its submission, if they have.
+func (c *Core) logTaskGivenUp(s *submission.Submission, e submission.End) {
+	t := s.Task(e.Run.Task)
+	if e.Reason != submission.Crashed || s.State != submission.OutOfAttempts || !s.Steps[e.Run.Task.Step].CausesCrashes(t.Crashes) {
+		return
+	}
+	c.tasksGivenUp.Inc(1)
+	crashes := make([]map[string]any, len(t.Crashes))
+	for i, crash := range t.Crashes {
+		crashes[i] = map[string]any{"ran_ms": crash.Ran.Milliseconds(), "alone": crash.Alone}
+	}
+	c.log.Emit(event.TaskGivenUp, event.Fields{"submission": s.ID, "task": e.Run.Task.String(), "crashes": crashes},
+		"task crashed worker after worker; its submission has failed")
+}
+
 func (c *Core) orderStarts(starts []submission.Start) {
 	orders := make(map[*session]*pb.AgentOrder)
 	now := clock.Now()
@@ -209,6 +224,9 @@
 			ended[s.ID] = true
 			c.logSubmissionEnded(s)
 		}
+		if ok && ended[s.ID] {
+			c.logTaskGivenUp(s, e)
+		}
 		fields := event.Fields{
 			"submission": e.Run.Task.Submission, "task": e.Run.Task.String(), "run": e.Run.Number, "worker": e.Worker, "how": e.Reason.String(),
 		}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,7 @@
 	PressLearnt        Number = 226
 	ProposalLost       Number = 227
 	PeerMessageRefused Number = 228
+	TaskGivenUp        Number = 229
 	AgentJoined        Number = 301
 	ControllerLost     Number = 302
 	TaskStarted        Number = 303
@@ -125,6 +126,7 @@
 	{PressLearnt, "press_learnt", logrus.InfoLevel},
 	{ProposalLost, "proposal_lost", logrus.WarnLevel},
 	{PeerMessageRefused, "peer_message_refused", logrus.WarnLevel},
+	{TaskGivenUp, "task_given_up", logrus.WarnLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -133,6 +133,9 @@
 		for _, run := range t.Runs {
 			r.Runs = append(r.Runs, &pb.ActiveRun{Number: run.Number, Worker: run.Worker, Started: encodeTime(run.Started)})
 		}
+		for _, c := range t.Crashes {
+			r.Crashes = append(r.Crashes, &pb.Crash{Ran: int64(c.Ran), Alone: c.Alone})
+		}
 		m.Tasks = append(m.Tasks, r)
 	}
 	return m
@@ -179,6 +182,9 @@
 				Number: run.GetNumber(), Worker: run.GetWorker(), Started: decodeTime(run.GetStarted()),
 			})
 		}
+		for _, c := range r.GetCrashes() {
+			t.Crashes = append(t.Crashes, submission.Crash{Ran: decodeDuration(c.GetRan()), Alone: c.GetAlone()})
+		}
 		if t.Done {
 			rec.DoneTasks++
 		}
--- a/submission/store.go
+++ b/submission/store.go
@@ -18,7 +18,8 @@
 	LastRun    uint32 // number of the latest run
 	FailedRuns int    // runs that ended as failed; for a gang, counted at index 0
 	Done       bool
-	Checkpoint string // latest checkpoint, from the end of a run
+	Checkpoint string  // latest checkpoint, from the end of a run
+	Crashes    []Crash // of workers under its runs, the latest last; never changed in place
 }
 
 // Run is one active run.
@@ -97,6 +98,7 @@
 	ServiceRuns   int            // runs of service tasks
 	BatchRuns     int            // runs of batch tasks with an image
 	ServiceImages map[string]int // runs of service tasks, by image
+	isolations    map[RunID]isolation
 }
 
 // Store holds all submissions. The zero value is empty and ready. It is not
@@ -268,7 +270,7 @@
 		s.failingTasks++
 	}
 	for _, r := range t.Runs {
-		store.addUsage(s, RunID{Task: id, Number: r.Number}, r.Worker)
+		store.addUsage(s, id, r)
 	}
 }
 
@@ -291,15 +293,16 @@
 	return s.task(id)
 }
 
-// addUsage adds a run to the usage of its worker.
-func (store *Store) addUsage(s *Submission, run RunID, worker string) {
-	u := store.usage[worker]
+// addUsage adds a run of a task to the usage of its worker.
+func (store *Store) addUsage(s *Submission, id TaskID, r Run) {
+	u := store.usage[r.Worker]
 	if u == nil {
 		u = &Usage{Runs: make(map[RunID]*Submission), ServiceImages: make(map[string]int)}
-		store.usage[worker] = u
+		store.usage[r.Worker] = u
 	}
-	step := &s.Steps[run.Task.Step]
+	step, run := &s.Steps[id.Step], RunID{Task: id, Number: r.Number}
 	u.Runs[run] = s
+	u.addIsolation(step.Isolation(s.task(id)), run, r.Started)
 	u.Reserved = u.Reserved.Add(step.Reserved())
 	u.RequestedCPU += step.Needs.CPU
 	switch {
@@ -318,6 +321,7 @@
 	u := store.usage[worker]
 	step := &s.Steps[run.Task.Step]
 	delete(u.Runs, run)
+	delete(u.isolations, run)
 	u.Reserved = u.Reserved.Sub(step.Reserved())
 	u.RequestedCPU -= step.Needs.CPU
 	switch {
@@ -373,9 +377,10 @@
 			s.addWaiting(st.Run.Task, -1)
 			store.updateWaiting(s)
 		}
-		t.Runs = append(t.Runs[:len(t.Runs):len(t.Runs)], Run{Number: st.Run.Number, Worker: st.Worker, Started: now})
-		t.LastRun = st.Run.Number
-		store.addUsage(s, st.Run, st.Worker)
+		r := Run{Number: st.Run.Number, Worker: st.Worker, Started: now}
+		t.Runs = append(t.Runs[:len(t.Runs):len(t.Runs)], r)
+		t.LastRun = r.Number
+		store.addUsage(s, st.Run.Task, r)
 		if s.State == Queued {
 			s.State = Running
 		}
@@ -402,21 +407,32 @@
 	return true
 }
 
-// EndAll records the ends of runs, in order.
+// EndAll records the ends of runs, in order. The runs that were lost in one crash
+// must be recorded together: which of them may have caused it depends on the others.
 func (store *Store) EndAll(ends []End, now time.Time) {
+	crashes := store.latestStartsOfCrashes(ends)
 	for _, e := range ends {
-		store.End(e, now)
+		store.end(e, crashes[e.Worker], now)
 	}
 }
 
 // End records the end of a run. It returns false if the run is not active.
 func (store *Store) End(e End, now time.Time) bool {
+	return store.end(e, store.latestStartsOfCrashes([]End{e})[e.Worker], now)
+}
+
+// end records the end of a run. latest is that of its worker if that has crashed.
+func (store *Store) end(e End, latest *latestStarts, now time.Time) bool {
 	s, ok := store.all[e.Run.Task.Submission]
 	if !ok {
 		return false
 	}
 	t := s.Task(e.Run.Task)
-	if t == nil || !store.removeRun(s, t, e) {
+	if t == nil {
+		return false
+	}
+	r, ok := store.removeRun(s, t, e)
+	if !ok {
 		return false
 	}
 	if e.Checkpoint != "" {
@@ -431,20 +447,26 @@
 	case Failed:
 		s.countFailure(e)
 		store.failIfOutOfAttempts(s, e, now)
+	case Crashed:
+		store.recordCrash(s, e, latest.isAlone(s.ID, r.Started), now)
+	}
+	if (e.Reason == Stopped || e.Reason == Failed) && now.Sub(r.Started) >= _survivalTime {
+		t.forgetPromptCrashes()
 	}
 	store.updateWaiting(s)
 	return true
 }
 
-func (store *Store) removeRun(s *Submission, t *Task, e End) bool {
+// removeRun removes and returns an active run. ok is false if there is none.
+func (store *Store) removeRun(s *Submission, t *Task, e End) (r Run, ok bool) {
 	for i, r := range t.Runs {
 		if r.Number == e.Run.Number && r.Worker == e.Worker {
 			t.Runs = append(t.Runs[:i:i], t.Runs[i+1:]...)
 			store.removeUsage(s, e.Run, e.Worker)
-			return true
+			return r, true
 		}
 	}
-	return false
+	return Run{}, false
 }
 
 // saveCheckpoint records a checkpoint. A checkpoint of one member of a gang is
