Reject starts at the agent that a worker with less capacity no longer holds

A worker's capacity may shrink while it runs. But a start that was recorded before may reach the worker much later: the order is repeated until it is answered, and a new leader orders each recorded run that the agent does not know. Such a start could bring a worker over its capacity seconds after it had shrunk.

The agent knows the capacity first and is the only client of the worker, so it now decides: the order carries what the run reserves, and the agent rejects a start that does not fit beside the runs that the worker has or that are being started or stopped. A start that an earlier call may have carried out is stopped. Orders of a leader without the field reserve nothing.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -73,6 +73,7 @@
 		Gang:       step.Gang,
 		Image:      step.Image,
 		Estimate:   int64(step.Estimate),
+		Needs:      wire.EncodeResources(step.Reserved()),
 		Ticket:     ticket,
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -51,21 +51,23 @@
 type trackedRun struct {
 	run             submission.RunID
 	start           StartOrder
-	pacing          pacing.Task   // input of the pacer
-	described       bool          // pacing is known; the leader describes a run that an earlier agent started
-	share           int           // percent of full speed that the worker has confirmed
-	settingShare    bool          // a call that sets the share is in flight
-	startUnanswered bool          // a call that starts the run got no answer
-	estimate        time.Duration // of the task's run time; 0 if unknown
-	lateGrants      int           // Runner.lateGrants when the run was ordered
-	startedAt       time.Time     // first call that may have started the run; zero if an earlier agent made it
-	confirmed       bool          // the worker has answered a start or stop, or has listed the run
-	confirmedAt     time.Time     // when the run was confirmed
-	stopOrdered     bool          // the run is to be stopped
-	progress        int           // percent, as listed last
-	progressAt      time.Time     // when progress changed last or the run could not stall
-	stalled         bool          // progress has not changed for stallTimeout, although the run is not paused
-	missingSince    time.Time     // when a listing first lacked the run; zero if the latest one has it
+	needs           submission.Resources // that it reserves; zero if not described
+	pacing          pacing.Task          // input of the pacer
+	described       bool                 // pacing is known; the leader describes a run that an earlier agent started
+	share           int                  // percent of full speed that the worker has confirmed
+	settingShare    bool                 // a call that sets the share is in flight
+	startCalled     bool                 // a call that starts the run was made
+	startUnanswered bool                 // a call that starts the run got no answer
+	estimate        time.Duration        // of the task's run time; 0 if unknown
+	lateGrants      int                  // Runner.lateGrants when the run was ordered
+	startedAt       time.Time            // first call that may have started the run; zero if an earlier agent made it
+	confirmed       bool                 // the worker has answered a start or stop, or has listed the run
+	confirmedAt     time.Time            // when the run was confirmed
+	stopOrdered     bool                 // the run is to be stopped
+	progress        int                  // percent, as listed last
+	progressAt      time.Time            // when progress changed last or the run could not stall
+	stalled         bool                 // progress has not changed for stallTimeout, although the run is not paused
+	missingSince    time.Time            // when a listing first lacked the run; zero if the latest one has it
 }
 
 // Runner is the agent of one worker.
@@ -272,6 +274,7 @@
 	pacingTask := pacing.Task{IsService: s.GetServes(), IsBatch: s.GetFills(), Image: s.GetImage(), TailTarget: time.Duration(s.GetTailTarget())}
 	if tr := r.runs[run]; tr != nil && !tr.described {
 		tr.pacing, tr.estimate, tr.described = pacingTask, time.Duration(s.GetEstimate()), true
+		tr.needs = wire.DecodeResources(s.GetNeeds())
 	}
 	if r.isKnown(run) {
 		return
@@ -279,6 +282,7 @@
 	tr := &trackedRun{
 		run:        run,
 		estimate:   time.Duration(s.GetEstimate()),
+		needs:      wire.DecodeResources(s.GetNeeds()),
 		lateGrants: r.lateGrants,
 		share:      _fullShare,
 		described:  true,
@@ -328,7 +332,7 @@
 			r.mu.Unlock()
 			return
 		}
-		if tr.lateGrants != r.lateGrants {
+		if tr.lateGrants != r.lateGrants || !r.holds(tr) {
 			r.cancelStart(ctx, incarnation, tr)
 			r.mu.Unlock()
 			return
@@ -340,6 +344,7 @@
 		}
 		tr.start.LeaseEnd, tr.start.Term = leaseEnd, r.term
 		start := tr.start
+		tr.startCalled = tr.startCalled || ok
 		r.mu.Unlock()
 		if !ok {
 			clock.Sleep(ctx, _retryInterval)
@@ -364,6 +369,19 @@
 	}
 }
 
+// holds reports whether the worker's capacity, which may have shrunk since the
+// leader placed the run, holds the run beside those that the worker has or that are
+// being started or stopped. r.mu must be held.
+func (r *Runner) holds(tr *trackedRun) bool {
+	free := r.announcement.Capacity
+	for _, other := range r.runs {
+		if other != tr && (other.confirmed || other.startCalled) {
+			free = free.Sub(other.needs)
+		}
+	}
+	return tr.needs.Fits(free)
+}
+
 // handleStartAnswer handles the answer to a start and reports whether the start
 // is resolved.
 func (r *Runner) handleStartAnswer(ctx context.Context, incarnation Incarnation, tr *trackedRun, answer StartAnswer, workerClock time.Duration, err error) bool {
