Bound the workers that one request or one watch may take down

An idempotent request that crashes its target was sent to three targets in a row. A watch whose opening crashes its targets was opened at every target, each 2 s at the latest, for as long as its caller stayed.

A request now stops after it has lost two workers while it may have been running; attempts that were certainly not sent do not count. In a loss of many targets at once, an idempotent request gets a 502 after two of them instead of three, which the caller may send again. A watch that has lost its worker three times within a second of its opening, without an event, waits longer and longer, up to a minute. It is not ended: watches stay alive, and one that had been open for a while resumes as before.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -55,6 +55,7 @@
 	headSent     bool // the head of the answer was sent to the caller
 	status       int  // HTTP status of the target's answer
 	triedWorkers []string
+	losses       int // workers lost while they may have been running the request
 }
 
 // requestBody is the body of a request. The first part is buffered, so that the
@@ -274,8 +275,15 @@
 }
 
 // canRetry reports whether the request can be sent to another worker without
-// the risk that it takes effect twice.
+// the risk that it takes effect twice, or that it takes down one worker after the
+// other. It must be called once for each failed attempt.
 func (c *call) canRetry(ctx context.Context, err error) bool {
+	if mayHaveCausedLoss(err) {
+		c.losses++
+	}
+	if c.losses >= _maxRequestLosses {
+		return false
+	}
 	if ctx.Err() != nil || c.body.restRead {
 		return false
 	}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -15,6 +15,7 @@
 
 	"github.com/gentianrail/gentianrail/catalogue"
 	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/web"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
@@ -76,10 +77,10 @@
 	var heartbeats sync.WaitGroup
 	defer heartbeats.Wait()
 	defer close(done)
-	delay := _minResumeDelay
+	var resume resumption
 	for attempt := uint32(1); ctx.Err() == nil; attempt++ {
 		w.call.deadline = time.Now().Add(w.call.decl.Limits().RequestTimeout)
-		previousID := w.lastID
+		previousID, opened := w.lastID, clock.Now()
 		err := w.watchWorker(ctx, attempt, func() { heartbeats.Go(func() { w.sendHeartbeats(done) }) })
 		if ctx.Err() != nil || errors.Is(err, errWatchEnded) {
 			return
@@ -94,17 +95,16 @@
 		w.entry.log.Emit(event.WatchMoved, event.Fields{"request": w.call.id, "last_id": w.lastID, "error": err.Error()},
 			"watch lost its worker; resuming")
 		w.partialEvent = nil
-		if w.lastID != previousID {
-			delay = _minResumeDelay
+		advanced := w.lastID != previousID
+		if advanced {
 			w.call.triedWorkers = nil
 		}
 		if fault.CodeOf(err) == fault.NoTarget {
 			w.call.triedWorkers = nil
 		}
-		if !sleep(ctx, delay) {
+		if !sleep(ctx, resume.next(clock.Now().Sub(opened), advanced, err)) {
 			return
 		}
-		delay = min(2*delay, _maxResumeDelay)
 	}
 }
 
