Let no task wait for seconds for an isolated worker; look only at due occurrences

Found by reading and by TestIsolationStarvesNoTask, which failed for one of eight submissions: if as many workers were isolated as may be, a starved submission had no worker to fall back to, although the pool was nearly empty. A starved submission now starts on any worker that fits. A long-running task does not wait for the isolation of others, and not for a long one.

A request that may take down more than itself: a submission may have 20,000 occurrences, and each round looked at all of them, due or not.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -101,3 +101,22 @@
 		})
 	}
 }
+
+// BenchmarkWaitingOccurrences runs rounds beside submissions whose occurrences are
+// not due yet.
+func BenchmarkWaitingOccurrences(b *testing.B) {
+	var store submission.Store
+	s := newScheduler(&store, newWorkers(11, 16000, 62500))
+	for i := range 5 {
+		store.Submit(submission.Submission{
+			Spec: submission.Spec{
+				ID: fmt.Sprint("s", i), Queue: "q0", Steps: []submission.Step{{Count: 1, Estimate: time.Second}},
+				Repeat: submission.MaxTasks, StartAt: testNow.Add(time.Hour), Interval: time.Minute,
+			},
+			Service: "s", MaxAttempts: 2, Slack: 2, BaseObjective: time.Second,
+		}, testNow)
+	}
+	for b.Loop() {
+		s.Starts(clocksAt(testNow), &store)
+	}
+}
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -311,3 +311,59 @@
 		})
 	}
 }
+
+// suspect lets the worker of a task's first run crash at once, and returns the
+// scheduler's pool to the workers that are left.
+func suspect(t *testing.T, s *Scheduler, store *submission.Store, id string) {
+	t.Helper()
+	for _, st := range s.startTasks(t, store, testNow) {
+		if st.Run.Task.Submission == id {
+			s.recordEnd(store, testNow, submission.End{Run: st.Run, Worker: st.Worker, Reason: submission.Crashed, Ran: time.Millisecond}, 0)
+		}
+	}
+}
+
+// TestSuspectedTaskIsAlone checks on which workers suspected tasks and others start.
+func TestSuspectedTaskIsAlone(t *testing.T) {
+	var store submission.Store
+	s := newScheduler(&store, newWorkers(4, 16000, 62500))
+	step := lookupStep
+	step.Count = 1
+	submitSteps(&store, "bad", 0, step)
+	suspect(t, s, &store, "bad")
+	submitSteps(&store, "other", 0, lookupStep)
+	workers := make(map[string]string)
+	for _, st := range s.startTasks(t, &store, testNow) {
+		if id := workers[st.Worker]; id != "" && id != st.Run.Task.Submission {
+			t.Errorf("tasks of %s and %s start together on %s", id, st.Run.Task.Submission, st.Worker)
+		}
+		workers[st.Worker] = st.Run.Task.Submission
+	}
+	if len(workers) < 2 {
+		t.Errorf("tasks started on %v, want two workers", workers)
+	}
+}
+
+// TestIsolationStarvesNoTask has more suspected tasks than workers that may be
+// isolated. In a lightly loaded pool none of them may wait for seconds.
+func TestIsolationStarvesNoTask(t *testing.T) {
+	for _, lasting := range []bool{false, true} {
+		var store submission.Store
+		s := newScheduler(&store, newWorkers(3, 16000, 62500))
+		for i := range 8 {
+			id := fmt.Sprint("s", i)
+			step := watchStep
+			step.Count, step.LongRunning = 1, lasting
+			submitSteps(&store, id, 0, step)
+			suspect(t, s, &store, id)
+		}
+		for now := testNow; now.Before(testNow.Add(_maxStarvation + 200*time.Millisecond)); now = now.Add(50 * time.Millisecond) {
+			s.startTasks(t, &store, now)
+		}
+		for _, sub := range store.All() {
+			if sub.ActiveRuns() != 1 {
+				t.Errorf("lasting tasks: %t: %s has no active run after %s", lasting, sub.ID, _maxStarvation)
+			}
+		}
+	}
+}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -99,7 +99,7 @@
 	if step.MaxPerWorker > 0 && runsOnWorker >= step.MaxPerWorker {
 		return Spread
 	}
-	if r.isolates(n, s.ID) {
+	if r.isolates(n, s.ID) && !r.ignoresIsolation(n, s, step) {
 		return Isolated
 	}
 	if r.unhealthy[n.Incarnation] && !step.LongRunning && (n.runs > 0 || s.MaxAttempts < 2 || r.health.IsInBackoff(r.at.Now, n.Incarnation)) {
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -28,6 +28,13 @@
 	return ok && c.submission != submissionID && r.at.Log.Before(c.until)
 }
 
+// ignoresIsolation reports whether a step's tasks may start on a worker that is
+// isolated for another submission, so that nothing waits for seconds beside free
+// capacity.
+func (r *round) ignoresIsolation(n *node, s *submission.Submission, step *submission.Step) bool {
+	return r.isStarved(s) || step.LongRunning && n.isolatedUntil.Sub(r.at.Log) > _cordonTime
+}
+
 // isIsolated reports whether a worker is isolated for any submission.
 func (r *round) isIsolated(n *node) bool { return r.isolates(n, "") }
 
@@ -42,34 +49,33 @@
 
 // bestIsolatedWorker returns the candidate with the fewest runs on which no run of
 // another submission has just started, or nil. If there is none, it cordons off a
-// candidate. A starved submission does not wait for that.
+// candidate. A starved submission does not wait for that, and a long-running task
+// does not wait until other isolated workers are free.
 func (p *placement) bestIsolatedWorker() *node {
-	var best, cordoned *node
+	var best, fallback *node
 	for {
 		for _, c := range p.candidates {
-			switch {
-			case len(p.absent) > 0 && !p.fits(c.n): // starts on other workers have used the room
-			case p.hasJustStarted(c.n):
-				if cordoned == nil || c.n.runs < cordoned.runs {
-					cordoned = c.n
-				}
-			case p.isIsolated(c.n) || p.mayIsolateMore():
-				if best == nil || c.n.runs < best.runs {
-					best = c.n
-				}
+			if len(p.absent) > 0 && !p.fits(c.n) {
+				continue // starts on other workers have used the room
+			}
+			if fallback == nil || c.n.runs < fallback.runs {
+				fallback = c.n
+			}
+			if !p.hasJustStarted(c.n) && (p.isIsolated(c.n) || p.mayIsolateMore()) && (best == nil || c.n.runs < best.runs) {
+				best = c.n
 			}
 		}
 		if !p.findCandidates() {
 			break
 		}
 	}
-	if best != nil || cordoned == nil {
+	switch {
+	case best != nil || fallback == nil:
 		return best
+	case p.isStarved(p.ws.sub), p.step.LongRunning && !p.mayIsolateMore():
+		return fallback
 	}
-	if p.isStarved(p.ws.sub) {
-		return cordoned
-	}
-	p.cordonOff(cordoned)
+	p.cordonOff(fallback)
 	return nil
 }
 
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -11,15 +11,16 @@
 // Weights of a worker's cost, which is the sum over the rules that apply. A rule
 // with a larger weight takes precedence over any one with a smaller weight.
 const (
-	_costUnhealthy          = 8.0 // the worker is unhealthy
-	_costOffRack            = 4.0 // the data or the step's other tasks are on another rack
-	_costServiceBesideBatch = 2.0 // a service task would share the worker with a batch task
-	_costOvercommit         = 1.7 // runs with unreserved CPU would get less CPU than they request
-	_costNoServiceTask      = 1.5 // the worker has no service task yet
-	_costMixedImages        = 1.0 // the service task would run beside other images, which tolerate different batch images
-	_costBatchAlone         = 0.6 // a batch task would use a worker without service tasks, which tolerates any batch image
-	_costFreeCapacity       = 1.0 // multiplied by the worker's free share of capacity
-	_urgentPriority         = 0   // priority of the queues whose tasks may use the headroom
+	_costIsolated           = 16.0 // the worker is isolated for another submission
+	_costUnhealthy          = 8.0  // the worker is unhealthy
+	_costOffRack            = 4.0  // the data or the step's other tasks are on another rack
+	_costServiceBesideBatch = 2.0  // a service task would share the worker with a batch task
+	_costOvercommit         = 1.7  // runs with unreserved CPU would get less CPU than they request
+	_costNoServiceTask      = 1.5  // the worker has no service task yet
+	_costMixedImages        = 1.0  // the service task would run beside other images, which tolerate different batch images
+	_costBatchAlone         = 0.6  // a batch task would use a worker without service tasks, which tolerates any batch image
+	_costFreeCapacity       = 1.0  // multiplied by the worker's free share of capacity
+	_urgentPriority         = 0    // priority of the queues whose tasks may use the headroom
 )
 
 // _lightLoadFreeShare is the free share of the reservable CPU above which a pool
@@ -355,7 +356,7 @@
 func (p *placement) cost(n *node) float64 {
 	step := p.step
 	cost := n.packingCost(step) + p.interferenceCost(step, n) + p.toleranceCost(step, n)
-	cost += costIf(p.unhealthy[n.Incarnation], _costUnhealthy)
+	cost += costIf(p.isolates(n, p.ws.sub.ID), _costIsolated) + costIf(p.unhealthy[n.Incarnation], _costUnhealthy)
 	cost += costIf(step.DataRack != "" && step.DataRack != n.Rack, _costOffRack)
 	return cost + costIf(step.RackLocal && len(p.onRack) > 0 && p.onRack[n.Rack] == 0, _costOffRack)
 }
--- a/dispatch/steps.go
+++ b/dispatch/steps.go
@@ -70,6 +70,9 @@
 	for k := range sub.StepRecords {
 		accepted := sub.Accepted
 		if due := sub.DueAt(k); !due.IsZero() {
+			if at.Wall.Before(due) {
+				break // nor are later occurrences due
+			}
 			accepted = at.Log.Add(due.Sub(at.Wall)) // the due time converted to log time
 		}
 		for i := range sub.Steps {
