--- a/internal/operator/submissions.go
+++ b/internal/operator/submissions.go
@@ -39,6 +39,7 @@
 	Tasks      int `json:"tasks"`
 	Done       int `json:"done"`
 	Failures   int `json:"failures"`
+	Crashes    int `json:"crashes"` // of workers under the step's runs
 }
 
 // SubmissionsDocument is the JSON form of a list of submissions.
@@ -121,6 +122,7 @@
 	d := StepDocument{Occurrence: occurrence, Step: step, Tasks: len(rec.Tasks), Done: rec.DoneTasks}
 	for i := range rec.Tasks {
 		d.Failures += rec.Tasks[i].FailedRuns
+		d.Crashes += len(rec.Tasks[i].Crashes)
 	}
 	return d
 }
--- a/internal/tool/submissions.go
+++ b/internal/tool/submissions.go
@@ -109,9 +109,9 @@
 	t := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "submission\t%s\nqueue\t%s\nstate\t%s\nage\t%s s\nobjective\t%s s\n",
 		doc.ID, doc.Queue, doc.State, formatSeconds(doc.AgeMS), formatSeconds(doc.ObjectiveMS))
-	fmt.Fprintln(t, "\nOCCURRENCE\tSTEP\tDONE\tFAILURES")
+	fmt.Fprintln(t, "\nOCCURRENCE\tSTEP\tDONE\tFAILURES\tCRASHES")
 	for _, s := range doc.Steps {
-		fmt.Fprintf(t, "%d\t%d\t%d/%d\t%d\n", s.Occurrence, s.Step, s.Done, s.Tasks, s.Failures)
+		fmt.Fprintf(t, "%d\t%d\t%d/%d\t%d\t%d\n", s.Occurrence, s.Step, s.Done, s.Tasks, s.Failures, s.Crashes)
 	}
 	if len(doc.Runs) > 0 {
 		fmt.Fprintln(t, "\nTASK\tRUN\tWORKER")
