Test isolation where it decides

Read once more with mutations: the test that a suspected task is alone passed with the isolation taken out, because in its pool the other tasks preferred another worker. Two tests replace it, both stricter: the other tasks have room only on the isolated worker, and every worker gets new starts again and again. Red with the isolation taken out, with fresh runs not counted as company, and without cordons.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -319,25 +319,60 @@
 	}
 }
 
-// TestSuspectedTaskIsAlone checks on which workers suspected tasks and others start.
+// TestSuspectedTaskIsAlone starts a suspected task and then others, for which only its
+// worker has room. They must wait until it has survived its start.
 func TestSuspectedTaskIsAlone(t *testing.T) {
 	var store submission.Store
-	s := newScheduler(&store, newWorkers(4, 16000, 62500))
+	workers := newWorkers(2, 16000, 62500)
+	workers[1].Capacity.CPU = 100
+	s := newScheduler(&store, workers)
 	step := lookupStep
 	step.Count = 1
 	submitSteps(&store, "bad", 0, step)
 	suspect(t, s, &store, "bad")
-	submitSteps(&store, "other", 0, lookupStep)
-	workers := make(map[string]string)
-	for _, st := range s.startTasks(t, &store, testNow) {
-		if id := workers[st.Worker]; id != "" && id != st.Run.Task.Submission {
-			t.Errorf("tasks of %s and %s start together on %s", id, st.Run.Task.Submission, st.Worker)
+	if got := s.startTasks(t, &store, testNow); len(got) != 1 {
+		t.Fatalf("%d tasks started, want the suspected one", len(got))
+	}
+	submitSteps(&store, "other", 0, step)
+	for _, tc := range []struct {
+		after time.Duration
+		want  int // started tasks
+	}{{after: 10 * time.Millisecond}, {after: submission.StartWindow - time.Millisecond}, {after: submission.StartWindow, want: 1}} {
+		if got := s.startTasks(t, &store, testNow.Add(tc.after)); len(got) != tc.want {
+			t.Errorf("%d tasks started %s after the suspected one, want %d", len(got), tc.after, tc.want)
 		}
-		workers[st.Worker] = st.Run.Task.Submission
 	}
-	if len(workers) < 2 {
-		t.Errorf("tasks started on %v, want two workers", workers)
+}
+
+// TestSuspectedTaskFindsWorkerWithoutFreshRun starts tasks on all workers, again and
+// again. The suspected task must start where none has just started, and soon.
+func TestSuspectedTaskFindsWorkerWithoutFreshRun(t *testing.T) {
+	var store submission.Store
+	s := newScheduler(&store, newWorkers(2, 16000, 62500))
+	step, spread := lookupStep, lookupStep
+	step.Count, spread.Count, spread.MaxPerWorker = 1, 2, 1
+	submitSteps(&store, "bad", 0, step)
+	submitSteps(&store, "first", 0, spread)
+	suspect(t, s, &store, "bad")
+	latest := map[string]time.Time{"w00": testNow, "w01": testNow} // starts of other submissions
+	for after := 50 * time.Millisecond; after < _maxStarvation; after += 50 * time.Millisecond {
+		now := testNow.Add(after)
+		submitSteps(&store, fmt.Sprint("next", after), 0, spread)
+		for _, st := range s.startTasks(t, &store, now) {
+			if st.Run.Task.Submission != "bad" {
+				latest[st.Worker] = now
+				continue
+			}
+			if fresh := now.Sub(latest[st.Worker]); fresh < submission.StartWindow {
+				t.Errorf("the suspected task started %s after another one on its worker", fresh)
+			}
+			if after > _cordonTime {
+				t.Errorf("the suspected task started after %s, want at most %s", after, _cordonTime)
+			}
+			return
+		}
 	}
+	t.Error("the suspected task did not start")
 }
 
 // TestIsolationStarvesNoTask has more suspected tasks than workers that may be
