Log what tells the hypotheses on two runs of a task apart

A listing by another incarnation than the agent's was dropped without a line, and so was a listed run whose end had been inferred. Such listings are now worker_superseded and ended_run_listed, a start's answer names the incarnation that it was meant for and the failed polls before it, and the leader logs and counts runs that a worker has beside the record (stray_run, controller.stray_runs). No decision changes.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -85,7 +85,8 @@
 	commits          metrics.Timer // from a proposal to its application
 	crashedRuns      metrics.Counter
 	tasksGivenUp     metrics.Counter
-	firstStarts      metrics.Timer // from a submission to the first start of its first task
+	strayRuns        metrics.Counter // that a worker has and that are not recorded on it
+	firstStarts      metrics.Timer   // from a submission to the first start of its first task
 	advice           advice
 	holders          map[string]Holder
 	diskErr          error         // disk failure; the core rejects every later proposal
@@ -161,6 +162,7 @@
 	c.commits = metrics.NewRegisteredTimer("controller.commits", registry)
 	c.crashedRuns = metrics.NewRegisteredCounter("controller.crashed_runs", registry)
 	c.tasksGivenUp = metrics.NewRegisteredCounter("controller.tasks_given_up", registry)
+	c.strayRuns = metrics.NewRegisteredCounter("controller.stray_runs", registry)
 	c.firstStarts = metrics.NewRegisteredTimer("controller.first_starts", registry)
 	c.advice = advice{client: cfg.AdviceClient, results: make(chan adviceResult, 1)}
 	c.group = group{replicas: cfg.Replicas, onMembersChange: cfg.OnMembersChange, address: cfg.Address}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -35,6 +35,7 @@
 	for _, run := range listed {
 		known[run] = true
 		if !isActive(store, sess.worker.Incarnation, run) {
+			c.logStrayRun(sess, run)
 			sess.orderedStops[run] = true
 			order.Stops = append(order.Stops, wire.EncodeRun(run))
 		}
@@ -59,6 +60,19 @@
 	}
 }
 
+// logStrayRun logs and counts a run that a worker has and that is not recorded on its
+// incarnation.
+func (c *Core) logStrayRun(sess *session, run submission.RunID) {
+	c.strayRuns.Inc(1)
+	recorded := ""
+	if s, ok := c.machine.Submissions().Submission(run.Task.Submission); ok {
+		recorded = s.ActiveOn(run)
+	}
+	c.log.Emit(event.StrayRun, event.Fields{
+		"task": run.Task.String(), "run": run.Number, "worker": sess.worker.Incarnation, "recorded": recorded,
+	}, "worker has a run that is not recorded on it; stopping the run")
+}
+
 func (c *Core) startOrder(now time.Time, s *submission.Submission, run submission.RunID, incarnation string) *pb.StartOrder {
 	step := &s.Steps[run.Task.Step]
 	id := dispatch.StepID{Submission: s.ID, Occurrence: run.Task.Occurrence, Step: run.Task.Step}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -56,6 +56,7 @@
 	ProposalLost       Number = 227
 	PeerMessageRefused Number = 228
 	TaskGivenUp        Number = 229
+	StrayRun           Number = 230
 	AgentJoined        Number = 301
 	ControllerLost     Number = 302
 	TaskStarted        Number = 303
@@ -69,6 +70,8 @@
 	RunPaced           Number = 311
 	WorkerIgnored      Number = 312
 	WorkerCrashed      Number = 313
+	WorkerSuperseded   Number = 314
+	EndedRunListed     Number = 315
 	ViewLost           Number = 401
 	ConnectionDead     Number = 402
 	WorkerEjected      Number = 403
@@ -127,6 +130,7 @@
 	{ProposalLost, "proposal_lost", logrus.WarnLevel},
 	{PeerMessageRefused, "peer_message_refused", logrus.WarnLevel},
 	{TaskGivenUp, "task_given_up", logrus.WarnLevel},
+	{StrayRun, "stray_run", logrus.WarnLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
@@ -140,6 +144,8 @@
 	{RunPaced, "run_paced", logrus.InfoLevel},
 	{WorkerIgnored, "worker_ignored", logrus.WarnLevel},
 	{WorkerCrashed, "worker_crashed", logrus.WarnLevel},
+	{WorkerSuperseded, "worker_superseded", logrus.WarnLevel},
+	{EndedRunListed, "ended_run_listed", logrus.WarnLevel},
 	{ViewLost, "view_lost", logrus.WarnLevel},
 	{ConnectionDead, "connection_dead", logrus.WarnLevel},
 	{WorkerEjected, "worker_ejected", logrus.WarnLevel},
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -113,6 +113,7 @@
 		return
 	}
 	if list.StartTimeMS != 0 && list.StartTimeMS != incarnation.StartTimeMS {
+		r.logSuperseded(list)
 		return // the next incarnation, which has not announced itself yet
 	}
 	if r.unresponsive {
@@ -130,6 +131,30 @@
 	}
 }
 
+// logSuperseded logs, once an incarnation, that another incarnation answers than the
+// agent knows. r.mu must be held.
+func (r *Runner) logSuperseded(list Listing) {
+	if r.supersededBy == list.StartTimeMS {
+		return
+	}
+	r.supersededBy = list.StartTimeMS
+	r.log.Emit(event.WorkerSuperseded, event.Fields{
+		"worker": r.incarnationName(r.incarnation), "started_ms": list.StartTimeMS, "runs": len(list.Active),
+	}, "another incarnation of the worker answers")
+}
+
+// logEndedRunListed logs, once a run, that the worker lists a run whose end was
+// inferred. r.mu must be held.
+func (r *Runner) logEndedRunListed(end submission.End) {
+	if r.listedAfterEnd[end.Run] {
+		return
+	}
+	r.listedAfterEnd[end.Run] = true
+	r.log.Emit(event.EndedRunListed, event.Fields{
+		"worker": r.incarnationName(r.incarnation), "task": end.Run.Task.String(), "run": end.Run.Number, "how": end.Reason.String(), "ended_on": end.Worker,
+	}, "worker lists a run whose end was inferred")
+}
+
 // recordPollFailure counts a poll without an answer. The runs end once the
 // worker's lease has certainly expired. r.mu must be held.
 func (r *Runner) recordPollFailure(now time.Time, err error) {
@@ -158,7 +183,8 @@
 		active[a.Run] = true
 		tr := r.runs[a.Run]
 		if tr == nil {
-			if _, isInferred := r.inferredEnds[a.Run]; isInferred {
+			if end, isInferred := r.inferredEnds[a.Run]; isInferred {
+				r.logEndedRunListed(end)
 				continue
 			}
 			tr = &trackedRun{run: a.Run, confirmedAt: now, share: _unknownShare}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -94,6 +94,8 @@
 	inferredEnds    map[submission.RunID]submission.End // of runs that the worker does not list
 	checkpoints     map[submission.RunID]string         // latest, by run
 	unreported      map[submission.RunID]bool           // runs with changes that were not reported
+	listedAfterEnd  map[submission.RunID]bool           // runs with an inferred end that the worker has listed as active
+	supersededBy    int64                               // start time of another incarnation that has answered a poll, in ms since 1970; 0 for none
 	listed          bool                                // the worker has listed its runs in this incarnation
 	failedPolls     int                                 // consecutive, without an answer
 	outage          outage                              // the consecutive failed polls
@@ -144,6 +146,8 @@
 	r.inferredEnds = make(map[submission.RunID]submission.End)
 	r.checkpoints = make(map[submission.RunID]string)
 	r.unreported = make(map[submission.RunID]bool)
+	r.listedAfterEnd = make(map[submission.RunID]bool)
+	r.supersededBy = 0
 	r.ends, r.lastListedEnd, r.lastRecordedEnd = nil, 0, 0
 	r.lease = lease{grantEnd: r.lease.grantEnd}
 	r.listed, r.unresponsive, r.failedPolls, r.departed = false, false, 0, false
@@ -398,8 +402,10 @@
 	if workerClock > 0 {
 		r.lease.recordWorkerClock(workerClock, now)
 	}
-	r.log.Emit(event.StartAnswered, event.Fields{"task": tr.run.Task.String(), "run": tr.run.Number, "answer": int(answer), "unsure": tr.startUnanswered},
-		"worker answered a start order")
+	r.log.Emit(event.StartAnswered, event.Fields{
+		"task": tr.run.Task.String(), "run": tr.run.Number, "answer": int(answer), "unsure": tr.startUnanswered,
+		"worker": r.incarnationName(incarnation), "failed_polls": r.failedPolls,
+	}, "worker answered a start order")
 	switch answer {
 	case Started, Superseded:
 		// A run that the worker has had before is in the next listing, or
--- a/submission/store.go
+++ b/submission/store.go
@@ -569,6 +569,18 @@
 	return out
 }
 
+// ActiveOn returns the worker on which a run is recorded as active, or "".
+func (s *Submission) ActiveOn(run RunID) string {
+	if t := s.Task(run.Task); t != nil {
+		for _, r := range t.Runs {
+			if r.Number == run.Number {
+				return r.Worker
+			}
+		}
+	}
+	return ""
+}
+
 // IsSurplus reports whether an active run is no longer needed: its submission has
 // ended, or another run has completed the task.
 func (s *Submission) IsSurplus(run RunID) bool {
