Reproduce: a run counts as ended while a worker has it

A stand-in worker that starts again under its identifier, with a clock and a fence that start anew, and a stand-in agent at the leader.

--- /dev/null
+++ b/internal/runner/incarnation_test.go
@@ -0,0 +1,347 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// returningWorker is a worker that may start again under its identifier. It keeps
+// nothing of an earlier incarnation.
+type returningWorker struct {
+	mu          sync.Mutex
+	incarnation Incarnation
+	began       time.Time // of the incarnation, whose clock starts at 0
+	token       uint64    // highest of an order
+	active      map[submission.RunID]bool
+	highest     map[submission.TaskID]uint32 // run that was stopped or has ended
+	ends        []ListedEnd
+	lastEnd     uint64
+	down        bool         // answers nothing
+	hold        bool         // keeps orders to start unanswered
+	held        []StartOrder // orders that are carried out later
+}
+
+func newReturningWorker() *returningWorker {
+	w := &returningWorker{incarnation: Incarnation{ID: "w", StartTimeMS: 1000}}
+	w.reset()
+	return w
+}
+
+func (w *returningWorker) reset() {
+	w.began, w.token, w.lastEnd, w.ends = clock.Now(), 0, 0, nil
+	w.active, w.highest = make(map[submission.RunID]bool), make(map[submission.TaskID]uint32)
+}
+
+// restart starts the next incarnation under the same identifier.
+func (w *returningWorker) restart() Incarnation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.incarnation.StartTimeMS += 1000
+	w.reset()
+	return w.incarnation
+}
+
+func (w *returningWorker) runs(run submission.RunID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.active[run]
+}
+
+func (w *returningWorker) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+func (w *returningWorker) fence(token uint64) bool {
+	if token < w.token {
+		return false
+	}
+	w.token = token
+	return true
+}
+
+func (w *returningWorker) Start(_ context.Context, id string, o StartOrder) (StartAnswer, time.Duration, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.down:
+		return 0, 0, errNoAnswer
+	case id != w.incarnation.ID:
+		return OtherIncarnation, 0, nil
+	case w.hold:
+		w.held = append(w.held, o)
+		return 0, 0, errNoAnswer
+	}
+	return w.start(o), clock.Now().Sub(w.began), nil
+}
+
+func (w *returningWorker) start(o StartOrder) StartAnswer {
+	switch {
+	case !w.fence(o.Term):
+		return Fenced
+	case o.LeaseEnd <= clock.Now().Sub(w.began):
+		return TooLate
+	case o.Run.Number <= w.highest[o.Run.Task]:
+		return Superseded
+	}
+	w.active[o.Run] = true
+	return Started
+}
+
+// carryOutHeld carries out the orders that were held.
+func (w *returningWorker) carryOutHeld() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, o := range w.held {
+		w.start(o)
+	}
+	w.held = nil
+}
+
+// end ends a run. w.mu must be held.
+func (w *returningWorker) end(run submission.RunID, reason submission.EndReason) {
+	delete(w.active, run)
+	w.lastEnd++
+	w.ends = append(w.ends, ListedEnd{Number: w.lastEnd, Run: run, Reason: reason})
+	w.highest[run.Task] = max(w.highest[run.Task], run.Number)
+}
+
+func (w *returningWorker) Stop(_ context.Context, id string, run submission.RunID, term uint64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down || id != w.incarnation.ID || !w.fence(term) {
+		return errNoAnswer
+	}
+	if w.active[run] {
+		w.end(run, submission.Stopped)
+	}
+	w.highest[run.Task] = max(w.highest[run.Task], run.Number)
+	return nil
+}
+
+func (w *returningWorker) Poll(_ context.Context, id string, req PollRequest) (Listing, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.down:
+		return Listing{}, errNoAnswer
+	case id != w.incarnation.ID:
+		return Listing{}, ErrOtherIncarnation
+	case !w.fence(req.Term):
+		return Listing{}, fmt.Errorf("poll: %w", ErrFenced)
+	}
+	w.ends = slices.DeleteFunc(w.ends, func(e ListedEnd) bool { return e.Number <= req.LastRecordedEnd })
+	list := Listing{StartTimeMS: w.incarnation.StartTimeMS, Clock: clock.Now().Sub(w.began), Ends: slices.Clone(w.ends)}
+	for run := range w.active {
+		list.Active = append(list.Active, ListedRun{Run: run})
+	}
+	return list, nil
+}
+
+func (w *returningWorker) Pace(context.Context, string, submission.RunID, int, uint64) error {
+	return nil
+}
+
+// stubLeader is the leader's end of an agent's stream. It records what it is told.
+type stubLeader struct {
+	t     *testing.T
+	r     *Runner
+	w     *returningWorker
+	s     session
+	ended map[submission.RunID]submission.EndReason // as reported
+}
+
+func (l *stubLeader) attach() {
+	l.s = session{incarnation: l.r.currentIncarnation(), inferredEnds: make(map[submission.RunID]bool)}
+}
+
+// exchange lets the agent report once, and answers.
+func (l *stubLeader) exchange(starts ...uint32) {
+	l.t.Helper()
+	if l.s.incarnation != l.r.currentIncarnation() {
+		l.attach()
+	}
+	report, _ := l.r.nextReport(&l.s)
+	o := &pb.AgentOrder{Term: 1, Sent: clock.Now().UnixNano(), Lease: int64(time.Minute)}
+	for _, e := range report.GetEnds() {
+		run := wire.DecodeRun(e.GetRun())
+		l.ended[run] = submission.EndReason(e.GetHow())
+		o.Taken = max(o.Taken, e.GetNumber())
+	}
+	for _, e := range report.GetRefused() {
+		end := wire.DecodeRunEnd(e)
+		l.ended[end.Run] = end.Reason
+		o.Settled = append(o.Settled, e.GetRun())
+	}
+	for _, n := range starts {
+		o.Starts = append(o.Starts, &pb.StartOrder{Run: wire.EncodeRun(testRun(n)), Text: "x"})
+	}
+	l.check()
+	l.r.deliverOrder(o)
+}
+
+// check fails the test if a run that the leader counts as ended runs.
+func (l *stubLeader) check() {
+	l.t.Helper()
+	for run := range l.ended {
+		if l.w.runs(run) {
+			l.t.Fatalf("%v was reported as %s while it runs", run, l.ended[run])
+		}
+	}
+}
+
+// poll lets the agent poll the worker once.
+func (l *stubLeader) poll() {
+	l.r.confirmCandidate(context.Background())
+	incarnation, req, ok := l.r.nextPoll()
+	if !ok {
+		return
+	}
+	sent := clock.Now()
+	list, err := l.r.worker.Poll(context.Background(), incarnation.ID, req)
+	l.r.handlePollResult(context.Background(), incarnation, sent, list, err)
+}
+
+// settle polls and reports until the agent and the leader have no news.
+func (l *stubLeader) settle() {
+	l.t.Helper()
+	for range 10 {
+		l.poll()
+		l.exchange()
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func newReturningRunner(t *testing.T) (*Runner, *returningWorker, *stubLeader) {
+	t.Helper()
+	w := newReturningWorker()
+	r := newRunner(t, &fakeWorker{})
+	r.worker = w
+	r.mu.Lock()
+	r.reset()
+	r.incarnation = Incarnation{}
+	r.mu.Unlock()
+	l := &stubLeader{t: t, r: r, w: w, ended: make(map[submission.RunID]submission.EndReason)}
+	r.announce(Announcement{ID: "w", StartTimeMS: 1000, Sequence: 1, Address: "10.0.0.1:1"})
+	l.settle()
+	return r, w, l
+}
+
+func (r *Runner) announceIncarnation(i Incarnation) {
+	r.announce(Announcement{ID: i.ID, StartTimeMS: i.StartTimeMS, Sequence: 1, Address: "10.0.0.1:1"})
+}
+
+// TestRunStartedOnNextIncarnationIsNotReportedLost guards against a second run of a
+// task whose start was carried out by an incarnation that the agent did not know yet.
+func TestRunStartedOnNextIncarnationIsNotReportedLost(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		polls bool // a poll meets the next incarnation before the announcement does
+	}{
+		{name: "announced before a poll"},
+		{name: "polled before the announcement", polls: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, w, l := newReturningRunner(t)
+			next := w.restart()
+			l.exchange(1)
+			eventually(t, "the run starts", func() bool { return w.runs(testRun(1)) })
+			if tc.polls {
+				l.poll()
+				l.exchange()
+			}
+			r.announceIncarnation(next)
+			l.settle()
+			eventually(t, "the run is stopped and its end reported", func() bool {
+				l.settle()
+				return l.ended[testRun(1)] != 0
+			})
+		})
+	}
+}
+
+// TestLateStartOnNextIncarnationIsFenced guards against a start whose answer was lost
+// and that the next incarnation carries out after its run was reported as lost.
+func TestLateStartOnNextIncarnationIsFenced(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	w.set(func() { w.hold = true })
+	l.exchange(1)
+	eventually(t, "the start is sent", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.held) > 0
+	})
+	next := w.restart()
+	w.set(func() { w.hold = false })
+	r.announceIncarnation(next)
+	eventually(t, "the run is reported as ended", func() bool {
+		l.settle()
+		return l.ended[testRun(1)] != 0
+	})
+	w.carryOutHeld()
+	l.check()
+}
+
+// TestNoStartWhileIncarnationIsInDoubt guards against starts on a worker that has
+// perhaps started again: its polls fail, or another incarnation answers them.
+func TestNoStartWhileIncarnationIsInDoubt(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(w *returningWorker)
+	}{
+		{"no answer", func(w *returningWorker) { w.set(func() { w.down = true }) }},
+		{"another incarnation answers", func(w *returningWorker) { w.restart() }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, w, l := newReturningRunner(t)
+			tc.change(w)
+			l.poll()
+			w.set(func() { w.down = false })
+			l.exchange(1)
+			time.Sleep(3 * _retryInterval)
+			if w.runs(testRun(1)) {
+				t.Error("a run was started")
+			}
+		})
+	}
+}
+
+// TestFencedAnswerConfirmsNoOtherIncarnation guards against taking up an incarnation
+// that has ended because the worker has seen a higher term.
+func TestFencedAnswerConfirmsNoOtherIncarnation(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	l.exchange(1)
+	eventually(t, "the run starts", func() bool { return w.runs(testRun(1)) })
+	l.settle()
+	w.set(func() { w.token = 1 << 40 })
+	r.announceIncarnation(Incarnation{ID: "w", StartTimeMS: 500})
+	if got := r.currentIncarnation().StartTimeMS; got != 1000 {
+		t.Errorf("the agent took up the incarnation of %d", got)
+	}
+	l.exchange()
+}
+
+// TestRestartedAgentRespectsLeaseOfEarlierAgent guards against ending runs that the
+// agent has found on a worker whose lease an earlier agent has renewed.
+func TestRestartedAgentRespectsLeaseOfEarlierAgent(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	w.set(func() { w.active[testRun(1)] = true })
+	r.mu.Lock()
+	r.lease = lease{}
+	r.mu.Unlock()
+	list, _ := w.Poll(context.Background(), "w", PollRequest{Term: 1})
+	now := clock.Now()
+	r.handlePollResult(context.Background(), r.currentIncarnation(), now, list, nil)
+	r.failPolls(now.Add(time.Second), errNoAnswer, errNoAnswer, errNoAnswer, errNoAnswer)
+	l.exchange()
+}
