Respect the leases that an earlier agent has sent

Cause: an agent that was killed and started again at 19.5 s knew of no lease that it had sent, and took that for a lease that has expired. Three polls without an answer later it reported the run as lapsed, half a second before the lease of its predecessor ended.

Why it works: an agent assumes that its predecessor renewed the lease until the moment of its own start, which is the most it can have done, and that a run that it finds holds the longest lease that the worker accepts (platform.max_lease). TestRunOfEarlierAgentHasUnknownStart asserted the end of such a run after 2.5 s; it now asserts that the run has not ended a millisecond before the longest lease, and has ended after it.

--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -65,7 +65,7 @@
 	incarnation := Incarnation{ID: a.ID, StartTimeMS: a.StartTimeMS}
 	r.log.Emit(event.WorkerAdded, event.Fields{"worker": r.incarnationName(incarnation), "before": r.incarnationName(r.incarnation)},
 		"worker started a new incarnation")
-	r.endRuns(submission.Lost)
+	r.endRuns(submission.Lost, func(*trackedRun) bool { return true })
 	inferredEnds := r.inferredEnds // repeated until the leader has recorded them
 	r.reset()
 	r.inferredEnds = inferredEnds
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -36,12 +36,14 @@
 // refuses no connection.
 func (o *outage) isCrash() bool { return o.refused > 0 && o.unclear <= _maxUnclearFailures }
 
-// endRuns infers the ends of all runs, of which the worker has none any more.
-// r.mu must be held.
-func (r *Runner) endRuns(reason submission.EndReason) {
+// endRuns infers the ends of the runs for which hasEnded is true. r.mu must be held.
+func (r *Runner) endRuns(reason submission.EndReason, hasEnded func(*trackedRun) bool) {
 	crashed := r.outage.isCrash() && !r.announcement.Draining && !r.departed
 	runs := 0
 	for _, tr := range r.runs {
+		if !hasEnded(tr) {
+			continue
+		}
 		if !crashed || !tr.mayHaveStarted(r.outage.since) {
 			r.inferEnd(tr, reason)
 			continue
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -98,13 +98,17 @@
 }
 
 // TestRunOfEarlierAgentHasUnknownStart guards against taking a run that the agent
-// found at its own start for one that has just started.
+// found at its own start for one that has just started. The run may hold any lease.
 func TestRunOfEarlierAgentHasUnknownStart(t *testing.T) {
 	r := newRunner(t, &fakeWorker{})
 	now := clock.Now()
 	r.handlePollResult(context.Background(), r.currentIncarnation(), now, Listing{Clock: time.Hour, Active: []ListedRun{{Run: testRun(1)}}}, nil)
 	r.failPolls(now.Add(time.Millisecond), errRefused, errRefused, errRefused)
-	r.failPolls(now.Add(_maxWorkerLease), errRefused)
+	r.failPolls(now.Add(r.maxLease-time.Millisecond), errRefused)
+	if end := r.inferredEnd(testRun(1)); end.Reason != 0 {
+		t.Errorf("the run is %s before its longest lease has expired", end.Reason)
+	}
+	r.failPolls(now.Add(r.maxLease+time.Second), errRefused)
 	if end := r.inferredEnd(testRun(1)); end.Reason != submission.Crashed || end.Ran != 0 {
 		t.Errorf("the run is %s after %s, want crashed after an unknown time", end.Reason, end.Ran)
 	}
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -331,17 +331,40 @@
 	l.exchange()
 }
 
-// TestRestartedAgentRespectsLeaseOfEarlierAgent guards against ending runs that the
-// agent has found on a worker whose lease an earlier agent has renewed.
+// TestRestartedAgentRespectsLeaseOfEarlierAgent guards against ending runs whose lease
+// an earlier agent has renewed: a run that the agent has found, and one that no listing
+// has shown before the worker stopped answering.
 func TestRestartedAgentRespectsLeaseOfEarlierAgent(t *testing.T) {
-	r, w, l := newReturningRunner(t)
-	w.set(func() { w.active[testRun(1)] = true })
-	r.mu.Lock()
-	r.lease = lease{}
-	r.mu.Unlock()
-	list, _ := w.Poll(context.Background(), "w", PollRequest{Term: 1})
-	now := clock.Now()
-	r.handlePollResult(context.Background(), r.currentIncarnation(), now, list, nil)
-	r.failPolls(now.Add(time.Second), errNoAnswer, errNoAnswer, errNoAnswer, errNoAnswer)
-	l.exchange()
+	for _, tc := range []struct {
+		name   string
+		listed bool
+	}{
+		{"listed", true},
+		{"known from an order only", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, w, l := newReturningRunner(t)
+			w.set(func() { w.active[testRun(1)] = true })
+			now := clock.Now()
+			r.mu.Lock()
+			r.reset()
+			r.lease = lease{}
+			r.lease.assumeEarlierAgent(now)
+			r.mu.Unlock()
+			if tc.listed {
+				l.poll()
+			}
+			w.set(func() { w.down = true })
+			r.deliverOrder(&pb.AgentOrder{Term: 1, Stops: []*pb.Run{wire.EncodeRun(testRun(1))}})
+			r.failPolls(now.Add(_maxWorkerLease-time.Millisecond), errNoAnswer, errNoAnswer, errNoAnswer)
+			l.exchange()
+			if end := r.inferredEnd(testRun(1)); end.Reason != 0 {
+				t.Errorf("the run is %s before its lease has expired", end.Reason)
+			}
+			r.failPolls(now.Add(r.maxLease+time.Second), errNoAnswer)
+			if end := r.inferredEnd(testRun(1)); end.Reason != submission.LeaseExpired {
+				t.Errorf("the run is %s after its lease has expired", end.Reason)
+			}
+		})
+	}
 }
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -16,8 +16,12 @@
 	clockReadAt time.Time     // when the answer with workerClock arrived, on this machine's clock
 	hasClock    bool          // workerClock has been read
 	maxSentEnd  time.Time     // latest end of a lease that was sent, on this machine's clock
+	earlierEnd  time.Time     // latest end of a lease that an earlier agent may have sent, on this machine's clock
 }
 
+// assumeEarlierAgent assumes that an earlier agent has renewed the lease until now.
+func (l *lease) assumeEarlierAgent(now time.Time) { l.earlierEnd = now.Add(_maxWorkerLease) }
+
 // applyGrant applies a grant that counts from when the report was sent.
 func (l *lease) applyGrant(sent time.Time, length time.Duration) {
 	if end := sent.Add(length); end.After(l.grantEnd) {
@@ -52,4 +56,6 @@
 }
 
 // hasExpired reports whether every lease that was sent has expired.
-func (l *lease) hasExpired(now time.Time) bool { return !now.Before(l.maxSentEnd) }
+func (l *lease) hasExpired(now time.Time) bool {
+	return !now.Before(l.maxSentEnd) && !now.Before(l.earlierEnd)
+}
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -169,10 +169,15 @@
 			"worker does not answer; lease not renewed")
 		wake(r.wakeReport)
 	}
-	if !r.unresponsive || !r.lease.hasExpired(now) {
-		return
+	if r.unresponsive && r.lease.hasExpired(now) {
+		r.endExpiredRuns(now)
 	}
-	r.endRuns(submission.LeaseExpired)
+}
+
+// endExpiredRuns infers the ends of the runs whose lease has expired. The lease that
+// this agent has sent must have expired. r.mu must be held.
+func (r *Runner) endExpiredRuns(now time.Time) {
+	r.endRuns(submission.LeaseExpired, func(tr *trackedRun) bool { return !now.Before(tr.heldUntil) })
 }
 
 // reconcileRuns updates the tracked runs from the worker's listing. r.mu must be
@@ -187,7 +192,7 @@
 				r.logEndedRunListed(end)
 				continue
 			}
-			tr = &trackedRun{run: a.Run, confirmedAt: now, share: _unknownShare}
+			tr = &trackedRun{run: a.Run, confirmedAt: now, share: _unknownShare, heldUntil: now.Add(r.maxLease)}
 			r.runs[a.Run] = tr
 		}
 		tr.confirmed, tr.missingSince = true, time.Time{}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -68,6 +68,7 @@
 	progressAt      time.Time            // when progress changed last or the run could not stall
 	stalled         bool                 // progress has not changed for stallTimeout, although the run is not paused
 	missingSince    time.Time            // when a listing first lacked the run; zero if the latest one has it
+	heldUntil       time.Time            // until when the run may hold a lease that this agent did not send; zero for none
 }
 
 // Runner is the agent of one worker.
@@ -76,6 +77,7 @@
 	machine     string // name of this machine
 	address     string // of the worker; an announcement of another address is ignored
 	worker      Worker
+	maxLease    time.Duration // longest lease that the worker accepts
 	controllers *control.Client
 	startTimer  metrics.Timer // calls that start a run; nil in tests
 
@@ -111,14 +113,16 @@
 	goroutines sync.WaitGroup
 }
 
-// Start starts the goroutines of a Runner.
-func Start(log event.Log, machine, address string, worker Worker, controllers *control.Client, registry metrics.Registry) *Runner {
+// Start starts the goroutines of a Runner. maxLease is the longest lease that the worker
+// accepts.
+func Start(log event.Log, machine, address string, worker Worker, maxLease time.Duration, controllers *control.Client, registry metrics.Registry) *Runner {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Runner{
 		log:         log,
 		machine:     machine,
 		address:     address,
 		worker:      worker,
+		maxLease:    maxLease,
 		controllers: controllers,
 		startTimer:  metrics.NewRegisteredTimer("agent.starts", registry),
 		wakeReport:  make(chan struct{}, 1),
@@ -126,6 +130,7 @@
 		cancel:      cancel,
 	}
 	r.reset()
+	r.lease.assumeEarlierAgent(clock.Now())
 	r.goroutines.Go(func() { r.reportLoop(ctx) })
 	r.goroutines.Go(func() { r.pollLoop(ctx) })
 	return r
@@ -149,7 +154,7 @@
 	r.listedAfterEnd = make(map[submission.RunID]bool)
 	r.supersededBy = 0
 	r.ends, r.lastListedEnd, r.lastRecordedEnd = nil, 0, 0
-	r.lease = lease{grantEnd: r.lease.grantEnd}
+	r.lease = lease{grantEnd: r.lease.grantEnd, earlierEnd: r.lease.earlierEnd}
 	r.listed, r.unresponsive, r.failedPolls, r.departed = false, false, 0, false
 	r.outage = outage{}
 	r.pacer, r.coefficients = pacing.Pacer{}, make(interference.Coefficients)
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -77,7 +77,7 @@
 	t.Helper()
 	r := &Runner{
 		machine: "m", address: "10.0.0.1:1", worker: w, controllers: control.NewClient([]string{"127.0.0.1:1"}),
-		wakeReport: make(chan struct{}, 1), wakePoll: make(chan struct{}, 1), log: event.Log{},
+		wakeReport: make(chan struct{}, 1), wakePoll: make(chan struct{}, 1), log: event.Log{}, maxLease: 6 * time.Second,
 	}
 	r.reset()
 	w.running = Incarnation{"w", 1000}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,6 +93,8 @@
 	ControlPlane string `json:"control_plane,omitempty"` // where a controller serves the operator and an agent its worker
 	Worker       string `json:"worker,omitempty"`        // where an agent reaches its worker
 	Advice       string `json:"advice,omitempty"`        // where a controller reaches the service that approves workers
+	// MaxLease is the longest lease of its runs that an agent's worker accepts.
+	MaxLease unit.Duration `json:"max_lease,omitempty"`
 }
 
 // Settings holds the contents of a settings file. The settings of a role are nil
@@ -124,6 +126,7 @@
 	_lease            = unit.Duration(10 * time.Second)
 	_snapshotEntries  = 20_000
 	_runLease         = unit.Duration(4 * time.Second)
+	_maxLease         = unit.Duration(10 * time.Second)
 	_retries          = 2
 	_retryRatio       = 0.1
 	_watchHeartbeat   = unit.Duration(5 * time.Second)
@@ -220,6 +223,9 @@
 		setDefault(&s.MemoryLimit, _agentMemoryLimit)
 	}
 	setDefault(&s.MemoryLimit, _memoryLimit)
+	if s.Platform != nil {
+		setDefault(&s.Platform.MaxLease, _maxLease)
+	}
 	if c := s.Controller; c != nil {
 		setDefault(&c.ElectionTimeout, _electionTimeout)
 		setDefault(&c.Heartbeat, _heartbeat)
@@ -384,6 +390,7 @@
 	}
 	if s.HasRole(RoleAgent) {
 		c.checkAddress("platform.worker", s.Platform.Worker)
+		c.checkDuration("platform.max_lease", s.Platform.MaxLease)
 	}
 	if s.HasRole(RoleAgent) || s.HasRole(RoleController) {
 		c.checkAddress("platform.control_plane", s.Platform.ControlPlane)
