Take up no incarnation on an answer that does not name it

What callers could see: runs of the present incarnation start a second time elsewhere (TWICE).

Cause: an announced incarnation counted as confirmed when the worker answered that it has seen a higher term. A late announcement of an incarnation that has ended was taken up, and the runs of the present one were reported as lost.

Evidence: TestFencedAnswerConfirmsNoOtherIncarnation failed with 'the agent took up the incarnation of 500' and 'run 1 was reported as lost while it runs'.

Why it works: only an agent that knows no incarnation takes one up without a name in the answer; it has no runs to lose, and it has to report a worker to learn the term.

--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -48,8 +48,12 @@
 	if r.candidate != c {
 		return // a newer announcement has arrived
 	}
+	fenced := errors.Is(err, ErrFenced)
 	switch {
-	case err != nil && !errors.Is(err, ErrFenced) && !errors.Is(err, ErrOtherIncarnation):
+	case err != nil && !fenced && !errors.Is(err, ErrOtherIncarnation),
+		// The answer does not name the incarnation. An agent that knows none has to take
+		// one up, since it learns the token from its leader.
+		fenced && list.StartTimeMS == 0 && r.incarnation != (Incarnation{}):
 		c.retryAt = clock.Now().Add(_retryInterval)
 	case errors.Is(err, ErrOtherIncarnation), list.StartTimeMS != 0 && list.StartTimeMS != c.announcement.StartTimeMS:
 		r.candidate = nil
