Do not trust a lease end on the clock of an earlier incarnation

What callers could see: two runs of one task (TWICE), a start beyond a worker's capacity, or a worker without tasks until its agent's stream ends.

Cause: a poll or a start for the former incarnation gives the next one the longest lease, since its lease end counts on another clock, and the agent ended runs after the lease that it believed to have sent. It started runs beside one whose resources it did not know. The second inferred end of a run was not sent on the same stream.

Evidence: TestNextIncarnationMayHoldTheLongestLease ('the run is lapsed before the longest lease has expired'), TestPollInDoubtCarriesNoLease, TestAgentStartsNothingBesideStray and TestSecondInferredEndIsReported failed.

Why it works: while the worker may have started again, no call carries a lease end, and the agent assumes the longest lease from the last moment at which a call for the former incarnation may have arrived. A start waits for the end of a stray run. An inferred end is sent until it is acknowledged.

A restart of the worker breaks the connection.

--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -79,6 +79,7 @@
 	r.formerToken = token{}
 	if former.ID == incarnation.ID {
 		r.formerToken = r.token
+		r.lease.assumeHeld(clock.Now(), r.maxLease)
 	}
 	r.inferredEnds = inferredEnds
 	r.candidate = nil
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -38,7 +38,7 @@
 func (r *Runner) inferredEnd(run submission.RunID) submission.End {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.inferredEnds[run]
+	return r.inferredEnds[run].End
 }
 
 // TestCrashIsToldFromOtherLosses guards against blaming tasks for a worker that was
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -25,7 +25,8 @@
 	highest     map[submission.TaskID]uint32 // run that was stopped or has ended
 	ends        []ListedEnd
 	lastEnd     uint64
-	down        bool         // answers nothing
+	down        bool // answers nothing
+	refuseStops bool
 	hold        bool         // keeps orders to start unanswered
 	held        []StartOrder // orders that are carried out later
 }
@@ -119,7 +120,7 @@
 func (w *returningWorker) Stop(_ context.Context, id string, run submission.RunID, token uint64) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.down || id != w.incarnation.ID || !w.fence(token) {
+	if w.down || w.refuseStops || id != w.incarnation.ID || !w.fence(token) {
 		return errNoAnswer
 	}
 	if w.active[run] {
@@ -301,7 +302,7 @@
 		name   string
 		change func(w *returningWorker)
 	}{
-		{"no answer", func(w *returningWorker) { w.set(func() { w.down = true }) }},
+		{"the connection breaks", func(w *returningWorker) { w.set(func() { w.down = true }) }},
 		{"another incarnation answers", func(w *returningWorker) { w.restart() }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -351,7 +352,7 @@
 			r.mu.Lock()
 			r.reset()
 			r.lease = lease{}
-			r.lease.assumeEarlierAgent(now)
+			r.lease.assumeHeld(now, _maxWorkerLease)
 			r.mu.Unlock()
 			if tc.listed {
 				l.poll()
@@ -388,3 +389,77 @@
 	w.carryOutHeld()
 	l.check()
 }
+
+// TestNextIncarnationMayHoldTheLongestLease guards against ends that are inferred while a
+// lease runs that the next incarnation took from a poll for the former one.
+func TestNextIncarnationMayHoldTheLongestLease(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	next := w.restart()
+	l.poll() // carries a lease end on the former clock, which the worker cuts to the longest
+	answered := clock.Now()
+	r.announceIncarnation(next)
+	l.settle()
+	l.exchange(1)
+	eventually(t, "the run starts", func() bool { return w.runs(testRun(1)) })
+	l.settle()
+	w.set(func() { w.down = true })
+	r.failPolls(answered.Add(r.maxLease-500*time.Millisecond), errNoAnswer, errNoAnswer, errNoAnswer)
+	if end := r.inferredEnd(testRun(1)); end.Reason != 0 {
+		t.Errorf("the run is %s before the longest lease has expired", end.Reason)
+	}
+}
+
+// TestPollInDoubtCarriesNoLease guards against a poll that gives the next incarnation the
+// longest lease, since its lease end counts on the former clock.
+func TestPollInDoubtCarriesNoLease(t *testing.T) {
+	r, _, _ := newReturningRunner(t)
+	r.failPolls(clock.Now(), errNoAnswer)
+	_, req, ok := r.nextPoll()
+	if !ok || req.LeaseEnd != 0 {
+		t.Errorf("got a poll with the lease end %s, want none", req.LeaseEnd)
+	}
+}
+
+// TestSecondInferredEndIsReported guards against a run that the leader takes for a stray
+// for as long as the stream lasts.
+func TestSecondInferredEndIsReported(t *testing.T) {
+	r, _, l := newReturningRunner(t)
+	run := testRun(1)
+	infer := func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.inferEnd(&trackedRun{run: run}, submission.LeaseExpired)
+	}
+	infer()
+	if report, _ := r.nextReport(&l.s); len(report.GetRefused()) != 1 {
+		t.Fatal("the first end was not reported")
+	}
+	r.deliverOrder(&pb.AgentOrder{Term: 1, Attachment: l.last, Settled: []*pb.Run{wire.EncodeRun(run)}})
+	infer() // the run was listed after its end, and ended without a listing
+	for range 2 {
+		if report, _ := r.nextReport(&l.s); len(report.GetRefused()) == 1 {
+			return
+		}
+	}
+	t.Error("the second end was not reported")
+}
+
+// TestAgentStartsNothingBesideStray guards against a start on the room of a run that the
+// worker has beside the record.
+func TestAgentStartsNothingBesideStray(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	r.mu.Lock()
+	r.announcement.Capacity = submission.Resources{CPU: 1000, Memory: 1}
+	r.inferEnd(&trackedRun{run: testRun(1)}, submission.LeaseExpired)
+	r.mu.Unlock()
+	w.set(func() { w.active[testRun(1)], w.refuseStops = true, true })
+	l.poll()
+	r.deliverOrder(&pb.AgentOrder{Term: 1, Attachment: l.last, Starts: []*pb.StartOrder{{
+		Run: wire.EncodeRun(submission.RunID{Task: submission.TaskID{Submission: "t"}, Number: 1}), Text: "x",
+		Needs: wire.EncodeResources(submission.Resources{CPU: 1000, Memory: 1}),
+	}}})
+	time.Sleep(3 * _retryInterval)
+	if w.runs(submission.RunID{Task: submission.TaskID{Submission: "t"}, Number: 1}) {
+		t.Error("a run was started on the room of the stray one")
+	}
+}
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -16,11 +16,15 @@
 	clockReadAt time.Time     // when the answer with workerClock arrived, on this machine's clock
 	hasClock    bool          // workerClock has been read
 	maxSentEnd  time.Time     // latest end of a lease that was sent, on this machine's clock
-	earlierEnd  time.Time     // latest end of a lease that an earlier agent may have sent, on this machine's clock
+	heldUntil   time.Time     // latest end of a lease that others may have sent, or that counts on another clock, on this machine's clock
 }
 
-// assumeEarlierAgent assumes that an earlier agent has renewed the lease until now.
-func (l *lease) assumeEarlierAgent(now time.Time) { l.earlierEnd = now.Add(_maxWorkerLease) }
+// assumeHeld assumes that the worker has been given a lease of that length by now.
+func (l *lease) assumeHeld(now time.Time, length time.Duration) {
+	if end := now.Add(length); end.After(l.heldUntil) {
+		l.heldUntil = end
+	}
+}
 
 // applyGrant applies a grant that counts from when the report was sent.
 func (l *lease) applyGrant(sent time.Time, length time.Duration) {
@@ -57,5 +61,5 @@
 
 // hasExpired reports whether every lease that was sent has expired.
 func (l *lease) hasExpired(now time.Time) bool {
-	return !now.Before(l.maxSentEnd) && !now.Before(l.earlierEnd)
+	return !now.Before(l.maxSentEnd) && !now.Before(l.heldUntil)
 }
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -79,11 +79,12 @@
 	}
 	r.polledToken = r.token
 	req := PollRequest{Token: r.token.fence(), Wait: r.pollWait()}
-	if !r.isInDoubt() { // the next incarnation numbers its ends anew and must not discard them
+	if r.failedPolls == 0 && !r.superseded { // the next incarnation numbers its ends anew and must not discard them
 		req.LastRecordedEnd = r.lastRecordedEnd
 	}
-	// An unresponsive worker must not keep its runs beyond its current lease.
-	if !r.unresponsive && !r.departed && !r.superseded {
+	// An unresponsive worker must not keep its runs beyond its current lease, and for
+	// the next incarnation the lease end means another time.
+	if !r.isInDoubt() && !r.departed {
 		req.LeaseEnd, _ = r.lease.nextEnd(now)
 	}
 	return r.incarnation, req, true
@@ -132,10 +133,14 @@
 		r.log.Emit(event.TargetBack, event.Fields{"worker": r.incarnationName(incarnation)}, "worker answers again")
 		wake(r.wakeReport)
 	}
-	r.failedPolls, r.unresponsive, r.superseded, r.outage = 0, false, false, outage{}
+	r.failedPolls, r.unresponsive, r.superseded, r.disconnected, r.outage = 0, false, false, false, outage{}
 	r.lease.recordWorkerClock(list.Clock, now)
 	if !r.listed || r.listedToken != r.polledToken {
+		wasSettled := r.isSettled()
 		r.listed, r.listedToken = true, r.polledToken
+		if !wasSettled && r.formerToken != (token{}) {
+			r.lease.assumeHeld(now, r.maxLease) // by an order for an earlier incarnation
+		}
 		wake(r.wakeReport)
 	}
 	r.reconcileRuns(ctx, now, sent, list)
@@ -155,11 +160,7 @@
 	}
 	r.superseded = true
 	r.outage.record(now, ErrOtherIncarnation)
-	for _, a := range list.Active {
-		if tr := r.runs[a.Run]; tr != nil {
-			tr.heldUntil = now.Add(r.maxLease)
-		}
-	}
+	r.lease.assumeHeld(now, r.maxLease)
 	if !r.unresponsive {
 		r.unresponsive = true
 		wake(r.wakeReport)
@@ -173,6 +174,7 @@
 		return // the worker has answered; the leader's next order carries the term
 	}
 	r.failedPolls++
+	r.disconnected = r.disconnected || !errors.Is(err, context.DeadlineExceeded)
 	r.outage.record(now, err)
 	if r.failedPolls >= _maxFailedPolls && !r.unresponsive {
 		r.unresponsive = true
@@ -215,7 +217,7 @@
 		}
 		r.lastListedEnd = e.Number
 		r.removeRun(e.Run)
-		if end, ok := r.inferredEnds[e.Run]; ok && r.isOfEarlierIncarnation(end) {
+		if end, ok := r.inferredEnds[e.Run]; ok && r.isOfEarlierIncarnation(end.End) {
 			delete(r.inferredEnds, e.Run) // the run has ended here
 		}
 		r.ends = append(r.ends, e)
@@ -236,12 +238,10 @@
 	if !hasInferredEnd {
 		return tr
 	}
+	delete(r.inferredEnds, run)
 	r.log.Emit(event.EndedRunListed, event.Fields{
 		"worker": r.incarnationName(r.incarnation), "task": run.Task.String(), "run": run.Number, "how": end.Reason.String(), "ended_on": end.Worker,
 	}, "worker lists a run whose end was inferred; stopping the run")
-	if r.isOfEarlierIncarnation(end) {
-		delete(r.inferredEnds, run)
-	}
 	tr.stopOrdered = true
 	incarnation := r.incarnation
 	r.goroutines.Go(func() { r.stopRun(ctx, incarnation, tr) })
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -246,9 +246,10 @@
 // must be held.
 func (r *Runner) addInferredEnds(s *session, report *pb.AgentReport) {
 	for run, e := range r.inferredEnds {
-		if !s.inferredEnds[run] && r.isCertain(e) {
-			s.inferredEnds[run] = true
-			report.Refused = append(report.Refused, wire.EncodeRunEnd(e))
+		if !(e.reported && s.inferredEnds[run]) && r.isCertain(e.End) {
+			e.reported, s.inferredEnds[run] = true, true
+			r.inferredEnds[run] = e
+			report.Refused = append(report.Refused, wire.EncodeRunEnd(e.End))
 		}
 	}
 	for run := range s.inferredEnds {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -77,6 +77,12 @@
 	heldUntil       time.Time            // until when the run may hold a lease that this agent did not send; zero for none
 }
 
+// inferredEnd is the end of a run that the worker has not listed.
+type inferredEnd struct {
+	submission.End
+	reported bool // to a leader, perhaps not the present one
+}
+
 // Runner is the agent of one worker.
 type Runner struct {
 	log         event.Log
@@ -93,6 +99,7 @@
 	candidate       *candidate   // another incarnation that was announced; nil if none
 	departed        bool         // the worker has announced its departure
 	superseded      bool         // the latest poll was answered by another incarnation
+	disconnected    bool         // a poll since the latest answer failed before its timeout
 	token           token        // latest that a leader has sent
 	polledToken     token        // of the latest poll
 	listedToken     token        // latest under which the incarnation has listed its runs; zero for none
@@ -100,16 +107,16 @@
 	lease           lease
 	lateGrants      int // grants that arrived after the previous grant had expired
 	runs            map[submission.RunID]*trackedRun
-	ends            []ListedEnd                         // not recorded by the leader yet, in ascending order
-	lastListedEnd   uint64                              // number of the latest listed end
-	lastRecordedEnd uint64                              // number of the latest end that the leader has recorded
-	inferredEnds    map[submission.RunID]submission.End // of runs that the worker does not list
-	checkpoints     map[submission.RunID]string         // latest, by run
-	unreported      map[submission.RunID]bool           // runs with changes that were not reported
-	supersededBy    int64                               // start time of another incarnation that has answered a poll, in ms since 1970; 0 for none
-	listed          bool                                // the worker has listed its runs in this incarnation
-	failedPolls     int                                 // consecutive, without an answer
-	outage          outage                              // the consecutive failed polls
+	ends            []ListedEnd                      // not recorded by the leader yet, in ascending order
+	lastListedEnd   uint64                           // number of the latest listed end
+	lastRecordedEnd uint64                           // number of the latest end that the leader has recorded
+	inferredEnds    map[submission.RunID]inferredEnd // of runs that the worker does not list
+	checkpoints     map[submission.RunID]string      // latest, by run
+	unreported      map[submission.RunID]bool        // runs with changes that were not reported
+	supersededBy    int64                            // start time of another incarnation that has answered a poll, in ms since 1970; 0 for none
+	listed          bool                             // the worker has listed its runs in this incarnation
+	failedPolls     int                              // consecutive, without an answer
+	outage          outage                           // the consecutive failed polls
 	unresponsive    bool
 	pacer           pacing.Pacer
 	coefficients    interference.Coefficients // of images on the worker, from the leader
@@ -139,7 +146,7 @@
 		cancel:      cancel,
 	}
 	r.reset()
-	r.lease.assumeEarlierAgent(clock.Now())
+	r.lease.assumeHeld(clock.Now(), _maxWorkerLease) // by an earlier agent
 	r.goroutines.Go(func() { r.reportLoop(ctx) })
 	r.goroutines.Go(func() { r.pollLoop(ctx) })
 	return r
@@ -157,13 +164,13 @@
 // reset clears the state of an incarnation. r.mu must be held.
 func (r *Runner) reset() {
 	r.runs = make(map[submission.RunID]*trackedRun)
-	r.inferredEnds = make(map[submission.RunID]submission.End)
+	r.inferredEnds = make(map[submission.RunID]inferredEnd)
 	r.checkpoints = make(map[submission.RunID]string)
 	r.unreported = make(map[submission.RunID]bool)
 	r.supersededBy, r.superseded, r.listedToken = 0, false, token{}
 	r.ends, r.lastListedEnd, r.lastRecordedEnd = nil, 0, 0
-	r.lease = lease{grantEnd: r.lease.grantEnd, earlierEnd: r.lease.earlierEnd}
-	r.listed, r.unresponsive, r.failedPolls, r.departed = false, false, 0, false
+	r.lease = lease{grantEnd: r.lease.grantEnd, heldUntil: r.lease.heldUntil}
+	r.listed, r.unresponsive, r.failedPolls, r.departed, r.disconnected = false, false, 0, false, false
 	r.outage = outage{}
 	r.pacer, r.coefficients = pacing.Pacer{}, make(interference.Coefficients)
 	r.tailLatencies, r.loads = nil, nil
@@ -248,7 +255,9 @@
 		r.coefficients[interference.Pair{Batch: p.GetFills(), Service: p.GetServes()}] = float64(p.GetPercent()) / 100
 	}
 	for _, run := range o.GetSettled() {
-		delete(r.inferredEnds, wire.DecodeRun(run))
+		if run := wire.DecodeRun(run); r.inferredEnds[run].reported {
+			delete(r.inferredEnds, run)
+		}
 	}
 	r.pruneRecordedEnds(o.GetTaken())
 	for _, s := range o.GetStarts() {
@@ -337,7 +346,9 @@
 // held.
 func (r *Runner) inferEnd(tr *trackedRun, reason submission.EndReason) {
 	delete(r.runs, tr.run)
-	r.inferredEnds[tr.run] = submission.End{Run: tr.run, Worker: r.incarnationName(r.incarnation), Reason: reason, Checkpoint: r.checkpoints[tr.run]}
+	r.inferredEnds[tr.run] = inferredEnd{
+		End: submission.End{Run: tr.run, Worker: r.incarnationName(r.incarnation), Reason: reason, Checkpoint: r.checkpoints[tr.run]},
+	}
 	wake(r.wakeReport)
 }
 
@@ -357,7 +368,7 @@
 		}
 		var leaseEnd time.Duration
 		ok := false
-		if !r.isInDoubt() {
+		if !r.isInDoubt() && !r.hasStrayRun() {
 			leaseEnd, ok = r.lease.nextEnd(clock.Now())
 		}
 		tr.start.LeaseEnd, tr.start.Token = leaseEnd, r.token.fence()
@@ -387,10 +398,21 @@
 	}
 }
 
-// isInDoubt reports whether the worker may have started again, or does not answer. It
+// isInDoubt reports whether the worker has perhaps started again, or does not answer. It
 // must not get a start then, which names no incarnation and extends the lease of all
 // runs. r.mu must be held.
-func (r *Runner) isInDoubt() bool { return r.failedPolls > 0 || r.superseded }
+func (r *Runner) isInDoubt() bool { return r.disconnected || r.superseded || r.unresponsive }
+
+// hasStrayRun reports whether a run is being stopped whose resources are unknown. r.mu
+// must be held.
+func (r *Runner) hasStrayRun() bool {
+	for _, tr := range r.runs {
+		if tr.confirmed && tr.stopOrdered && !tr.described {
+			return true
+		}
+	}
+	return false
+}
 
 // holds reports whether the worker's capacity, which may have shrunk since the
 // leader placed the run, holds the run beside those that the worker has or that are
