Skip the rows of a listing that can't be read

What callers saw: one odd row among those of a worker's runs (deeply nested, of another type, with a number too large) cost the agent the whole listing, at each poll. The lease was not renewed, ends were not seen, and all runs of the worker ended at the end of the lease.

Cause: decodeListing returned an error for the first row that it couldn't decode. A value nested 10,000 deep makes the package json reject the complete document.

The metric agent.skipped_rows counts the skipped rows.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -104,7 +104,7 @@
 	}
 	if s.HasRole(settings.RoleAgent) {
 		r := runner.Start(d.log.With("role", settings.RoleAgent), s.Name, s.Platform.Worker,
-			platform.NewWorkerClient(s.Platform.Worker), d.newClient(s), d.metrics)
+			platform.NewWorkerClient(s.Platform.Worker, d.metrics), d.newClient(s), d.metrics)
 		d.components = append(d.components, r)
 		if err := d.startServers(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.RegistryHandler(r)}); err != nil {
 			return err
