Refuse names of tasks with numbers out of range

What callers saw: nothing yet. The name ID.0.0.4294967296 in a worker's listing was read as a task with that index; on the way to the leader the index lost its upper bits, and the row counted as one of ID.0.0.0. Likewise ID.+1.0.0 counted as ID.1.0.0.

Why this works: only the numbers that a valid submission can have are accepted, and only as String writes them.

--- a/submission/store_test.go
+++ b/submission/store_test.go
@@ -360,3 +360,28 @@
 	}
 	return nil
 }
+
+// The wire has 32 bits for each number of a task. A larger one named another task.
+func TestTaskIDOutOfRangeIsRefused(t *testing.T) {
+	for name, want := range map[string]bool{
+		"s.0.0.0": true, "s.19999.255.19999": true, "5c0e7a21d94b36f8.0.1.17": true,
+		"s.20000.0.0": false, "s.0.256.0": false, "s.0.0.20000": false, "s.0.0.4294967296": false, "s.4294967296.0.0": false,
+		"s.0.0.99999999999999999999": false, "s.-1.0.0": false, "s.+1.0.0": false, "s.01.0.0": false, "s.0.0": false, "s.0.0.0.0": false,
+		"s.0.0.": false, "s.0.0.1e1": false, ".0.0.0": false, "": false,
+	} {
+		id, ok := ParseTaskID(name)
+		if ok != want || ok && id.String() != name {
+			t.Errorf("%s: got %+v, %t", name, id, ok)
+		}
+	}
+}
+
+func FuzzParseTaskID(f *testing.F) {
+	f.Add("5c0e7a21d94b36f8.0.1.17")
+	f.Add("s.4294967296.-1.+1")
+	f.Fuzz(func(t *testing.T, name string) {
+		if id, ok := ParseTaskID(name); ok && id.String() != name {
+			t.Errorf("%q was parsed as %+v", name, id)
+		}
+	})
+}
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -183,21 +183,23 @@
 	return string(b)
 }
 
-// ParseTaskID parses a name that String returned.
+// ParseTaskID parses a name that String returned. It returns false for a name that no
+// task of a valid submission has.
 func ParseTaskID(name string) (TaskID, bool) {
 	parts := strings.Split(name, ".")
-	if len(parts) != 4 {
+	if len(parts) != 4 || parts[0] == "" {
 		return TaskID{}, false
 	}
 	var n [3]int
-	for i := range n {
+	for i, limit := range [...]int{MaxTasks, MaxSteps, MaxTasks} {
 		v, err := strconv.Atoi(parts[i+1])
-		if err != nil || v < 0 {
+		if err != nil || v < 0 || v >= limit {
 			return TaskID{}, false
 		}
 		n[i] = v
 	}
-	return TaskID{Submission: parts[0], Occurrence: n[0], Step: n[1], Index: n[2]}, true
+	id := TaskID{Submission: parts[0], Occurrence: n[0], Step: n[1], Index: n[2]}
+	return id, id.String() == name
 }
 
 // RunID identifies a run of a task.
