Bound the numbers of submissions in their own rules

Evidence, before: TestValidateBoundsNumbers: estimate above it: <nil> first occurrence above it: <nil> and ten more cases.

Why this works: Validate is applied by each entry and when the command is applied. The bounds are beyond any use and keep the sums in range. A log that holds a submission beyond them would be replayed differently; no valid caller sends one.

--- a/submission/store_test.go
+++ b/submission/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -385,3 +386,41 @@
 		}
 	})
 }
+
+// Durations are summed up over steps and occurrences; sums that overflow are negative.
+func TestValidateBoundsNumbers(t *testing.T) {
+	const year = 365 * 24 * time.Hour
+	for _, tc := range []struct {
+		name  string
+		ok    bool
+		apply func(s *Spec)
+	}{
+		{"cpu at the bound", true, func(s *Spec) { s.Steps[0].Needs.CPU = 1 << 40 }},
+		{"cpu above it", false, func(s *Spec) { s.Steps[0].Needs.CPU = 1<<40 + 1 }},
+		{"memory above it", false, func(s *Spec) { s.Steps[0].Needs.Memory = 1<<40 + 1 }},
+		{"gpu above it", false, func(s *Spec) { s.Steps[0].Needs.GPU = 1<<40 + 1 }},
+		{"estimate at the bound", true, func(s *Spec) { s.Steps[0].Estimate = year }},
+		{"estimate above it", false, func(s *Spec) { s.Steps[0].Estimate = year + 1 }},
+		{"tail target at the bound", true, func(s *Spec) { s.Steps[0].TailTarget = year }},
+		{"tail target above it", false, func(s *Spec) { s.Steps[0].TailTarget = year + 1 }},
+		{"negative tail target", false, func(s *Spec) { s.Steps[0].TailTarget = -1 }},
+		{"limit per worker at the bound", true, func(s *Spec) { s.Steps[0].MaxPerWorker = math.MaxInt32 }},
+		{"limit per worker above it", false, func(s *Spec) { s.Steps[0].MaxPerWorker = math.MaxInt32 + 1 }},
+		{"unavailable tasks at the bound", true, func(s *Spec) { s.Steps[0].MaxUnavailable = math.MaxInt32 }},
+		{"unavailable tasks above it", false, func(s *Spec) { s.Steps[0].MaxUnavailable = math.MaxInt32 + 1 }},
+		{"interval at the bound", true, func(s *Spec) { s.Repeat, s.Interval = 2, year }},
+		{"interval above it", false, func(s *Spec) { s.Repeat, s.Interval = 2, year+1 }},
+		{"last occurrence at the bound", true, func(s *Spec) { s.Repeat, s.Interval = 101, year }},
+		{"last occurrence above it", false, func(s *Spec) { s.Repeat, s.Interval = 102, year }},
+		{"first occurrence at the bound", true, func(s *Spec) { s.Repeat, s.StartAt = 1, time.Date(2199, 12, 31, 0, 0, 0, 0, time.UTC) }},
+		{"first occurrence above it", false, func(s *Spec) { s.Repeat, s.StartAt = 1, time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC) }},
+		{"first occurrence below it", false, func(s *Spec) { s.Repeat, s.StartAt = 1, time.Date(1969, 12, 31, 0, 0, 0, 0, time.UTC) }},
+		{"no first occurrence", true, func(s *Spec) { s.Repeat = 1 }},
+	} {
+		s := Spec{ID: "s", Queue: "q", Steps: []Step{{Count: 1}}}
+		tc.apply(&s)
+		if err := s.Validate(); (err == nil) != tc.ok {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+	}
+}
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +24,16 @@
 	MaxTasks     = 20000 // tasks of all steps and occurrences
 )
 
+// Bounds that keep sums over steps, tasks and occurrences in the range of their types.
+const (
+	_maxResource    = 1 << 40              // of one kind, of one task
+	_maxDuration    = 365 * 24 * time.Hour // of an estimate, a target or an interval
+	_maxOccurrences = 100 * _maxDuration   // from the first occurrence to the last
+	_maxLimit       = math.MaxInt32        // of tasks; a record of the log has no larger number
+	_minStartYear   = 1970
+	_maxStartYear   = 2199
+)
+
 // Resources are the needs of a task or the capacity of a worker.
 type Resources struct {
 	CPU    int64 // thousandths of a core
@@ -114,6 +125,12 @@
 		return fmt.Errorf("found %d occurrences, allowed are 0 to %d", s.Repeat, MaxTasks)
 	case s.Repeat > 1 && s.Interval < 0:
 		return fmt.Errorf("the interval is negative")
+	case s.Interval > _maxDuration:
+		return fmt.Errorf("found an interval of %s, allowed are %s", s.Interval, _maxDuration)
+	case s.Repeat > 1 && s.Interval > _maxOccurrences/time.Duration(s.Repeat-1):
+		return fmt.Errorf("found %d occurrences every %s, allowed are %s from the first to the last", s.Repeat, s.Interval, _maxOccurrences)
+	case !s.StartAt.IsZero() && (s.StartAt.Year() < _minStartYear || s.StartAt.Year() > _maxStartYear):
+		return fmt.Errorf("found a start in %d, allowed are the years %d to %d", s.StartAt.Year(), _minStartYear, _maxStartYear)
 	}
 	tasks := 0
 	for i := range s.Steps {
@@ -136,6 +153,14 @@
 	if n.CPU < 0 || n.Memory < 0 || n.GPU < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
 		return fmt.Errorf("a resource need, the estimate, the limit per worker or the limit of unavailable tasks is negative")
 	}
+	switch {
+	case n.CPU > _maxResource || n.Memory > _maxResource || n.GPU > _maxResource:
+		return fmt.Errorf("found the resource needs %+v, allowed are %d of each kind", n, int64(_maxResource))
+	case s.Estimate > _maxDuration || s.TailTarget > _maxDuration || s.TailTarget < 0:
+		return fmt.Errorf("found an estimate of %s and a target of %s, allowed are 0 to %s", s.Estimate, s.TailTarget, _maxDuration)
+	case s.MaxPerWorker > _maxLimit || s.MaxUnavailable > _maxLimit:
+		return fmt.Errorf("found a limit per worker of %d and one of unavailable tasks of %d, allowed are %d", s.MaxPerWorker, s.MaxUnavailable, _maxLimit)
+	}
 	for _, d := range s.DependsOn {
 		if d < 0 || d >= index {
 			return fmt.Errorf("found a dependency on step %d, allowed are earlier steps", d)
