Bound the numbers of queues in their own rules

Evidence, before: TestValidateBoundsNumbers of package queue: priority above: <nil> slack that is no number: <nil> and twelve more cases.

Why this works: Validate is applied to each table that is sent and when the command is applied.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -7,12 +7,19 @@
 package queue
 
 import (
+	"math"
 	"strings"
 	"time"
 
 	"github.com/gentianrail/gentianrail/fault"
 )
 
+// Bounds that keep sums and products in the range of their types.
+const (
+	_maxSlack    = 1_000_000
+	_maxDuration = 365 * 24 * time.Hour
+)
+
 // AdviceService describes the service that approves workers for a queue's steps.
 type AdviceService struct {
 	Latency   time.Duration // of a request
@@ -77,6 +84,30 @@
 		default:
 			names[q.Name], routes[r] = true, true
 		}
+		if err := q.checkBounds(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (q *Queue) checkBounds() error {
+	switch {
+	case q.Priority < math.MinInt32 || q.Priority > math.MaxInt32:
+		return fault.New(fault.BadDeclaration, "queue %q: priority: found %d, allowed is a number of 32 bits", q.Name, q.Priority)
+	case q.MaxAttempts < 0 || q.MaxAttempts > math.MaxInt32:
+		return fault.New(fault.BadDeclaration, "queue %q: attempts: found %d, allowed is a number from 0 to %d", q.Name, q.MaxAttempts, math.MaxInt32)
+	case !(q.Slack >= 0 && q.Slack <= _maxSlack):
+		return fault.New(fault.BadDeclaration, "queue %q: slack: found %v, allowed is a number from 0 to %d", q.Name, q.Slack, _maxSlack)
+	}
+	durations := []time.Duration{q.BaseObjective, q.Timeout}
+	if a := q.Advice; a != nil {
+		durations = append(durations, a.Latency, a.PerWorker, a.Validity)
+	}
+	for _, d := range durations {
+		if d < 0 || d > _maxDuration {
+			return fault.New(fault.BadDeclaration, "queue %q: found the duration %s, allowed are 0 to %s", q.Name, d, _maxDuration)
+		}
 	}
 	return nil
 }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -72,3 +73,40 @@
 		}
 	}
 }
+
+// The log holds 32 bits of a priority and of the attempts, and durations are summed up.
+func TestValidateBoundsNumbers(t *testing.T) {
+	const year = 365 * 24 * time.Hour
+	for _, tc := range []struct {
+		name  string
+		ok    bool
+		apply func(q *Queue)
+	}{
+		{"priority at the bounds", true, func(q *Queue) { q.Priority = math.MaxInt32 }},
+		{"lowest priority", true, func(q *Queue) { q.Priority = math.MinInt32 }},
+		{"priority above", false, func(q *Queue) { q.Priority = math.MaxInt32 + 1 }},
+		{"priority below", false, func(q *Queue) { q.Priority = math.MinInt32 - 1 }},
+		{"attempts at the bound", true, func(q *Queue) { q.MaxAttempts = math.MaxInt32 }},
+		{"attempts above", false, func(q *Queue) { q.MaxAttempts = math.MaxInt32 + 1 }},
+		{"negative attempts", false, func(q *Queue) { q.MaxAttempts = -1 }},
+		{"slack at the bound", true, func(q *Queue) { q.Slack = 1e6 }},
+		{"slack above", false, func(q *Queue) { q.Slack = 1e6 + 1 }},
+		{"negative slack", false, func(q *Queue) { q.Slack = -1 }},
+		{"slack that is no number", false, func(q *Queue) { q.Slack = math.NaN() }},
+		{"infinite slack", false, func(q *Queue) { q.Slack = math.Inf(1) }},
+		{"timeout at the bound", true, func(q *Queue) { q.Timeout = year }},
+		{"timeout above", false, func(q *Queue) { q.Timeout = year + 1 }},
+		{"objective at the bound", true, func(q *Queue) { q.BaseObjective = year }},
+		{"objective above", false, func(q *Queue) { q.BaseObjective = year + 1 }},
+		{"negative objective", false, func(q *Queue) { q.BaseObjective = -1 }},
+		{"advice at the bounds", true, func(q *Queue) { q.Advice = &AdviceService{Latency: year, PerWorker: year, Validity: year} }},
+		{"latency of advice above", false, func(q *Queue) { q.Advice = &AdviceService{Latency: year + 1} }},
+		{"negative time per worker", false, func(q *Queue) { q.Advice = &AdviceService{PerWorker: -1} }},
+		{"validity of tickets above", false, func(q *Queue) { q.Advice = &AdviceService{Validity: year + 1} }},
+	} {
+		checked := table(func(t *Table) { tc.apply(&t.Queues[0]) })
+		if err := checked.Validate(); (err == nil) != tc.ok {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+	}
+}
