Bound the objective of a submission

What callers saw: with a large slack the objective of a submission overflowed and was negative, so that its tasks counted as late from the start.

Evidence, before: TestObjectiveDoesNotOverflow: got -2553287h47m16.854775809s, want 884760h0m0s

Why this works: the product of slack and critical path is bounded before it is converted, in one place for both that compute it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -40,7 +40,7 @@
 // Objective returns the time from acceptance within which a submission should be
 // completed.
 func Objective(s *submission.Submission) time.Duration {
-	return time.Duration(s.Slack*float64(s.CriticalPath(-1))) + s.BaseObjective
+	return s.ObjectiveOf(s.CriticalPath(-1))
 }
 
 // Scheduler holds what scheduling knows besides the record: the workers, their
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -427,3 +427,26 @@
 		}
 	}
 }
+
+// The objective is computed from a queue's slack and the sum of estimates.
+func TestObjectiveDoesNotOverflow(t *testing.T) {
+	const year = 365 * 24 * time.Hour
+	steps := make([]submission.Step, submission.MaxSteps)
+	for i := range steps {
+		steps[i] = submission.Step{Count: 1, Estimate: year}
+		if i > 0 {
+			steps[i].DependsOn = []int{i - 1}
+		}
+	}
+	sub := &submission.Submission{Spec: submission.Spec{Steps: steps}, Slack: 1e6, BaseObjective: year}
+	if err := sub.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	if got := Objective(sub); got != 101*year {
+		t.Errorf("got %s, want %s", got, 101*year)
+	}
+	sub.Slack, sub.Steps = 1.5, steps[:2]
+	if got := Objective(sub); got != 4*year {
+		t.Errorf("got %s, want %s", got, 4*year)
+	}
+}
--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -189,7 +189,7 @@
 // Objective returns the time from acceptance within which a submission should be
 // completed, as estimated.
 func (e *Submission) Objective(s *submission.Submission) time.Duration {
-	return time.Duration(s.Slack*float64(e.critical)) + s.BaseObjective
+	return s.ObjectiveOf(e.critical)
 }
 
 // RemainingWork returns the estimated core-seconds of the tasks that are not done.
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -29,6 +29,7 @@
 	_maxResource    = 1 << 40              // of one kind, of one task
 	_maxDuration    = 365 * 24 * time.Hour // of an estimate, a target or an interval
 	_maxOccurrences = 100 * _maxDuration   // from the first occurrence to the last
+	_maxObjective   = 100 * _maxDuration   // without the queue's base objective
 	_maxLimit       = math.MaxInt32        // of tasks; a record of the log has no larger number
 	_minStartYear   = 1970
 	_maxStartYear   = 2199
@@ -189,6 +190,12 @@
 	return critical
 }
 
+// ObjectiveOf returns the objective of a submission whose critical path has the given
+// duration: the time from acceptance within which it should be completed.
+func (s *Submission) ObjectiveOf(path time.Duration) time.Duration {
+	return time.Duration(min(s.Slack*float64(path), float64(_maxObjective))) + s.BaseObjective
+}
+
 // TaskID identifies a task.
 type TaskID struct {
 	Submission string
