Refuse waits for a job's result that are out of range

What callers saw: wait_ms= was accepted, although 60000 is the maximum, and became a negative wait.

Cause: the bound was checked after the conversion to nanoseconds, which overflowed.

--- a/internal/jobsapi/jobs.go
+++ b/internal/jobsapi/jobs.go
@@ -204,7 +204,7 @@
 	var wait time.Duration
 	if s := r.URL.Query().Get("wait_ms"); s != "" {
 		ms, err := strconv.Atoi(s)
-		if err != nil || ms < 0 || time.Duration(ms)*time.Millisecond > _maxResultWait {
+		if err != nil || ms < 0 || int64(ms) > _maxResultWait.Milliseconds() {
 			web.WriteFault(w, fault.New(fault.BadRequest, "wait_ms: found %q, allowed is a number from 0 to %d", s, _maxResultWait.Milliseconds()))
 			return
 		}
