Refuse clocks and usage of a worker that are out of range

What callers saw: nothing yet. One odd row cost all rows of the usage.

Why this works: a call whose answer has no clock from 0 to 100 years fails, as one without an answer. Rows of the usage are decoded one by one.

--- a/internal/workerapi/http.go
+++ b/internal/workerapi/http.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
@@ -21,6 +22,7 @@
 
 const (
 	_maxAnswerBytes = 1 << 20
+	_maxClock       = 100 * 365 * 24 * time.Hour
 	_callTimeout    = 2 * time.Second  // of a call, in addition to its long poll
 	_idleTimeout    = 30 * time.Second // after which an idle connection is closed
 )
@@ -154,7 +156,22 @@
 	return nil
 }
 
-func workerClock(d ClockDocument) time.Duration { return time.Duration(d.ClockMS) * time.Millisecond }
+// duration returns the time on a worker's clock, which may have any origin.
+func duration(ms int64) (time.Duration, error) {
+	if ms < 0 || ms > _maxClock.Milliseconds() {
+		return 0, fault.New(fault.TargetFailed, "the worker's clock: found %d ms, allowed are 0 to %d", ms, _maxClock.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// callForClock makes a call whose answer has only the worker's clock.
+func (c *Client) callForClock(ctx context.Context, method, path string, in any) (time.Duration, error) {
+	var out ClockDocument
+	if err := c.call(ctx, _callTimeout, method, path, in, &out); err != nil {
+		return 0, err
+	}
+	return duration(out.ClockMS)
+}
 
 func taskPath(id TaskID, suffix string) string {
 	return fmt.Sprintf("/tasks/%s/%d%s", id.Job, id.Attempt, suffix)
@@ -162,17 +179,13 @@
 
 // Clock implements Worker.
 func (c *Client) Clock(ctx context.Context) (time.Duration, error) {
-	var out ClockDocument
-	err := c.call(ctx, _callTimeout, http.MethodGet, "/clock", nil, &out)
-	return workerClock(out), err
+	return c.callForClock(ctx, http.MethodGet, "/clock", nil)
 }
 
 // Start implements Worker.
 func (c *Client) Start(ctx context.Context, t Task) (time.Duration, error) {
 	in := StartDocument{Target: t.Target, Body: t.Body, Checkpoint: t.Checkpoint, LeaseEndMS: t.LeaseEnd.Milliseconds()}
-	var out ClockDocument
-	err := c.call(ctx, _callTimeout, http.MethodPut, taskPath(t.ID, ""), in, &out)
-	return workerClock(out), err
+	return c.callForClock(ctx, http.MethodPut, taskPath(t.ID, ""), in)
 }
 
 // Renew implements Worker.
@@ -181,9 +194,7 @@
 	for _, id := range ids {
 		in.Tasks = append(in.Tasks, TaskDocument(id))
 	}
-	var out ClockDocument
-	err := c.call(ctx, _callTimeout, http.MethodPost, "/renew", in, &out)
-	return workerClock(out), err
+	return c.callForClock(ctx, http.MethodPost, "/renew", in)
 }
 
 // Wait implements Worker.
@@ -220,17 +231,34 @@
 
 // Usage implements Worker.
 func (c *Client) Usage(ctx context.Context) ([]Usage, error) {
-	var docs []UsageDocument
-	if err := c.call(ctx, _callTimeout, http.MethodGet, "/usage", nil, &docs); err != nil {
+	var body jsontext.Value
+	if err := c.call(ctx, _callTimeout, http.MethodGet, "/usage", nil, &body); err != nil {
 		return nil, err
 	}
+	return decodeUsage(body)
+}
+
+// decodeUsage decodes the rows of an answer. It skips a row that can't be read.
+func decodeUsage(body []byte) ([]Usage, error) {
+	var rows []jsontext.Value
+	if err := json.Unmarshal(body, &rows); err != nil {
+		return nil, fault.Wrap(fault.TargetFailed, err, "decode the worker's answer")
+	}
 	var out []Usage
-	for _, d := range docs {
+	for _, row := range rows {
+		var d UsageDocument
+		if row.Kind() != jsontext.KindBeginObject || json.Unmarshal(row, &d) != nil {
+			continue
+		}
+		at, err := duration(d.AtMS)
+		if err != nil || d.CPUMillis < 0 || d.MemoryBytes < 0 {
+			continue
+		}
 		out = append(out, Usage{
 			ID:          TaskID{Job: d.Job, Attempt: d.Attempt},
 			CPUMillis:   d.CPUMillis,
 			MemoryBytes: d.MemoryBytes,
-			At:          time.Duration(d.AtMS) * time.Millisecond,
+			At:          at,
 		})
 	}
 	return out, nil
