Skip log lines that are too long

What callers saw: one line above 1 MiB in a collected log, such as that of another program, ended the history of a submission with "token too long"; all lines after it were missing.

Evidence, before: TestOddLinesAreSkipped: longer than the limit: bufio.Scanner: token too long, 0 lines, ...

Why this works: such a line is skipped and counted, as one that can't be parsed.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -52,10 +52,15 @@
 // processes. It ignores the text before the first brace of a line, such as a log
 // collector's prefix.
 func (h *History) Read(r io.Reader, id string) error {
-	lines := bufio.NewScanner(r)
-	lines.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), _maxLineBytes)
-	for lines.Scan() {
-		text := lines.Text()
+	lines := bufio.NewReaderSize(r, _maxLineBytes)
+	for {
+		text, err := h.nextLine(lines)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
 		i := strings.IndexByte(text, '{')
 		if i < 0 {
 			continue
@@ -74,7 +79,25 @@
 			h.lossLines = append(h.lossLines, l)
 		}
 	}
-	return lines.Err()
+}
+
+// nextLine returns the next line. It skips lines that are too long.
+func (h *History) nextLine(r *bufio.Reader) (string, error) {
+	tooLong := false
+	for {
+		line, err := r.ReadSlice('\n')
+		switch {
+		case err == bufio.ErrBufferFull:
+			tooLong = true
+		case err != nil && (err != io.EOF || len(line) == 0):
+			return "", err
+		case tooLong:
+			tooLong = false
+			h.skipped++
+		default:
+			return string(line), nil
+		}
+	}
 }
 
 func parseLine(text string) (Line, bool) {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"bytes"
 	"strings"
 	"testing"
 )
@@ -64,3 +65,46 @@
 		t.Errorf("got %v, %v", h.Lines(), err)
 	}
 }
+
+// One odd line, such as that of another program, must not hide the lines after it.
+func TestOddLinesAreSkipped(t *testing.T) {
+	deep := strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000)
+	for name, line := range map[string]string{
+		"longer than the limit":      `{"submission":"a1","x":"` + strings.Repeat("y", 1<<20) + `"}`,
+		"far longer than the limit":  `{"submission":"a1","x":"` + strings.Repeat("y", 5<<20) + `"}`,
+		"nested deeply":              `{"submission":"a1","x":` + deep + `}`,
+		"time of another type":       `{"submission":"a1","time":5}`,
+		"time in the year 1e30":      `{"submission":"a1","time":"1e30"}`,
+		"a number that is too large": `{"submission":"a1","time":"2026-12-04T05:00:00Z","ms":1e400}`,
+		"fields of other types":      `{"submission":["a1"],"time":"2026-12-04T05:00:00Z","task":{},"obstacles":7}`,
+		"bytes that are no text":     "{\"submission\":\"a1\xff\x00\"}",
+	} {
+		var h History
+		err := h.Read(strings.NewReader(line+"\n"+_leaderLog+line), "a1")
+		events := 0
+		for _, l := range h.Lines() {
+			if l.Event == "run_ended" {
+				events++
+			}
+		}
+		if err != nil || events != 1 {
+			t.Errorf("%s: %v, %d lines, the last one of the log found %d times", name, err, len(h.Lines()), events)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(_leaderLog))
+	f.Add([]byte(_agentLog))
+	f.Add([]byte(`{"submission":"a1","time":"2026-12-04T05:00:00Z","event_name":"step_waits","obstacles":{"no_cpu":1e400}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var h History
+		if err := h.Read(bytes.NewReader(data), "a1"); err != nil {
+			t.Error(err)
+		}
+		for _, l := range h.Lines() {
+			_ = l.Detail()
+		}
+		h.Findings()
+	})
+}
