Pass on header values that are not valid UTF-8

What callers saw: a request to a service with a header in Latin-1, or an answer with one, was answered 502; with a key, a request that had run had no recorded answer.

Cause: Header.value of the messages was a protobuf string, which must be valid UTF-8. HTTP allows other bytes.

Evidence, before: TestHeaderInLatin1PassesUnchanged: key : got 502, the target received "" key "latin-1": got 502, the target received ""

Why this works: the field holds bytes now. Both types have the same encoding, so that stored answers and messages of earlier versions can be read.

--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -115,9 +115,9 @@
 	if !a.BodyComplete {
 		return fault.New(fault.AnswerNotKept, "the request ran and was answered with status %d, but the answer was too large to store", a.Status)
 	}
-	head := &pb.AnswerHead{Status: int32(a.Status), Headers: []*pb.Header{{Name: HeaderReplayed, Value: "true"}}}
+	head := &pb.AnswerHead{Status: int32(a.Status), Headers: []*pb.Header{{Name: HeaderReplayed, Value: []byte("true")}}}
 	for _, h := range a.Headers {
-		head.Headers = append(head.Headers, &pb.Header{Name: h.Name, Value: h.Value})
+		head.Headers = append(head.Headers, &pb.Header{Name: h.Name, Value: []byte(h.Value)})
 	}
 	return r.sendCompleteAnswer(head, a.Body)
 }
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -295,7 +295,7 @@
 	head := &pb.AnswerHead{Status: int32(resp.StatusCode)}
 	for name, values := range resp.Header {
 		for _, v := range values {
-			head.Headers = append(head.Headers, &pb.Header{Name: name, Value: v})
+			head.Headers = append(head.Headers, &pb.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	return head
--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -74,10 +74,10 @@
 	req.ContentLength = open.GetBodyLength()
 	for _, h := range open.GetHeaders() {
 		if strings.EqualFold(h.GetName(), "Host") {
-			req.Host = h.GetValue()
+			req.Host = string(h.GetValue())
 			continue
 		}
-		req.Header.Add(h.GetName(), h.GetValue())
+		req.Header.Add(h.GetName(), string(h.GetValue()))
 	}
 	req.Header.Set(_requestIDHeader, requestID)
 	if _, ok := req.Header["User-Agent"]; !ok {
--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -355,6 +355,30 @@
 	}
 }
 
+// Header values are bytes. One in Latin-1 made the message to the agent, or the one
+// back, fail.
+func TestHeaderInLatin1PassesUnchanged(t *testing.T) {
+	caller, _ := startContractDaemon(t, 18820)
+	for _, key := range []string{"", `"latin-1"`, `"latin-1"`} { // the last answer is the stored one
+		req, err := http.NewRequest(http.MethodPost, caller+"/v1/services/quotes/echo", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Caller", "Jos\xe9")
+		if key != "" {
+			req.Header.Set("Idempotency-Key", key)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if seen := resp.Header.Get("X-Seen"); resp.StatusCode != http.StatusOK || !strings.HasPrefix(seen, "Jos\xe9|") {
+			t.Errorf("key %s: got %d, the target received %q", key, resp.StatusCode, seen)
+		}
+	}
+}
+
 // TestWatchResumesAfterDisconnect checks that a watch goes on after its target
 // closes the connection within an event. No event may be lost, repeated or
 // truncated.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -227,13 +227,13 @@
 
 // headers returns the end-to-end headers of the request.
 func (c *call) headers() []*pb.Header {
-	out := []*pb.Header{{Name: "Host", Value: c.r.Host}}
+	out := []*pb.Header{{Name: "Host", Value: []byte(c.r.Host)}}
 	for name, values := range c.r.Header {
 		if isHopByHop(c.r.Header, name) {
 			continue
 		}
 		for _, v := range values {
-			out = append(out, &pb.Header{Name: name, Value: v})
+			out = append(out, &pb.Header{Name: name, Value: []byte(v)})
 		}
 	}
 	return out
@@ -454,7 +454,7 @@
 	h := c.w.Header()
 	for _, line := range head.GetHeaders() {
 		if !slices.Contains(_hopByHopHeaders, http.CanonicalHeaderKey(line.GetName())) {
-			h.Add(line.GetName(), line.GetValue())
+			h.Add(line.GetName(), string(line.GetValue()))
 		}
 	}
 	c.status = int(head.GetStatus())
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -199,9 +199,9 @@
 	o.Headers = slices.DeleteFunc(o.Headers, func(h *pb.Header) bool {
 		return http.CanonicalHeaderKey(h.GetName()) == _headerLastID || h.GetName() == "Accept"
 	})
-	o.Headers = append(o.Headers, &pb.Header{Name: "Accept", Value: "text/event-stream"})
+	o.Headers = append(o.Headers, &pb.Header{Name: "Accept", Value: []byte("text/event-stream")})
 	if w.lastID != "" {
-		o.Headers = append(o.Headers, &pb.Header{Name: "Last-Event-ID", Value: w.lastID})
+		o.Headers = append(o.Headers, &pb.Header{Name: "Last-Event-ID", Value: []byte(w.lastID)})
 	}
 	return o
 }
@@ -215,7 +215,7 @@
 	if !w.call.headSent {
 		for _, line := range h.GetHeaders() {
 			if !strings.EqualFold(line.GetName(), "Content-Length") {
-				w.call.w.Header().Add(line.GetName(), line.GetValue())
+				w.call.w.Header().Add(line.GetName(), string(line.GetValue()))
 			}
 		}
 		w.call.headSent = true
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -210,7 +210,7 @@
 func EncodeAnswer(a claim.Answer) *pb.Answer {
 	m := &pb.Answer{Status: int32(a.Status), Body: a.Body, Whole: a.BodyComplete}
 	for _, h := range a.Headers {
-		m.Headers = append(m.Headers, &pb.Header{Name: h.Name, Value: h.Value})
+		m.Headers = append(m.Headers, &pb.Header{Name: h.Name, Value: []byte(h.Value)})
 	}
 	return m
 }
@@ -219,7 +219,7 @@
 func DecodeAnswer(m *pb.Answer) claim.Answer {
 	a := claim.Answer{Status: int(m.GetStatus()), Body: m.GetBody(), BodyComplete: m.GetWhole()}
 	for _, h := range m.GetHeaders() {
-		a.Headers = append(a.Headers, claim.Header{Name: h.GetName(), Value: h.GetValue()})
+		a.Headers = append(a.Headers, claim.Header{Name: h.GetName(), Value: string(h.GetValue())})
 	}
 	return a
 }
