Bound the text that an error quotes of a worker's answer

What callers saw: nothing yet. The reason of a failed attempt quoted up to 1 MiB of a worker's answer. It is part of a record of the log, and with bytes that are not valid UTF-8 the record of the attempt's end can't be encoded.

Evidence, before: TestErrorOfWorkerIsShortText: "\xff\xfe": an error of 66 bytes: "the worker answered with status 404: \xff\xfe ..." and one with 524352 bytes.

--- a/internal/workerapi/http.go
+++ b/internal/workerapi/http.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -22,6 +23,7 @@
 
 const (
 	_maxAnswerBytes = 1 << 20
+	_maxErrorBytes  = 256 // that an error quotes of an answer
 	_maxClock       = 100 * 365 * 24 * time.Hour
 	_callTimeout    = 2 * time.Second  // of a call, in addition to its long poll
 	_idleTimeout    = 30 * time.Second // after which an idle connection is closed
@@ -145,7 +147,8 @@
 		return fault.Wrap(fault.TargetFailed, err, "read the worker's answer")
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return fault.New(fault.TargetFailed, "the worker answered with status %d: %s", resp.StatusCode, bytes.TrimSpace(data))
+		text := strings.ToValidUTF8(string(data[:min(len(data), _maxErrorBytes)]), "")
+		return fault.New(fault.TargetFailed, "the worker answered with status %d: %s", resp.StatusCode, strings.TrimSpace(text))
 	}
 	if out == nil {
 		return nil
--- a/internal/workerapi/http_test.go
+++ b/internal/workerapi/http_test.go
@@ -8,6 +8,9 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
+
+	"github.com/gentianrail/gentianrail/fault"
 )
 
 // newWorker returns a client of a worker that gives each request the same answer.
@@ -71,6 +74,21 @@
 	}
 }
 
+// The text becomes part of a record in the log, which holds valid UTF-8 only.
+func TestErrorOfWorkerIsShortText(t *testing.T) {
+	for _, body := range []string{"\xff\xfe", strings.Repeat("é", 1<<18), "\x00", "not found\n"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusNotFound)
+			_, _ = w.Write([]byte(body))
+		}))
+		_, err := NewClient(server.Listener.Addr().String()).Clock(context.Background())
+		server.Close()
+		if err == nil || len(err.Error()) > 512 || !utf8.ValidString(err.Error()) || !utf8.ValidString(fault.From(err).Message()) {
+			t.Errorf("%.20q: an error of %d bytes: %.200q", body, len(err.Error()), err.Error())
+		}
+	}
+}
+
 func FuzzUsage(f *testing.F) {
 	f.Add([]byte(`[{"job":"j","attempt":2,"cpu_millis":500,"memory_bytes":1024,"at_ms":5}]`))
 	f.Add([]byte(`[{"job":"j","attempt":1e30},null,[[]],{"at_ms":-1}]`))
