Pass on paths that are not valid UTF-8

What callers saw: a request to a service whose path or query has raw bytes, such as a name in Latin-1, was answered 502.

Cause: Open.path of the messages was a protobuf string, as the values of headers were.

Evidence, before: TestQueryInLatin1PassesUnchanged: got 502, the target received ""

--- a/internal/agent/target.go
+++ b/internal/agent/target.go
@@ -67,7 +67,7 @@
 
 // send sends one request. The error states whether the request ran.
 func (t *targetClient) send(ctx context.Context, requestID string, open *pb.Open, body io.Reader) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, open.GetMethod(), "http://"+t.address+open.GetPath(), transportBody(open, body))
+	req, err := http.NewRequestWithContext(ctx, open.GetMethod(), "http://"+t.address+string(open.GetPath()), transportBody(open, body))
 	if err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "create the request to the target")
 	}
--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -379,6 +379,23 @@
 	}
 }
 
+func TestQueryInLatin1PassesUnchanged(t *testing.T) {
+	caller, _ := startContractDaemon(t, 18830)
+	req, err := http.NewRequest(http.MethodPost, caller+"/v1/services/quotes/echo", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.URL.RawQuery = "name=Jos\xe9"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if seen := resp.Header.Get("X-Seen"); resp.StatusCode != http.StatusOK || !strings.HasSuffix(seen, "|/echo?name=Jos\xe9") {
+		t.Errorf("got %d, the target received %q", resp.StatusCode, seen)
+	}
+}
+
 // TestWatchResumesAfterDisconnect checks that a watch goes on after its target
 // closes the connection within an event. No event may be lost, repeated or
 // truncated.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -196,7 +196,7 @@
 		Owner:       c.decl.Owner(),
 		Target:      c.decl.Target(),
 		Method:      c.r.Method,
-		Path:        c.path,
+		Path:        []byte(c.path),
 		Headers:     c.headers(),
 		Timeout:     int64(c.deadline.Sub(now)),
 		Key:         c.key,
