Refuse settings with numbers out of range

What callers saw: nothing yet. A number of slots of was announced as a negative one, since the messages have 32 bits; an address with port 0 was accepted for processes that are called; a group of thousands of controllers never forms.

Why this works: the settings are checked before any role starts, and the error names the field.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"os"
@@ -117,6 +118,9 @@
 	MemoryLimit    unit.Bytes    `json:"memory_limit"`
 }
 
+// _maxReplicas is more than any group needs: each command goes to all of them.
+const _maxReplicas = 99
+
 // Defaults of settings that a file omits.
 const (
 	_electionTimeout  = unit.Duration(500 * time.Millisecond)
@@ -279,6 +283,23 @@
 	c.addProblem(path, "found %q, allowed is an IP address and a port such as \"127.0.0.1:8600\"", value)
 }
 
+// checkDialAddress checks the address of another process.
+func (c *checker) checkDialAddress(path, value string) {
+	if a, err := netip.ParseAddrPort(value); err == nil && a.Port() == 0 {
+		c.addProblem(path, "found %q, allowed is a port from 1 to 65535", value)
+		return
+	}
+	c.checkAddress(path, value)
+}
+
+// checkCount checks a number that the messages between the processes hold.
+func (c *checker) checkCount(path string, value int) {
+	c.checkPositive(path, int64(value))
+	if value > math.MaxInt32 {
+		c.addProblem(path, "found %d, allowed is a number up to %d", value, math.MaxInt32)
+	}
+}
+
 func (c *checker) checkPositive(path string, value int64) {
 	if value <= 0 {
 		c.addProblem(path, "found %d, allowed is a number above 0", value)
@@ -329,7 +350,7 @@
 		c.addProblem("controllers", "missing, allowed is a list of the controllers' addresses")
 	}
 	for i, a := range s.Controllers {
-		c.checkAddress(fmt.Sprintf("controllers.%d", i), a)
+		c.checkDialAddress(fmt.Sprintf("controllers.%d", i), a)
 	}
 }
 
@@ -383,7 +404,7 @@
 		c.checkAddress("platform.readiness", s.Platform.Readiness)
 	}
 	if s.HasRole(RoleAgent) {
-		c.checkAddress("platform.worker", s.Platform.Worker)
+		c.checkDialAddress("platform.worker", s.Platform.Worker)
 	}
 	if s.HasRole(RoleAgent) || s.HasRole(RoleController) {
 		c.checkAddress("platform.control_plane", s.Platform.ControlPlane)
@@ -396,14 +417,14 @@
 // checkGroupSettings checks the settings of a controller that forms a group with
 // its seeds or joins an existing one.
 func (c *checker) checkGroupSettings(s *Controller) {
-	if s.Replicas < 1 || s.Replicas%2 == 0 {
-		c.addProblem("controller.replicas", "found %d, allowed is an odd number", s.Replicas)
+	if s.Replicas < 1 || s.Replicas > _maxReplicas || s.Replicas%2 == 0 {
+		c.addProblem("controller.replicas", "found %d, allowed is an odd number from 1 to %d", s.Replicas, _maxReplicas)
 	}
 	if len(s.Seeds) == 0 {
 		c.addProblem("controller.seeds", "missing, allowed is a list of controllers' addresses")
 	}
 	for i, a := range s.Seeds {
-		c.checkAddress(fmt.Sprintf("controller.seeds.%d", i), a)
+		c.checkDialAddress(fmt.Sprintf("controller.seeds.%d", i), a)
 	}
 	if len(s.Members) > 0 {
 		c.addProblem("controller.members", "present, allowed only without controller.replicas, which makes the group form from its seeds")
@@ -430,17 +451,17 @@
 		return
 	}
 	c.checkNotEmpty("agent.id", s.ID)
-	c.checkAddress("agent.address", s.Address)
-	c.checkAddress("agent.target_address", s.TargetAddress)
-	c.checkPositive("agent.slots", int64(s.Slots))
-	c.checkPositive("agent.connections", int64(s.Connections))
+	c.checkDialAddress("agent.address", s.Address)
+	c.checkDialAddress("agent.target_address", s.TargetAddress)
+	c.checkCount("agent.slots", s.Slots)
+	c.checkCount("agent.connections", s.Connections)
 	c.checkPositive("agent.cpu", int64(s.CPU))
 	c.checkPositive("agent.memory", int64(s.Memory))
 	c.checkDuration("agent.sync_interval", s.SyncInterval)
 	if len(s.Targets) == 0 {
 		c.addProblem("agent.targets", "missing, allowed is a list of target names")
 	}
-	if s.Accelerators < 0 {
-		c.addProblem("agent.accelerators", "found %d, allowed is 0 or more", s.Accelerators)
+	if s.Accelerators < 0 || s.Accelerators > math.MaxInt32 {
+		c.addProblem("agent.accelerators", "found %d, allowed is 0 to %d", s.Accelerators, math.MaxInt32)
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -122,3 +122,56 @@
 		}
 	})
 }
+
+func TestNumbersOutOfRangeAreRefused(t *testing.T) {
+	group := strings.Replace(_validSettings, `"data_folder": "d"`, `"data_folder": "d", "seeds": ["127.0.0.1:1"], "replicas": 3`, 1)
+	for _, tc := range []struct {
+		settings, from, to string
+		want               string // empty if the settings are valid
+	}{
+		{_validSettings, `"127.0.0.1:3"`, `"127.0.0.1:65535"`, ""},
+		{_validSettings, `"127.0.0.1:3"`, `"127.0.0.1:65536"`, "entry.address"},
+		{_validSettings, `"127.0.0.1:3"`, `"127.0.0.1:-1"`, "entry.address"},
+		{_validSettings, `"127.0.0.1:3"`, `"127.0.0.1:99999999999999999999"`, "entry.address"},
+		{_validSettings, `"name": "n"`, `"name": "n", "controllers": ["127.0.0.1:0"]`, "controllers.0"},
+		{_validSettings, `"name": "n"`, `"name": "n", "controllers": ["127.0.0.1:1"], "controllers_port": 65535`, ""},
+		{_validSettings, `"name": "n"`, `"name": "n", "controllers": ["127.0.0.1:1"], "controllers_port": 65536`, "controllers.0"},
+		{_validSettings, `"name": "n"`, `"name": "n", "controllers": ["127.0.0.1:1"], "controllers_port": -1`, "controllers.0"},
+		{_validSettings, `"name": "n"`, `"name": "n", "controllers_port": 1e30`, "controllers_port"},
+		{_validSettings, `"slots": 1`, `"slots": 9223372036854775808`, "agent.slots"},
+		{_validSettings, `"slots": 1`, `"slots": 2147483647`, ""},
+		{_validSettings, `"slots": 1`, `"slots": 2147483648`, "agent.slots"},
+		{_validSettings, `"connections": 1`, `"connections": 2147483648`, "agent.connections"},
+		{_validSettings, `"slots": 1`, `"slots": 1, "accelerators": 2147483647`, ""},
+		{_validSettings, `"slots": 1`, `"slots": 1, "accelerators": 2147483648`, "agent.accelerators"},
+		{_validSettings, `"127.0.0.1:4"`, `"127.0.0.1:0"`, "agent.address"},
+		{_validSettings, `"127.0.0.1:5"`, `"127.0.0.1:0"`, "agent.target_address"},
+		{_validSettings, `"memory": "1GiB"`, `"memory": "99999999999999999999GiB"`, "agent.memory"},
+		{_validSettings, `"127.0.0.1:3"}`, `"127.0.0.1:3", "retry_ratio": 1e400}`, "entry.retry_ratio"},
+		{group, `"replicas": 3`, `"replicas": 99`, ""},
+		{group, `"replicas": 3`, `"replicas": 101`, "controller.replicas"},
+		{group, `"replicas": 3`, `"replicas": -3`, "controller.replicas"},
+		{group, `"replicas": 3`, `"tolerated_losses": 1`, ""},
+		{group, `"replicas": 3`, `"tolerated_losses": 49`, ""},
+		{group, `"replicas": 3`, `"tolerated_losses": 50`, "controller.replicas"},
+		{group, `"replicas": 3`, `"tolerated_losses": -1`, "controller.replicas"},
+		{group, `"replicas": 3`, `"tolerated_losses": 4611686018427387904`, "controller"},
+	} {
+		changed := strings.Replace(tc.settings, tc.from, tc.to, 1)
+		if changed == tc.settings {
+			t.Fatalf("no %s in the settings", tc.from)
+		}
+		_, err := Parse("f", []byte(changed))
+		if (err == nil) != (tc.want == "") || err != nil && !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%s: %v, want %q", tc.to, err, tc.want)
+		}
+	}
+}
+
+func TestDeeplyNestedSettingsAreRefused(t *testing.T) {
+	for _, value := range []string{strings.Repeat("[", 1<<20), strings.Repeat(`{"a":`, 1<<18)} {
+		if _, err := Parse("f", []byte(`{"name": `+value)); err == nil {
+			t.Errorf("%.20q was accepted", value)
+		}
+	}
+}
