Test the bounds of declared queues and submissions

Tables of values at, below and above each bound, bodies that are nested deeply, and two fuzz targets.

--- a/internal/declaration/submission_test.go
+++ b/internal/declaration/submission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -128,3 +129,86 @@
 		}
 	}
 }
+
+func TestSubmissionWithOddNumbersIsRefused(t *testing.T) {
+	parse := func(field, value string) error {
+		_, err := ParseSubmission([]byte(`{"id":"a","queue":"q","steps":[{"count":1,"cpu":"1"` + field + value + `}]}`))
+		return err
+	}
+	for _, tc := range []struct {
+		field, allowed string
+		refused        []string
+	}{
+		{`,"most_per_worker":`, "2147483647", []string{"2147483648", "-1", "1.5", "1e30", `"1"`}},
+		{`,"max_unavailable":`, "2147483647", []string{"2147483648", "-1", "1.5", "1e30"}},
+		{`,"accelerators":`, "1099511627776", []string{"1099511627777", "-1", "9223372036854775808"}},
+		{`,"memory":`, `"1024GiB"`, []string{`"99999999999999999999GiB"`, `"-1GiB"`, "5", `"4194304TiB"`}},
+		{`,"estimate":`, `"8760h"`, []string{`"8760h1s"`, `"-1s"`, `"1e30s"`, `"9999999999h"`, "5"}},
+		{`,"tail_target":`, `"8760h"`, []string{`"8760h1s"`, `"-1s"`}},
+		{`,"depends_on":`, "[]", []string{"[0]", "[-1]", "[1e30]", "[9223372036854775808]"}},
+	} {
+		if err := parse(tc.field, tc.allowed); err != nil {
+			t.Errorf("%s%s: %v", tc.field, tc.allowed, err)
+		}
+		for _, v := range tc.refused {
+			if err := parse(tc.field, v); err == nil {
+				t.Errorf("%s%s was accepted", tc.field, v)
+			}
+		}
+	}
+	for when, accepted := range map[string]bool{"2199-12-31T00:00:00Z": true, "9999-12-31T00:00:00Z": false, "1e30": false} {
+		_, err := ParseSubmission([]byte(`{"id":"a","queue":"q","steps":[{"count":1,"cpu":"1"}],"repeat":1,"start_at":"` + when + `"}`))
+		if (err == nil) != accepted {
+			t.Errorf("a start at %s: %v", when, err)
+		}
+	}
+}
+
+// A body of lists in lists must neither exhaust the stack nor take long.
+func TestDeeplyNestedDeclarationsAreRefusedQuickly(t *testing.T) {
+	defer debug.SetMaxStack(debug.SetMaxStack(16 << 20))
+	const size = 4 << 20
+	for name, value := range map[string]string{
+		"lists": strings.Repeat("[", size), "objects": strings.Repeat(`{"a":`, size/5), "closed": strings.Repeat("[", size/2) + strings.Repeat("]", size/2),
+	} {
+		for _, prefix := range []string{"", `{"limits":`, `{"steps":`, `{"queues":[{"name":`} {
+			began := time.Now()
+			for reader, parse := range map[string]func([]byte) error{
+				"entry":      func(b []byte) error { _, err := Parse("f", b); return err },
+				"queues":     func(b []byte) error { _, err := ParseQueues(b); return err },
+				"submission": func(b []byte) error { _, err := ParseSubmission(b); return err },
+			} {
+				if parse([]byte(prefix+value)) == nil {
+					t.Errorf("%s after %q were accepted as %s", name, prefix, reader)
+				}
+			}
+			if took := time.Since(began); took > 5*time.Second {
+				t.Errorf("%s after %q took %s", name, prefix, took)
+			}
+		}
+	}
+}
+
+func FuzzParseSubmission(f *testing.F) {
+	f.Add([]byte(`{"id":"a","queue":"q","steps":[{"count":1,"cpu":"1","estimate":"1s"}],"repeat":2,"interval":"1h"}`))
+	f.Add([]byte(`{"id":"a","queue":"q","steps":[{"count":1e30,"cpu":"-1"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := ParseSubmission(data)
+		if err == nil && s.CriticalPath(-1) < 0 {
+			t.Errorf("%q: critical path %s", data, s.CriticalPath(-1))
+		}
+	})
+}
+
+func FuzzParseQueues(f *testing.F) {
+	f.Add([]byte(`{"version":1,"services":[{"name":"s"}],"queues":[{"name":"q","host":"h.example","prefix":"/q/","service":"s","attempts":1,"slack":1.5,"target":"1s","timeout":"1s"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		table, err := ParseQueues(data)
+		if err != nil {
+			return
+		}
+		if err := table.Validate(); err != nil {
+			t.Errorf("%q: %v", data, err)
+		}
+	})
+}
