--- a/submission/store_test.go
+++ b/submission/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -360,3 +361,66 @@
 	}
 	return nil
 }
+
+// The wire has 32 bits for each number of a task. A larger one named another task.
+func TestTaskIDOutOfRangeIsRefused(t *testing.T) {
+	for name, want := range map[string]bool{
+		"s.0.0.0": true, "s.19999.255.19999": true, "5c0e7a21d94b36f8.0.1.17": true,
+		"s.20000.0.0": false, "s.0.256.0": false, "s.0.0.20000": false, "s.0.0.4294967296": false, "s.4294967296.0.0": false,
+		"s.0.0.99999999999999999999": false, "s.-1.0.0": false, "s.+1.0.0": false, "s.01.0.0": false, "s.0.0": false, "s.0.0.0.0": false,
+		"s.0.0.": false, "s.0.0.1e1": false, ".0.0.0": false, "": false,
+	} {
+		id, ok := ParseTaskID(name)
+		if ok != want || ok && id.String() != name {
+			t.Errorf("%s: got %+v, %t", name, id, ok)
+		}
+	}
+}
+
+func FuzzParseTaskID(f *testing.F) {
+	f.Add("5c0e7a21d94b36f8.0.1.17")
+	f.Add("s.4294967296.-1.+1")
+	f.Fuzz(func(t *testing.T, name string) {
+		if id, ok := ParseTaskID(name); ok && id.String() != name {
+			t.Errorf("%q was parsed as %+v", name, id)
+		}
+	})
+}
+
+// Durations are summed up over steps and occurrences; sums that overflow are negative.
+func TestValidateBoundsNumbers(t *testing.T) {
+	const year = 365 * 24 * time.Hour
+	for _, tc := range []struct {
+		name  string
+		ok    bool
+		apply func(s *Spec)
+	}{
+		{"cpu at the bound", true, func(s *Spec) { s.Steps[0].Needs.CPU = 1 << 40 }},
+		{"cpu above it", false, func(s *Spec) { s.Steps[0].Needs.CPU = 1<<40 + 1 }},
+		{"memory above it", false, func(s *Spec) { s.Steps[0].Needs.Memory = 1<<40 + 1 }},
+		{"gpu above it", false, func(s *Spec) { s.Steps[0].Needs.GPU = 1<<40 + 1 }},
+		{"estimate at the bound", true, func(s *Spec) { s.Steps[0].Estimate = year }},
+		{"estimate above it", false, func(s *Spec) { s.Steps[0].Estimate = year + 1 }},
+		{"tail target at the bound", true, func(s *Spec) { s.Steps[0].TailTarget = year }},
+		{"tail target above it", false, func(s *Spec) { s.Steps[0].TailTarget = year + 1 }},
+		{"negative tail target", false, func(s *Spec) { s.Steps[0].TailTarget = -1 }},
+		{"limit per worker at the bound", true, func(s *Spec) { s.Steps[0].MaxPerWorker = math.MaxInt32 }},
+		{"limit per worker above it", false, func(s *Spec) { s.Steps[0].MaxPerWorker = math.MaxInt32 + 1 }},
+		{"unavailable tasks at the bound", true, func(s *Spec) { s.Steps[0].MaxUnavailable = math.MaxInt32 }},
+		{"unavailable tasks above it", false, func(s *Spec) { s.Steps[0].MaxUnavailable = math.MaxInt32 + 1 }},
+		{"interval at the bound", true, func(s *Spec) { s.Repeat, s.Interval = 2, year }},
+		{"interval above it", false, func(s *Spec) { s.Repeat, s.Interval = 2, year+1 }},
+		{"last occurrence at the bound", true, func(s *Spec) { s.Repeat, s.Interval = 101, year }},
+		{"last occurrence above it", false, func(s *Spec) { s.Repeat, s.Interval = 102, year }},
+		{"first occurrence at the bound", true, func(s *Spec) { s.Repeat, s.StartAt = 1, time.Date(2199, 12, 31, 0, 0, 0, 0, time.UTC) }},
+		{"first occurrence above it", false, func(s *Spec) { s.Repeat, s.StartAt = 1, time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC) }},
+		{"first occurrence below it", false, func(s *Spec) { s.Repeat, s.StartAt = 1, time.Date(1969, 12, 31, 0, 0, 0, 0, time.UTC) }},
+		{"no first occurrence", true, func(s *Spec) { s.Repeat = 1 }},
+	} {
+		s := Spec{ID: "s", Queue: "q", Steps: []Step{{Count: 1}}}
+		tc.apply(&s)
+		if err := s.Validate(); (err == nil) != tc.ok {
+			t.Errorf("%s: %v", tc.name, err)
+		}
+	}
+}
