Keep the renewal of the present agent when an earlier one is retired

Callers of one-step jobs could see a job run twice at the same time: after an agent had restarted, its worker could be retired within the lease of the new agent, and the jobs were placed elsewhere while they still ran.

Cause: the leader dropped the worker's renewal whenever a retirement was applied, also one of an earlier incarnation, which the state machine rejects as stale. The worker then counted as not renewed since the leader began to lead. Such a retirement comes late when the lease of the earlier agent expires while the new one announces itself, or when an agent that stops has to repeat its proposal.

A retirement now only drops the soft state of the incarnation that it names, so the grant of another incarnation stays known until it has expired.

--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -92,8 +92,7 @@
 	case state.DrainWorker:
 		s.wakeWorker(c.ID)
 	case state.RetireWorker:
-		delete(s.retiring, c.ID)
-		delete(s.renewals, c.ID)
+		s.forget(c.ID, c.AgentIncarnation)
 	}
 	if r.Job == "" {
 		return
@@ -111,6 +110,18 @@
 	}
 }
 
+// forget discards the soft state of one agent incarnation. The retirement of an
+// earlier incarnation may be applied, or repeated, when the next one has already
+// renewed its lease.
+func (s *scheduler) forget(id string, agentIncarnation uint64) {
+	if s.retiring[id] == agentIncarnation {
+		delete(s.retiring, id)
+	}
+	if s.renewals[id].agentIncarnation == agentIncarnation {
+		delete(s.renewals, id)
+	}
+}
+
 func (s *scheduler) wakeWorker(id string) {
 	if w, ok := s.workerWaiters[id]; ok {
 		close(w)
