Record no renewal of an agent that has been succeeded

Callers of one-step jobs could see a job run twice at the same time: a worker could be retired within the lease of its agent.

Cause: a call of an agent is checked against the registered incarnation, and its renewal is recorded in a later step of the core. If the next agent of the worker registered and renewed in between, the renewal of the earlier agent replaced that of the present one, which then counted as not renewed since the leader began to lead.

Evidence, on the code before the change: scheduler_test.go:95: the worker is retired within its lease: [{w 2}] No trace of a caller shows this path.

The step that records a renewal now checks the registered incarnation itself. A worker that has been retired in between gets no grant either: its agent asks again and is registered first.

--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -213,13 +213,20 @@
 }
 
 // recordRenewal records an agent's lease renewal. It returns false if this
-// controller cannot be sure that it leads.
+// controller cannot be sure that it leads, or if the agent is no longer
+// registered. It records nothing for a superseded agent, whose reply grants no
+// lease.
 func (c *Core) recordRenewal(now time.Time, in *pb.SyncRequest) bool {
-	if c.diskErr != nil || !c.replica.HoldsLease(now) {
+	id, agentIncarnation := in.GetWorker().GetId(), in.GetWorker().GetIncarnation()
+	w, ok := c.machine.Workers().Worker(id)
+	if c.diskErr != nil || !c.replica.HoldsLease(now) || !ok || w.AgentIncarnation < agentIncarnation {
 		return false
 	}
-	c.sched.renewals[in.GetWorker().GetId()] = renewal{
-		agentIncarnation: in.GetWorker().GetIncarnation(),
+	if w.AgentIncarnation > agentIncarnation {
+		return true
+	}
+	c.sched.renewals[id] = renewal{
+		agentIncarnation: agentIncarnation,
 		at:               now,
 		load:             in.GetLoad(),
 		revision:         in.GetRevision(),
--- a/internal/controller/scheduler_test.go
+++ b/internal/controller/scheduler_test.go
@@ -75,3 +75,24 @@
 		}
 	})
 }
+
+// TestLateRenewalOfEarlierAgentHidesNoLease guards against a renewal of an earlier
+// agent that is handled after the next one has renewed its lease.
+func TestLateRenewalOfEarlierAgentHidesNoLease(t *testing.T) {
+	core := startCore(t)
+	registerAgent(t, core, 1)
+	registerAgent(t, core, 2)
+	inLongLeadership(t, core, func(c *Core, now time.Time) {
+		if !c.recordRenewal(now, renewalOf(2)) {
+			t.Error("the renewal of the present agent is refused")
+		}
+		if c.recordRenewal(now, renewalOf(1)) {
+			if reply, _ := c.syncReply(renewalOf(1)); !reply.GetSuperseded() {
+				t.Error("the earlier agent is granted a lease")
+			}
+		}
+		if cmds := c.lostWorkerCommands(now.Add(c.sched.lease)); len(cmds) > 0 {
+			t.Errorf("the worker is retired within its lease: %v", cmds)
+		}
+	})
+}
