Grant no lease to a worker whose retirement is proposed

Callers of one-step jobs could see a job run twice at the same time: an agent could be told to start a job under a new lease just before the log ended all attempts on its worker, and the job was placed elsewhere while it ran.

Cause: when the lease of a silent worker expires, the leader proposes its retirement. Until that is committed, which may take long on a slow disk, a renewal of the worker was still granted, and the reply assigned the jobs that had been placed on it since its last renewal. The tasks of the expired lease have ended by then; these had not begun.

Evidence, on the code before the change: scheduler_test.go:110: the worker's lease is renewed before its retirement is applied No trace of a caller shows this path.

The retirement is now the end of all grants to this incarnation. The agent's client asks again until it is applied, and then registers its worker and gets a new lease.

--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -214,8 +214,9 @@
 
 // recordRenewal records an agent's lease renewal. It returns false if this
 // controller cannot be sure that it leads, or if the agent is no longer
-// registered. It records nothing for a superseded agent, whose reply grants no
-// lease.
+// registered or about to be retired: the log may then already end attempts that
+// the reply would assign. It records nothing for a superseded agent, whose reply
+// grants no lease.
 func (c *Core) recordRenewal(now time.Time, in *pb.SyncRequest) bool {
 	id, agentIncarnation := in.GetWorker().GetId(), in.GetWorker().GetIncarnation()
 	w, ok := c.machine.Workers().Worker(id)
@@ -225,6 +226,9 @@
 	if w.AgentIncarnation > agentIncarnation {
 		return true
 	}
+	if c.sched.retiring[id] == agentIncarnation {
+		return false
+	}
 	c.sched.renewals[id] = renewal{
 		agentIncarnation: agentIncarnation,
 		at:               now,
--- a/internal/controller/scheduler_test.go
+++ b/internal/controller/scheduler_test.go
@@ -96,3 +96,27 @@
 		}
 	})
 }
+
+// TestNoGrantWhileRetirementIsProposed guards against an agent that is told to start
+// a job under a new lease although the log is about to end all attempts on its worker.
+func TestNoGrantWhileRetirementIsProposed(t *testing.T) {
+	core := startCore(t)
+	registerAgent(t, core, 1)
+	inLongLeadership(t, core, func(c *Core, now time.Time) {
+		if cmds := c.lostWorkerCommands(now); len(cmds) != 1 {
+			t.Fatalf("got %v, want one retirement", cmds)
+		}
+		if c.recordRenewal(now, renewalOf(1)) {
+			t.Error("the worker's lease is renewed before its retirement is applied")
+		}
+	})
+	if o := mustPropose(t, core, state.RetireWorker{ID: "w", AgentIncarnation: 1}); o.Err != nil {
+		t.Fatal(o.Err)
+	}
+	registerAgent(t, core, 1)
+	inLongLeadership(t, core, func(c *Core, now time.Time) {
+		if !c.recordRenewal(now, renewalOf(1)) {
+			t.Error("the worker gets no lease after it has registered again")
+		}
+	})
+}
