Stop the earlier attempt of a job whose later attempt is stopped

Users of the sample target could see a job run twice: an attempt went on beside the next one although the agent had stopped all tasks.

Cause: a stop order for an attempt that the target does not have leaves a mark, so that a late start has no effect. The mark replaced the record of an earlier attempt that still ran, and neither a stop nor the end of all tasks reached it any more. It ended only with its lease or its work.

The attempt whose record is replaced is now ended first, as it is when a later attempt is started.

--- a/internal/sample/tasks.go
+++ b/internal/sample/tasks.go
@@ -159,6 +159,9 @@
 	if ok && t.id.Attempt > id.Attempt {
 		return nil
 	}
+	if ok && t.id != id {
+		s.endTask(t, workerapi.Status{State: workerapi.Stopped, Reason: "a later attempt was stopped"})
+	}
 	if !ok || t.id != id {
 		t = &task{id: id, started: now, done: make(chan struct{}), leaseTimer: time.NewTimer(0), workTimer: time.NewTimer(0)}
 		s.tasks[id.Job] = t
--- /dev/null
+++ b/internal/sample/tasks_test.go
@@ -0,0 +1,29 @@
+package sample
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gentianrail/gentianrail/internal/workerapi"
+)
+
+func task1(attempt uint32) workerapi.TaskID { return workerapi.TaskID{Job: "j", Attempt: attempt} }
+
+// TestStopOfLaterAttemptStopsEarlierOne guards against an attempt that nothing can
+// stop any more: it runs beside the attempt that is started elsewhere.
+func TestStopOfLaterAttemptStopsEarlierOne(t *testing.T) {
+	now := time.Now()
+	s := newStore(now, func() int64 { return 1 })
+	if !s.startTask(task1(1), []byte(`{"work_ms": 60000}`), nil, time.Minute, now) {
+		t.Fatal("attempt 1 is rejected")
+	}
+	first := s.findTask(task1(1))
+	s.stopTask(task1(2), now)
+	if !first.hasEnded() {
+		t.Error("attempt 1 runs after attempt 2 was stopped")
+	}
+	s.stopAllTasks()
+	if !first.hasEnded() {
+		t.Error("attempt 1 runs after all tasks were stopped")
+	}
+}
