Run no task whose lease has ended before its start

Users of the sample target could see a job run twice: a start that was carried out after the end of its lease could complete, when the job may run elsewhere.

Cause: the target set one timer for the end of the lease and one for the work. Both were due at once, and either could come first.

The task is now ended under the lock under which it is recorded, before a timer can act.

--- a/internal/sample/tasks.go
+++ b/internal/sample/tasks.go
@@ -83,6 +83,9 @@
 	t.leaseTimer = time.AfterFunc(leaseEnd-s.clock(now), func() { s.expireTask(t) })
 	t.workTimer = time.AfterFunc(max(remaining, 0), func() { s.completeTask(t) })
 	s.tasks[id.Job] = t
+	if leaseEnd <= s.clock(now) {
+		s.endTask(t, workerapi.Status{State: workerapi.Stopped, Reason: "the lease had expired"})
+	}
 	return true
 }
 
--- a/internal/sample/tasks_test.go
+++ b/internal/sample/tasks_test.go
@@ -27,3 +27,19 @@
 		t.Error("attempt 1 runs after all tasks were stopped")
 	}
 }
+
+// TestLateStartDoesNotRun guards against a start that is carried out after the end of
+// its lease, when the job may run elsewhere.
+func TestLateStartDoesNotRun(t *testing.T) {
+	now := time.Now()
+	runs := int64(0)
+	s := newStore(now.Add(-time.Minute), func() int64 { runs++; return runs })
+	for attempt := uint32(1); attempt <= 50; attempt++ {
+		s.startTask(task1(attempt), nil, nil, time.Second, now)
+		found := s.findTask(task1(attempt))
+		<-found.done
+		if found.status.State != workerapi.Stopped {
+			t.Fatalf("attempt %d is %s, %d ran", attempt, found.status.State, runs)
+		}
+	}
+}
