Do not take an unclear status of a task for its end

Callers could see a job run twice at the same time beside a target whose answer the agent does not understand: a new kind of progress, an empty one, or none at all.

Cause: each unexpected progress was read as "unknown", which means that the worker does not know the attempt. The agent then reported the attempt as lost without stopping it.

Such an answer is now an error like any other answer that cannot be decoded. The agent asks again, and the attempt ends with an answer that says so, or with its lease.

--- a/internal/workerapi/http.go
+++ b/internal/workerapi/http.go
@@ -84,14 +84,14 @@
 // String returns the state's name in JSON documents.
 func (s State) String() string { return _stateNames[s] }
 
-// ParseState returns the state with the given name, or Unknown.
+// ParseState returns the state with the given name, or 0 if there is none.
 func ParseState(name string) State {
 	for s, n := range _stateNames {
 		if n == name {
 			return s
 		}
 	}
-	return Unknown
+	return 0
 }
 
 // Client calls a worker over HTTP.
@@ -190,8 +190,14 @@
 func (c *Client) Wait(ctx context.Context, id TaskID, wait time.Duration) (Status, error) {
 	path := taskPath(id, "?wait_ms="+strconv.FormatInt(wait.Milliseconds(), 10))
 	var out StatusDocument
-	err := c.call(ctx, _callTimeout+wait, http.MethodGet, path, nil, &out)
-	return Status{State: ParseState(out.State), Code: out.Code, Result: out.Result, Reason: out.Reason}, err
+	if err := c.call(ctx, _callTimeout+wait, http.MethodGet, path, nil, &out); err != nil {
+		return Status{}, err
+	}
+	state := ParseState(out.State)
+	if state == 0 {
+		return Status{}, fault.New(fault.TargetFailed, "the worker answered with the unexpected progress %q", out.State)
+	}
+	return Status{State: state, Code: out.Code, Result: out.Result, Reason: out.Reason}, nil
 }
 
 // Checkpoint implements Worker.
