Check that no emulated task runs twice; ignore orders to lost workers

The emulator took over the ends in the record and checked nothing about what its workers did. A start is now an error of the play if another worker carries out a run of the same task without speculative copies, or if the task is done.

The check showed a fault of the emulator, not of what ships. The policies that are only compared with, first_come and random, place tasks on workers that are down. Such an order was carried out when the worker had returned, under an incarnation that the order did not name, and the task was started elsewhere once the earlier incarnation's runs were recorded as lost.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -41,8 +41,10 @@
 	outcomes  []*outcome
 	store     submission.Store
 	workers   []*worker
-	byName    map[string]*worker // by incarnation
-	runs      map[submission.RunID]*run
+	byName    map[string]*worker        // by incarnation
+	runs      map[submission.RunID]*run // on workers that are up
+	running   map[submission.TaskID]int // number of these runs
+	violation error                     // the first start that must not happen; nil for none
 	failed    map[submission.TaskID]int // failed runs of tasks
 	orderedAt map[submission.RunID]time.Duration
 	ends      []submission.End // reported, not recorded yet
@@ -70,6 +72,9 @@
 			e.recordEnds()
 			e.round()
 		}
+		if e.violation != nil {
+			return Result{}, fmt.Errorf("at %s: %w", e.now, e.violation)
+		}
 		e.score()
 	}
 	return e.result(), nil
@@ -79,7 +84,7 @@
 	e := &emulation{
 		scenario: s, policy: p, noise: rand.New(rand.NewPCG(seed, 2)), epoch: time.Unix(1_700_000_000, 0).UTC(),
 		accepted: make(map[string]*outcome), byName: make(map[string]*worker), runs: make(map[submission.RunID]*run),
-		failed: make(map[submission.TaskID]int), orderedAt: make(map[submission.RunID]time.Duration),
+		running: make(map[submission.TaskID]int), failed: make(map[submission.TaskID]int), orderedAt: make(map[submission.RunID]time.Duration),
 	}
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	serviceImages, batchImages := make([]string, s.Images.Service), make([]string, s.Images.Batch)
@@ -145,7 +150,7 @@
 			w.lostUntil = e.now + l.For + time.Duration(rnd.Int64N(int64(_returnSpread)))
 			e.scheduler.RemoveWorker(w.incarnation)
 			for _, r := range w.runs {
-				delete(e.runs, r.id)
+				e.remove(r)
 			}
 			w.runs = nil
 		}
@@ -224,7 +229,7 @@
 		if saved := r.saved; r.step.Checkpointing && saved > 0 {
 			end.Checkpoint = saved.String()
 		}
-		delete(e.runs, r.id)
+		e.remove(r)
 		e.ends = append(e.ends, end)
 	}
 	w.runs = left
@@ -341,9 +346,14 @@
 	}
 }
 
-// start starts a recorded run on its worker.
+// start orders a recorded run from its worker. An order has no effect on a worker that
+// is down, or that has returned under another incarnation.
 func (e *emulation) start(st submission.Start) {
+	e.orderedAt[st.Run] = e.now
 	w, s := e.byName[st.Worker], e.accepted[st.Run.Task.Submission]
+	if e.now < w.lostUntil || w.incarnation != st.Worker {
+		return
+	}
 	r := &run{
 		id: st.Run, request: s.request, step: &s.request.spec.Steps[st.Run.Task.Step], worker: w, began: e.now + 2*_tick, share: _fullShare, newShare: _fullShare,
 	}
@@ -358,9 +368,32 @@
 	if r.step.LongRunning {
 		r.began = e.now + e.scenario.Services.Startup
 	}
-	w.runs = append(w.runs, r)
-	e.runs[st.Run] = r
-	e.orderedAt[st.Run] = e.now
+	e.add(r, sub)
+}
+
+// add lets a worker carry out a run. It checks that no other worker carries out a
+// run of the same task, whatever the record says, and that the task is not done.
+func (e *emulation) add(r *run, s *submission.Submission) {
+	task := r.id.Task
+	switch {
+	case e.violation != nil:
+	case e.running[task] > 0 && !r.step.Speculative:
+		e.violation = fmt.Errorf("run %d of %s starts on %s beside another run", r.id.Number, task, r.worker.incarnation)
+	case s.Task(task).Done && !r.step.LongRunning:
+		e.violation = fmt.Errorf("run %d of %s starts on %s although the task is done", r.id.Number, task, r.worker.incarnation)
+	}
+	r.worker.runs = append(r.worker.runs, r)
+	e.runs[r.id] = r
+	e.running[task]++
+}
+
+// remove removes a run that has ended from the sums. The caller removes it from its
+// worker.
+func (e *emulation) remove(r *run) {
+	delete(e.runs, r.id)
+	if e.running[r.id.Task]--; e.running[r.id.Task] == 0 {
+		delete(e.running, r.id.Task)
+	}
 }
 
 // stopTime returns the time until an ordered stop takes effect.
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"flag"
 	"os"
 	"reflect"
 	"strings"
@@ -8,6 +9,8 @@
 	"time"
 )
 
+var _seeds = flag.Uint64("seeds", 2, "seeds of the tests that play losses of all kinds")
+
 // smallScenario is a light load without interference.
 func smallScenario() Scenario {
 	return Scenario{
@@ -133,3 +136,22 @@
 		t.Errorf("batch credit %.3f and score %.3f, without exchanges %.3f and %.3f", a.Class, a.Score, b.Class, b.Score)
 	}
 }
+
+// TestNoTaskRunsTwiceBesideLosses plays crashes of workers that return at once or late
+// under the same name, with failures, cancellations and lost controllers. It guards
+// against a task that runs on two workers, or again when it is done.
+func TestNoTaskRunsTwiceBesideLosses(t *testing.T) {
+	s := smallScenario()
+	s.Batch.FailureShare, s.Batch.CancelShare, s.Short.FailureShare = 0.1, 0.1, 0.1
+	s.Losses = []Loss{{Kind: LostControllers, At: 5 * time.Second, For: time.Second}}
+	for at := time.Second; at < s.Length; at += 700 * time.Millisecond {
+		s.Losses = append(s.Losses, Loss{Kind: LostWorkers, At: at, For: time.Millisecond << (at / time.Millisecond % 12), Share: 0.4})
+	}
+	for seed := range *_seeds {
+		for _, p := range Policies {
+			if _, err := Run(&s, p, seed); err != nil {
+				t.Errorf("seed %d, %s: %v", seed, p, err)
+			}
+		}
+	}
+}
