Record the ends of an emulated worker that is lost twice in a row

In experiments, tasks on a worker that was lost again within 100 ms of its return stayed recorded as running for ever, and their submissions counted as failed.

Cause: the worker held one ended incarnation whose runs were to be recorded as lost, and the second loss replaced the first.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -59,7 +59,14 @@
 		return Result{}, err
 	}
 	e := newEmulation(s, p, seed)
-	end := s.Lead + s.Length + s.Drain
+	if err := e.play(); err != nil {
+		return Result{}, err
+	}
+	return e.result(), nil
+}
+
+func (e *emulation) play() error {
+	end := e.scenario.Lead + e.scenario.Length + e.scenario.Drain
 	for e.now < end {
 		e.now += _tick
 		e.takeLosses()
@@ -73,11 +80,11 @@
 			e.round()
 		}
 		if e.violation != nil {
-			return Result{}, fmt.Errorf("at %s: %w", e.now, e.violation)
+			return fmt.Errorf("at %s: %w", e.now, e.violation)
 		}
 		e.score()
 	}
-	return e.result(), nil
+	return nil
 }
 
 func newEmulation(s *Scenario, p Policy, seed uint64) *emulation {
@@ -209,13 +216,15 @@
 	}
 	if w.lostUntil > 0 {
 		w.lostUntil = 0
-		w.before, w.endsAt = w.incarnation, e.now+_lossDelay
+		w.before, w.endsAt = append(w.before, w.incarnation), e.now+_lossDelay
 		e.startWorker(w)
 		w.nextReport = e.now
 	}
-	if w.before != "" && e.now >= w.endsAt {
-		e.endRunsOf(w.before)
-		w.before = ""
+	if e.now >= w.endsAt {
+		for _, incarnation := range w.before {
+			e.endRunsOf(incarnation)
+		}
+		w.before = nil
 	}
 	w.step(e.scenario, e.truth, e.now, _tick)
 	left := w.runs[:0]
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -149,8 +149,15 @@
 	}
 	for seed := range *_seeds {
 		for _, p := range Policies {
-			if _, err := Run(&s, p, seed); err != nil {
+			e := newEmulation(&s, p, seed)
+			if err := e.play(); err != nil {
 				t.Errorf("seed %d, %s: %v", seed, p, err)
+				continue
+			}
+			for _, name := range e.store.Incarnations() {
+				if w := e.byName[name]; w.incarnation != name {
+					t.Errorf("seed %d, %s: %d runs of %s are never recorded as lost", seed, p, len(e.store.Usage(name).Runs), name)
+				}
 			}
 		}
 	}
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -85,7 +85,7 @@
 	rack        string
 	capacity    submission.Resources
 	lostUntil   time.Duration
-	before      string        // incarnation whose runs are not yet recorded as lost; empty for none
+	before      []string      // ended incarnations whose runs are not yet recorded as lost
 	endsAt      time.Duration // when they are recorded
 	runs        []*run
 	pacer       pacing.Pacer
