Emulate late orders, which may meet the next incarnation of a worker

A scenario can hold back the orders to a share of the workers for a while (losses of kind "orders"). The orders then arrive at a worker that may have crashed and returned in the meantime. Lost answers are not emulated: the emulator has no answers to orders.

Without late orders, the test passed for the policies that ship although workers carried out orders that named an earlier incarnation.

--- a/internal/emulator/document.go
+++ b/internal/emulator/document.go
@@ -96,7 +96,7 @@
 	Share float64       `json:"share"`
 }
 
-var _lossKinds = map[string]LossKind{"workers": LostWorkers, "controllers": LostControllers}
+var _lossKinds = map[string]LossKind{"workers": LostWorkers, "controllers": LostControllers, "orders": LateOrders}
 
 // ParseScenario decodes a scenario. It rejects unknown fields.
 func ParseScenario(data []byte) (Scenario, error) {
@@ -118,7 +118,7 @@
 	for i, l := range d.Losses {
 		k, ok := _lossKinds[l.Kind]
 		if !ok {
-			return s, fmt.Errorf("loss %d: found kind %q, allowed are workers and controllers", i, l.Kind)
+			return s, fmt.Errorf("loss %d: found kind %q, allowed are workers, controllers and orders", i, l.Kind)
 		}
 		s.Losses = append(s.Losses, Loss{Kind: k, At: time.Duration(l.At), For: time.Duration(l.For), Share: l.Share})
 	}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -142,18 +142,22 @@
 	return false
 }
 
-// takeLosses takes workers away whose loss begins now. Their runs end; the leader
-// learns of it when the lease has expired.
+// takeLosses takes workers and orders away whose loss begins now. The runs of the workers
+// end; the leader learns of it when the lease has expired.
 func (e *emulation) takeLosses() {
 	for i, l := range e.scenario.Losses {
 		at := e.scenario.Lead + l.At
-		if l.Kind != LostWorkers || e.now < at || e.now >= at+_tick {
+		if l.Kind == LostControllers || e.now < at || e.now >= at+_tick {
 			continue
 		}
 		rnd := rand.New(rand.NewPCG(uint64(i), 3))
 		order := rnd.Perm(len(e.workers))
 		for _, n := range order[:int(l.Share*float64(len(order)))] {
 			w := e.workers[n]
+			if l.Kind == LateOrders {
+				w.lateUntil = max(w.lateUntil, e.now+l.For)
+				continue
+			}
 			w.lostUntil = e.now + l.For + time.Duration(rnd.Int64N(int64(_returnSpread)))
 			e.scheduler.RemoveWorker(w.incarnation)
 			for _, r := range w.runs {
@@ -220,6 +224,12 @@
 		e.startWorker(w)
 		w.nextReport = e.now
 	}
+	if e.now >= w.lateUntil {
+		for _, st := range w.late {
+			e.carryOut(w, st)
+		}
+		w.late = nil
+	}
 	if e.now >= w.endsAt {
 		for _, incarnation := range w.before {
 			e.endRunsOf(incarnation)
@@ -355,18 +365,33 @@
 	}
 }
 
-// start orders a recorded run from its worker. An order has no effect on a worker that
-// is down, or that has returned under another incarnation.
+// start orders a recorded run from its worker.
 func (e *emulation) start(st submission.Start) {
 	e.orderedAt[st.Run] = e.now
-	w, s := e.byName[st.Worker], e.accepted[st.Run.Task.Submission]
+	w := e.byName[st.Worker]
+	if e.now < w.lateUntil {
+		w.late = append(w.late, st)
+		return
+	}
+	e.carryOut(w, st)
+}
+
+// carryOut starts an ordered run on its worker. An order has no effect on a worker that
+// is down, or that has returned under another incarnation. A run that has been stopped
+// before its order arrived ends at once.
+func (e *emulation) carryOut(w *worker, st submission.Start) {
 	if e.now < w.lostUntil || w.incarnation != st.Worker {
 		return
 	}
+	s := e.accepted[st.Run.Task.Submission]
 	r := &run{
 		id: st.Run, request: s.request, step: &s.request.spec.Steps[st.Run.Task.Step], worker: w, began: e.now + 2*_tick, share: _fullShare, newShare: _fullShare,
 	}
 	sub, _ := e.store.Submission(st.Run.Task.Submission)
+	if sub.State.Ended() {
+		e.ends = append(e.ends, submission.End{Run: st.Run, Worker: st.Worker, Reason: submission.Stopped})
+		return
+	}
 	if saved, err := time.ParseDuration(sub.Task(st.Run.Task).Checkpoint); err == nil {
 		r.done, r.saved = saved, saved
 		r.began += _restoreTime
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -138,14 +138,17 @@
 }
 
 // TestNoTaskRunsTwiceBesideLosses plays crashes of workers that return at once or late
-// under the same name, with failures, cancellations and lost controllers. It guards
-// against a task that runs on two workers, or again when it is done.
+// under the same name, with late orders, failures, cancellations and lost controllers. It
+// guards against a task that runs on two workers, or again when it is done.
 func TestNoTaskRunsTwiceBesideLosses(t *testing.T) {
 	s := smallScenario()
 	s.Batch.FailureShare, s.Batch.CancelShare, s.Short.FailureShare = 0.1, 0.1, 0.1
 	s.Losses = []Loss{{Kind: LostControllers, At: 5 * time.Second, For: time.Second}}
 	for at := time.Second; at < s.Length; at += 700 * time.Millisecond {
-		s.Losses = append(s.Losses, Loss{Kind: LostWorkers, At: at, For: time.Millisecond << (at / time.Millisecond % 12), Share: 0.4})
+		s.Losses = append(s.Losses,
+			Loss{Kind: LateOrders, At: at - 200*time.Millisecond, For: 1500 * time.Millisecond, Share: 0.4},
+			Loss{Kind: LostWorkers, At: at, For: time.Millisecond << (at / time.Millisecond % 12), Share: 0.4},
+		)
 	}
 	for seed := range *_seeds {
 		for _, p := range Policies {
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -113,9 +113,12 @@
 	LostWorkers LossKind = iota + 1
 	// LostControllers take no submissions and place no tasks.
 	LostControllers
+	// LateOrders reach their workers only when the loss is over.
+	LateOrders
 )
 
-// Loss takes a share of the workers, or the controllers, away for a while.
+// Loss takes a share of the workers or of their orders, or the controllers, away for a
+// while.
 type Loss struct {
 	Kind  LossKind
 	At    time.Duration // after the start of the load
@@ -138,7 +141,7 @@
 		return fmt.Errorf("rates must not be negative")
 	}
 	for i, l := range s.Losses {
-		if l.Kind != LostWorkers && l.Kind != LostControllers {
+		if l.Kind < LostWorkers || l.Kind > LateOrders {
 			return fmt.Errorf("loss %d: the kind is unknown", i)
 		}
 		if l.Share < 0 || l.Share > 1 || l.At < 0 || l.For <= 0 {
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -85,8 +85,10 @@
 	rack        string
 	capacity    submission.Resources
 	lostUntil   time.Duration
-	before      []string      // ended incarnations whose runs are not yet recorded as lost
-	endsAt      time.Duration // when they are recorded
+	before      []string           // ended incarnations whose runs are not yet recorded as lost
+	endsAt      time.Duration      // when they are recorded
+	lateUntil   time.Duration      // when late orders arrive
+	late        []submission.Start // orders on their way
 	runs        []*run
 	pacer       pacing.Pacer
 	nextList    time.Duration
