Let a worker reject orders of earlier sessions

Callers of one-step jobs could see a job run twice at the same time after a restart of an agent or of its target, as long as the lease of the earlier attempt lasted, and beside a target that had restarted for longer.

Cause: an agent that starts stops all tasks, and its announcement then ends the earlier attempts. Nothing kept the worker from carrying out a start of the earlier agent after that: one that came late, or one of an agent that still ran and had not heard of its successor. And the lease in a start is a time of the worker's clock, which starts anew with the process: a start that met the next process had a lease that ended an hour late if the earlier process had run for an hour, until the next renewal corrected it. If the agent froze or was cut off before that, the task ran on beside the next attempt.

No trace of a caller shows these paths.

Stopping all tasks now begins a session, and a worker accepts starts and renewals of its present session only. The lease keeps the session in which the worker's clock was read, so that an end and its clock stay together. An agent whose session has ended begins the next one, unless a newer agent has begun one: then it ends its work and starts nothing more. A worker without sessions is treated as before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -41,6 +41,10 @@
 	_maxSyncDuration   = 5 * time.Second         // after which a renewal is restarted with current state
 )
 
+// _sessionGap separates the sessions of two agents. It is more than the number of
+// sessions that one agent begins.
+const _sessionGap = 1_000_000_000
+
 // Agent is one running agent.
 type Agent struct {
 	cfg              settings.Agent
@@ -63,6 +67,9 @@
 	cancel             context.CancelFunc
 	listener           net.Listener
 	syncRequested      chan struct{} // buffer of one; requests an immediate renewal
+	session            uint64        // latest session of the worker that this agent has begun; owned by syncLoop
+	sessionEnded       bool          // the worker has restarted, or another agent has begun a session; owned by syncLoop
+	joined             bool          // the target has been announced; owned by syncLoop
 	targetUnresponsive bool          // owned by syncLoop
 	departureAnnounced atomic.Bool   // entry instances have had time to learn of the departure
 }
@@ -83,6 +90,7 @@
 		syncRequested: make(chan struct{}, 1),
 	}
 	a.agentIncarnation.Store(uint64(now.UnixNano()))
+	a.session = a.agentIncarnation.Load()
 	l, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
 		return nil, fault.Wrap(fault.BadSettings, err, "listen on %s", cfg.Address)
@@ -140,8 +148,10 @@
 	if !a.stopStaleTasks(ctx) {
 		return
 	}
-	joined := false
 	for ctx.Err() == nil {
+		if a.sessionEnded && !a.stopStaleTasks(ctx) {
+			return
+		}
 		if a.lease.hasExpired(clock.Now()) {
 			a.log.Emit(event.LeaseExpired, nil, "leases expired without renewal; stopping all tasks")
 			a.tasks.cancelAll()
@@ -165,17 +175,16 @@
 			}
 			continue
 		}
-		if reply.GetSuperseded() && !joined {
+		if reply.GetSuperseded() && !a.joined {
 			a.succeed(reply.GetRegisteredIncarnation())
 			continue
 		}
-		if !joined {
-			joined = true
+		if !a.joined {
+			a.joined = true
 			a.log.Emit(event.AgentJoined, event.Fields{"worker": a.cfg.ID, "incarnation": a.agentIncarnation.Load()}, "target announced")
 		}
 		if reply.GetSuperseded() {
-			a.log.Emit(event.TaskFailed, event.Fields{"worker": a.cfg.ID}, "newer agent incarnation of this worker is registered; admitting no more work")
-			a.gate.setClosing(true)
+			a.endDuty()
 			return
 		}
 		a.applyOrders(ctx, reply)
@@ -183,13 +192,33 @@
 	}
 }
 
+// endDuty ends this agent's work in favour of a newer agent of the same worker. Tasks
+// that it has not started yet must not start any more.
+func (a *Agent) endDuty() {
+	a.log.Emit(event.TaskFailed, event.Fields{"worker": a.cfg.ID}, "newer agent incarnation of this worker is registered; admitting no more work")
+	a.tasks.cancelAll()
+	a.gate.setClosing(true)
+}
+
 // stopStaleTasks stops all tasks on the worker: tasks that an earlier agent left
 // running, or tasks of an expired lease. It retries until the worker has stopped
-// the tasks. The agent announces nothing before that, because its announcement
-// means to the controllers that the earlier attempts have ended. stopStaleTasks
-// returns false if the context ends first.
+// the tasks and rejects late starts of them. The agent announces nothing before
+// that, because its announcement means to the controllers that the earlier attempts
+// have ended. stopStaleTasks returns false if the context ends first, or if a newer
+// agent has begun a session.
 func (a *Agent) stopStaleTasks(ctx context.Context) bool {
-	for a.worker.StopAll(ctx) != nil || !a.renewWorkerLeases(ctx) {
+	for {
+		present, ok := a.beginSession(ctx)
+		if ok && a.renewWorkerLeases(ctx) {
+			return true
+		}
+		if a.joined && present > a.session {
+			a.endDuty()
+			return false
+		}
+		if present > a.session {
+			a.session = present + _sessionGap
+		}
 		if !a.targetUnresponsive {
 			a.targetUnresponsive = true
 			a.log.Emit(event.TargetSilent, nil, "target does not answer; not announced; retrying")
@@ -198,7 +227,20 @@
 			return false
 		}
 	}
-	return true
+}
+
+// beginSession stops all tasks on the worker and begins a session, unless the worker
+// is already in a later one, which present then is. The worker's clock is known again
+// from the answer.
+func (a *Agent) beginSession(ctx context.Context) (present uint64, ok bool) {
+	a.session++
+	workerClock, present, err := a.worker.StopAll(ctx, a.session)
+	if err != nil || present > a.session {
+		return present, false
+	}
+	a.sessionEnded = false
+	a.lease.recordWorkerClock(workerClock, a.session, clock.Now())
+	return present, true
 }
 
 var (
@@ -279,26 +321,25 @@
 // renewWorkerLeases sends the lease end to the worker and reads the worker's
 // clock. It reports whether the worker answered.
 func (a *Agent) renewWorkerLeases(ctx context.Context) bool {
-	var workerClock time.Duration
-	var err error
-	ids := a.tasks.list()
-	if leaseEnd, ok := a.lease.endOnWorkerClock(clock.Now()); ok && len(ids) > 0 {
-		workerClock, err = a.worker.Renew(ctx, ids, leaseEnd)
-	} else {
-		workerClock, err = a.worker.Clock(ctx)
+	leaseEnd, session, ok := a.lease.endOnWorkerClock(clock.Now())
+	var ids []workerapi.TaskID
+	if ok {
+		ids = a.tasks.list()
 	}
+	workerClock, err := a.worker.Renew(ctx, session, ids, leaseEnd)
 	if err != nil {
 		if !a.targetUnresponsive && ctx.Err() == nil {
 			a.log.Emit(event.TargetSilent, event.Fields{"error": err.Error()}, "target does not answer; leases not renewed")
 		}
 		a.targetUnresponsive = true
+		a.sessionEnded = fault.CodeOf(err) == fault.StaleWorker
 		return false
 	}
 	if a.targetUnresponsive {
 		a.log.Emit(event.TargetBack, nil, "target answers again")
 	}
 	a.targetUnresponsive = false
-	a.lease.recordWorkerClock(workerClock, clock.Now())
+	a.lease.recordWorkerClock(workerClock, session, clock.Now())
 	return true
 }
 
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -13,6 +13,7 @@
 	end                   time.Time     // on the clock of package clock, which also counts suspensions; zero before the first renewal
 	workerClock           time.Duration // the worker's clock, read before workerClockReceivedAt
 	workerClockReceivedAt time.Time
+	session               uint64 // of the worker, in which its clock was read
 }
 
 // recordRenewal extends the lease after a renewal that was sent at the given
@@ -26,25 +27,26 @@
 }
 
 // recordWorkerClock records the worker's clock from an answer that was received
-// at the given time.
-func (l *lease) recordWorkerClock(clock time.Duration, at time.Time) {
+// at the given time in a session of the worker.
+func (l *lease) recordWorkerClock(clock time.Duration, session uint64, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.workerClock = clock
+	l.workerClock, l.session = clock, session
 	l.workerClockReceivedAt = at
 }
 
-// endOnWorkerClock returns the end of the lease on the worker's clock. ok is
-// false if the lease has expired or the worker's clock is unknown.
-func (l *lease) endOnWorkerClock(now time.Time) (leaseEnd time.Duration, ok bool) {
+// endOnWorkerClock returns the end of the lease on the worker's clock, and the
+// session in which the clock was read. ok is false if the lease has expired or the
+// worker's clock is unknown.
+func (l *lease) endOnWorkerClock(now time.Time) (leaseEnd time.Duration, session uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.workerClockReceivedAt.IsZero() || !now.Before(l.end) {
-		return 0, false
+		return 0, l.session, false
 	}
 	// The worker read its clock before the answer was received, so the result is
 	// at or before the true end.
-	return l.workerClock + l.end.Sub(l.workerClockReceivedAt), true
+	return l.workerClock + l.end.Sub(l.workerClockReceivedAt), l.session, true
 }
 
 // hasExpired reports whether the lease has expired. It returns false before the
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -181,12 +181,12 @@
 func (a *Agent) startTask(ctx context.Context, t *runningTask, as *pb.Assignment) error {
 	deadline := time.Now().Add(_startTimeout)
 	for {
-		leaseEnd, ok := a.lease.endOnWorkerClock(clock.Now())
+		leaseEnd, session, ok := a.lease.endOnWorkerClock(clock.Now())
 		if !ok {
 			return fault.New(fault.StaleAttempt, "the lease expired before the task was started")
 		}
 		_, err := a.worker.Start(ctx, workerapi.Task{
-			ID: t.id, Target: as.GetTarget(), Body: as.GetBody(), Checkpoint: as.GetCheckpoint(), LeaseEnd: leaseEnd,
+			ID: t.id, Target: as.GetTarget(), Body: as.GetBody(), Checkpoint: as.GetCheckpoint(), LeaseEnd: leaseEnd, Session: session,
 		})
 		if err == nil || time.Now().After(deadline) || ctx.Err() != nil {
 			return err
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -141,9 +141,23 @@
 	return workerapi.TaskID{Job: web.PathValue(r, "job"), Attempt: uint32(n)}, nil
 }
 
+var errBadSession = errors.New("the session is not an unsigned 64-bit number")
+
+func sessionOf(r *http.Request) (uint64, error) {
+	n, err := strconv.ParseUint(r.URL.Query().Get("session"), 10, 64)
+	if err != nil {
+		return 0, errBadSession
+	}
+	return n, nil
+}
+
 func (t *Target) startTask(w http.ResponseWriter, r *http.Request) {
 	id, err := taskID(r)
 	var doc workerapi.StartDocument
+	var session uint64
+	if err == nil {
+		session, err = sessionOf(r)
+	}
 	if err == nil {
 		err = json.UnmarshalRead(r.Body, &doc)
 	}
@@ -152,8 +166,8 @@
 		return
 	}
 	leaseEnd := time.Duration(doc.LeaseEndMS) * time.Millisecond
-	if !t.store.startTask(id, doc.Body, doc.Checkpoint, leaseEnd, time.Now()) {
-		web.WriteFault(w, fault.New(fault.StaleAttempt, "a later attempt of the job was started"))
+	if err := t.store.startTask(session, id, doc.Body, doc.Checkpoint, leaseEnd, time.Now()); err != nil {
+		web.WriteFault(w, err)
 		return
 	}
 	t.writeClock(w)
@@ -220,14 +234,25 @@
 	}
 }
 
-func (t *Target) stopAllTasks(w http.ResponseWriter, _ *http.Request) {
-	t.store.stopAllTasks()
-	t.writeClock(w)
+func (t *Target) stopAllTasks(w http.ResponseWriter, r *http.Request) {
+	session, err := sessionOf(r)
+	if err != nil {
+		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
+		return
+	}
+	present := t.store.stopAllTasks(session)
+	web.WriteJSON(w, http.StatusOK, workerapi.SessionDocument{
+		ClockMS: t.store.clock(time.Now()).Milliseconds(), Session: strconv.FormatUint(present, 10),
+	})
 }
 
 func (t *Target) renewLeases(w http.ResponseWriter, r *http.Request) {
 	var doc workerapi.RenewDocument
-	if err := json.UnmarshalRead(r.Body, &doc); err != nil {
+	session, err := sessionOf(r)
+	if err == nil {
+		err = json.UnmarshalRead(r.Body, &doc)
+	}
+	if err != nil {
 		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
 		return
 	}
@@ -235,7 +260,10 @@
 	for _, d := range doc.Tasks {
 		ids = append(ids, workerapi.TaskID(d))
 	}
-	t.store.renewLeases(ids, time.Duration(doc.LeaseEndMS)*time.Millisecond, time.Now())
+	if err := t.store.renewLeases(session, ids, time.Duration(doc.LeaseEndMS)*time.Millisecond, time.Now()); err != nil {
+		web.WriteFault(w, err)
+		return
+	}
 	t.writeClock(w)
 }
 
--- a/internal/sample/tasks.go
+++ b/internal/sample/tasks.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-json-experiment/json"
 
+	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/workerapi"
 )
 
@@ -51,6 +52,7 @@
 // of its work.
 type store struct {
 	mu         sync.Mutex
+	session    uint64           // in which starts and renewals are accepted; 0 for none yet
 	tasks      map[string]*task // latest attempt of each job
 	clockStart time.Time        // zero of the worker's clock
 	nextRun    func() int64     // returns the number of the next run
@@ -62,14 +64,24 @@
 
 func (s *store) clock(now time.Time) time.Duration { return now.Sub(s.clockStart) }
 
-// startTask starts a task, unless the same or a later attempt of the job exists.
-// It reports whether the task is the latest attempt of its job.
-func (s *store) startTask(id workerapi.TaskID, body, checkpoint []byte, leaseEnd time.Duration, now time.Time) bool {
+// errSessionEnded rejects orders of a session that has ended.
+var errSessionEnded = fault.New(fault.StaleWorker, "the session has ended")
+
+// startTask starts a task, unless the same attempt of the job exists. The error is
+// StaleAttempt if a later attempt exists, and StaleWorker if the session is not the
+// present one.
+func (s *store) startTask(session uint64, id workerapi.TaskID, body, checkpoint []byte, leaseEnd time.Duration, now time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if session != s.session {
+		return errSessionEnded
+	}
 	if old, ok := s.tasks[id.Job]; ok {
-		if old.id.Attempt >= id.Attempt {
-			return old.id.Attempt == id.Attempt
+		if old.id.Attempt > id.Attempt {
+			return fault.New(fault.StaleAttempt, "a later attempt of the job was started")
+		}
+		if old.id.Attempt == id.Attempt {
+			return nil
 		}
 		s.endTask(old, workerapi.Status{State: workerapi.Stopped, Reason: "a later attempt was started"})
 	}
@@ -86,7 +98,7 @@
 	if leaseEnd <= s.clock(now) {
 		s.endTask(t, workerapi.Status{State: workerapi.Stopped, Reason: "the lease had expired"})
 	}
-	return true
+	return nil
 }
 
 // endTask ends a task with the outcome, unless it has ended before. The caller
@@ -137,14 +149,18 @@
 	return t
 }
 
-func (s *store) renewLeases(ids []workerapi.TaskID, leaseEnd time.Duration, now time.Time) {
+func (s *store) renewLeases(session uint64, ids []workerapi.TaskID, leaseEnd time.Duration, now time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if session != s.session {
+		return errSessionEnded
+	}
 	for _, id := range ids {
 		if t, ok := s.tasks[id.Job]; ok && t.id == id && t.status.State == 0 {
 			t.leaseTimer.Reset(leaseEnd - s.clock(now))
 		}
 	}
+	return nil
 }
 
 // checkpointTask returns the work done so far in milliseconds.
@@ -174,12 +190,19 @@
 	return checkpoint
 }
 
-func (s *store) stopAllTasks() {
+// stopAllTasks ends all tasks and begins a session, unless a later one has begun. It
+// returns the present session.
+func (s *store) stopAllTasks(session uint64) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if session < s.session {
+		return s.session
+	}
+	s.session = session
 	for _, t := range s.tasks {
 		s.endTask(t, workerapi.Status{State: workerapi.Stopped, Reason: "all tasks were stopped"})
 	}
+	return s.session
 }
 
 // runningTasks returns the identifiers of the running tasks.
--- a/internal/workerapi/http.go
+++ b/internal/workerapi/http.go
@@ -55,6 +55,12 @@
 	ClockMS int64 `json:"clock_ms"`
 }
 
+// SessionDocument is the JSON form of the answer to an order to stop all tasks.
+type SessionDocument struct {
+	ClockMS int64  `json:"clock_ms"`
+	Session string `json:"session"` // decimal number; empty for a worker without sessions
+}
+
 // StatusDocument is the JSON form of a task's status.
 type StatusDocument struct {
 	State  string `json:"progress"`
@@ -142,6 +148,9 @@
 	if err != nil {
 		return fault.Wrap(fault.TargetFailed, err, "read the worker's answer")
 	}
+	if resp.StatusCode == http.StatusConflict {
+		return fault.New(fault.StaleWorker, "the worker rejected the call as outdated: %s", bytes.TrimSpace(data))
+	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return fault.New(fault.TargetFailed, "the worker answered with status %d: %s", resp.StatusCode, bytes.TrimSpace(data))
 	}
@@ -156,6 +165,8 @@
 
 func workerClock(d ClockDocument) time.Duration { return time.Duration(d.ClockMS) * time.Millisecond }
 
+func sessionQuery(session uint64) string { return "?session=" + strconv.FormatUint(session, 10) }
+
 func taskPath(id TaskID, suffix string) string {
 	return fmt.Sprintf("/tasks/%s/%d%s", id.Job, id.Attempt, suffix)
 }
@@ -171,18 +182,18 @@
 func (c *Client) Start(ctx context.Context, t Task) (time.Duration, error) {
 	in := StartDocument{Target: t.Target, Body: t.Body, Checkpoint: t.Checkpoint, LeaseEndMS: t.LeaseEnd.Milliseconds()}
 	var out ClockDocument
-	err := c.call(ctx, _callTimeout, http.MethodPut, taskPath(t.ID, ""), in, &out)
+	err := c.call(ctx, _callTimeout, http.MethodPut, taskPath(t.ID, sessionQuery(t.Session)), in, &out)
 	return workerClock(out), err
 }
 
 // Renew implements Worker.
-func (c *Client) Renew(ctx context.Context, ids []TaskID, leaseEnd time.Duration) (time.Duration, error) {
+func (c *Client) Renew(ctx context.Context, session uint64, ids []TaskID, leaseEnd time.Duration) (time.Duration, error) {
 	in := RenewDocument{LeaseEndMS: leaseEnd.Milliseconds()}
 	for _, id := range ids {
 		in.Tasks = append(in.Tasks, TaskDocument(id))
 	}
 	var out ClockDocument
-	err := c.call(ctx, _callTimeout, http.MethodPost, "/renew", in, &out)
+	err := c.call(ctx, _callTimeout, http.MethodPost, "/renew"+sessionQuery(session), in, &out)
 	return workerClock(out), err
 }
 
@@ -220,8 +231,17 @@
 }
 
 // StopAll implements Worker.
-func (c *Client) StopAll(ctx context.Context) error {
-	return c.call(ctx, _callTimeout, http.MethodDelete, "/tasks", nil, nil)
+func (c *Client) StopAll(ctx context.Context, session uint64) (clock time.Duration, present uint64, err error) {
+	var out SessionDocument
+	if err := c.call(ctx, _callTimeout, http.MethodDelete, "/tasks"+sessionQuery(session), nil, &out); err != nil {
+		return 0, 0, err
+	}
+	if out.Session != "" {
+		if present, err = strconv.ParseUint(out.Session, 10, 64); err != nil {
+			return 0, 0, fault.Wrap(fault.TargetFailed, err, "decode the worker's session")
+		}
+	}
+	return workerClock(ClockDocument{ClockMS: out.ClockMS}), present, nil
 }
 
 // Usage implements Worker.
--- a/internal/workerapi/workerapi.go
+++ b/internal/workerapi/workerapi.go
@@ -5,6 +5,10 @@
 // which the worker reports in its answers. The agent computes the instant from
 // an earlier answer, so a renewal that is delayed in transit never extends a
 // lease beyond what the controllers granted.
+//
+// An agent begins a session when it stops all tasks. A worker rejects starts and
+// renewals of any other session: they may come late, or from an agent that has
+// been succeeded, or name a time of the clock of an earlier worker process.
 package workerapi
 
 import (
@@ -25,6 +29,7 @@
 	Body       []byte
 	Checkpoint []byte        // where to resume; empty to start from the beginning
 	LeaseEnd   time.Duration // lease end on the worker's clock
+	Session    uint64        // in which the worker's clock was read
 }
 
 // State is a task's place in its life cycle.
@@ -68,8 +73,9 @@
 	// Start starts a task. Starting an attempt again has no effect; an attempt
 	// older than the latest attempt of its job is rejected.
 	Start(ctx context.Context, t Task) (time.Duration, error)
-	// Renew sets the lease end of the tasks.
-	Renew(ctx context.Context, ids []TaskID, leaseEnd time.Duration) (time.Duration, error)
+	// Renew sets the lease end of the tasks. The error is StaleWorker if the worker
+	// is in another session.
+	Renew(ctx context.Context, session uint64, ids []TaskID, leaseEnd time.Duration) (time.Duration, error)
 	// Wait returns a task's status when the task has ended, or after the given
 	// time.
 	Wait(ctx context.Context, id TaskID, wait time.Duration) (Status, error)
@@ -80,8 +86,10 @@
 	// Stop ends a task and returns its checkpoint. Once Stop has returned
 	// without an error, the task does not run.
 	Stop(ctx context.Context, id TaskID) ([]byte, error)
-	// StopAll ends all tasks of the worker, including those of earlier agents.
-	StopAll(ctx context.Context) error
+	// StopAll ends all tasks of the worker, including those of earlier agents, and
+	// begins a session. It has no effect if the worker is in a later session, which
+	// it then returns as present. A worker without sessions returns 0.
+	StopAll(ctx context.Context, session uint64) (clock time.Duration, present uint64, err error)
 	// Usage returns the recent resource usage of all tasks.
 	Usage(ctx context.Context) ([]Usage, error)
 }
