--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -92,8 +92,7 @@
 	case state.DrainWorker:
 		s.wakeWorker(c.ID)
 	case state.RetireWorker:
-		delete(s.retiring, c.ID)
-		delete(s.renewals, c.ID)
+		s.forget(c.ID, c.AgentIncarnation)
 	}
 	if r.Job == "" {
 		return
@@ -111,6 +110,18 @@
 	}
 }
 
+// forget discards the soft state of one agent incarnation. The retirement of an
+// earlier incarnation may be applied, or repeated, when the next one has already
+// renewed its lease.
+func (s *scheduler) forget(id string, agentIncarnation uint64) {
+	if s.retiring[id] == agentIncarnation {
+		delete(s.retiring, id)
+	}
+	if s.renewals[id].agentIncarnation == agentIncarnation {
+		delete(s.renewals, id)
+	}
+}
+
 func (s *scheduler) wakeWorker(id string) {
 	if w, ok := s.workerWaiters[id]; ok {
 		close(w)
@@ -202,13 +213,24 @@
 }
 
 // recordRenewal records an agent's lease renewal. It returns false if this
-// controller cannot be sure that it leads.
+// controller cannot be sure that it leads, or if the agent is no longer
+// registered or about to be retired: the log may then already end attempts that
+// the reply would assign. It records nothing for a superseded agent, whose reply
+// grants no lease.
 func (c *Core) recordRenewal(now time.Time, in *pb.SyncRequest) bool {
-	if c.diskErr != nil || !c.replica.HoldsLease(now) {
+	id, agentIncarnation := in.GetWorker().GetId(), in.GetWorker().GetIncarnation()
+	w, ok := c.machine.Workers().Worker(id)
+	if c.diskErr != nil || !c.replica.HoldsLease(now) || !ok || w.AgentIncarnation < agentIncarnation {
+		return false
+	}
+	if w.AgentIncarnation > agentIncarnation {
+		return true
+	}
+	if c.sched.retiring[id] == agentIncarnation {
 		return false
 	}
-	c.sched.renewals[in.GetWorker().GetId()] = renewal{
-		agentIncarnation: in.GetWorker().GetIncarnation(),
+	c.sched.renewals[id] = renewal{
+		agentIncarnation: agentIncarnation,
 		at:               now,
 		load:             in.GetLoad(),
 		revision:         in.GetRevision(),
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -41,8 +41,10 @@
 	outcomes  []*outcome
 	store     submission.Store
 	workers   []*worker
-	byName    map[string]*worker // by incarnation
-	runs      map[submission.RunID]*run
+	byName    map[string]*worker        // by incarnation
+	runs      map[submission.RunID]*run // on workers that are up
+	running   map[submission.TaskID]int // number of these runs
+	violation error                     // the first start that must not happen; nil for none
 	failed    map[submission.TaskID]int // failed runs of tasks
 	orderedAt map[submission.RunID]time.Duration
 	ends      []submission.End // reported, not recorded yet
@@ -57,7 +59,14 @@
 		return Result{}, err
 	}
 	e := newEmulation(s, p, seed)
-	end := s.Lead + s.Length + s.Drain
+	if err := e.play(); err != nil {
+		return Result{}, err
+	}
+	return e.result(), nil
+}
+
+func (e *emulation) play() error {
+	end := e.scenario.Lead + e.scenario.Length + e.scenario.Drain
 	for e.now < end {
 		e.now += _tick
 		e.takeLosses()
@@ -70,16 +79,19 @@
 			e.recordEnds()
 			e.round()
 		}
+		if e.violation != nil {
+			return fmt.Errorf("at %s: %w", e.now, e.violation)
+		}
 		e.score()
 	}
-	return e.result(), nil
+	return nil
 }
 
 func newEmulation(s *Scenario, p Policy, seed uint64) *emulation {
 	e := &emulation{
 		scenario: s, policy: p, noise: rand.New(rand.NewPCG(seed, 2)), epoch: time.Unix(1_700_000_000, 0).UTC(),
 		accepted: make(map[string]*outcome), byName: make(map[string]*worker), runs: make(map[submission.RunID]*run),
-		failed: make(map[submission.TaskID]int), orderedAt: make(map[submission.RunID]time.Duration),
+		running: make(map[submission.TaskID]int), failed: make(map[submission.TaskID]int), orderedAt: make(map[submission.RunID]time.Duration),
 	}
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	serviceImages, batchImages := make([]string, s.Images.Service), make([]string, s.Images.Batch)
@@ -130,22 +142,26 @@
 	return false
 }
 
-// takeLosses takes workers away whose loss begins now. Their runs end; the leader
-// learns of it when the lease has expired.
+// takeLosses takes workers and orders away whose loss begins now. The runs of the workers
+// end; the leader learns of it when the lease has expired.
 func (e *emulation) takeLosses() {
 	for i, l := range e.scenario.Losses {
 		at := e.scenario.Lead + l.At
-		if l.Kind != LostWorkers || e.now < at || e.now >= at+_tick {
+		if l.Kind == LostControllers || e.now < at || e.now >= at+_tick {
 			continue
 		}
 		rnd := rand.New(rand.NewPCG(uint64(i), 3))
 		order := rnd.Perm(len(e.workers))
 		for _, n := range order[:int(l.Share*float64(len(order)))] {
 			w := e.workers[n]
+			if l.Kind == LateOrders {
+				w.lateUntil = max(w.lateUntil, e.now+l.For)
+				continue
+			}
 			w.lostUntil = e.now + l.For + time.Duration(rnd.Int64N(int64(_returnSpread)))
 			e.scheduler.RemoveWorker(w.incarnation)
 			for _, r := range w.runs {
-				delete(e.runs, r.id)
+				e.remove(r)
 			}
 			w.runs = nil
 		}
@@ -204,13 +220,21 @@
 	}
 	if w.lostUntil > 0 {
 		w.lostUntil = 0
-		w.before, w.endsAt = w.incarnation, e.now+_lossDelay
+		w.before, w.endsAt = append(w.before, w.incarnation), e.now+_lossDelay
 		e.startWorker(w)
 		w.nextReport = e.now
 	}
-	if w.before != "" && e.now >= w.endsAt {
-		e.endRunsOf(w.before)
-		w.before = ""
+	if e.now >= w.lateUntil {
+		for _, st := range w.late {
+			e.carryOut(w, st)
+		}
+		w.late = nil
+	}
+	if e.now >= w.endsAt {
+		for _, incarnation := range w.before {
+			e.endRunsOf(incarnation)
+		}
+		w.before = nil
 	}
 	w.step(e.scenario, e.truth, e.now, _tick)
 	left := w.runs[:0]
@@ -224,7 +248,7 @@
 		if saved := r.saved; r.step.Checkpointing && saved > 0 {
 			end.Checkpoint = saved.String()
 		}
-		delete(e.runs, r.id)
+		e.remove(r)
 		e.ends = append(e.ends, end)
 	}
 	w.runs = left
@@ -341,13 +365,33 @@
 	}
 }
 
-// start starts a recorded run on its worker.
+// start orders a recorded run from its worker.
 func (e *emulation) start(st submission.Start) {
-	w, s := e.byName[st.Worker], e.accepted[st.Run.Task.Submission]
+	e.orderedAt[st.Run] = e.now
+	w := e.byName[st.Worker]
+	if e.now < w.lateUntil {
+		w.late = append(w.late, st)
+		return
+	}
+	e.carryOut(w, st)
+}
+
+// carryOut starts an ordered run on its worker. An order has no effect on a worker that
+// is down, or that has returned under another incarnation. A run that has been stopped
+// before its order arrived ends at once.
+func (e *emulation) carryOut(w *worker, st submission.Start) {
+	if e.now < w.lostUntil || w.incarnation != st.Worker {
+		return
+	}
+	s := e.accepted[st.Run.Task.Submission]
 	r := &run{
 		id: st.Run, request: s.request, step: &s.request.spec.Steps[st.Run.Task.Step], worker: w, began: e.now + 2*_tick, share: _fullShare, newShare: _fullShare,
 	}
 	sub, _ := e.store.Submission(st.Run.Task.Submission)
+	if sub.State.Ended() {
+		e.ends = append(e.ends, submission.End{Run: st.Run, Worker: st.Worker, Reason: submission.Stopped})
+		return
+	}
 	if saved, err := time.ParseDuration(sub.Task(st.Run.Task).Checkpoint); err == nil {
 		r.done, r.saved = saved, saved
 		r.began += _restoreTime
@@ -358,9 +402,32 @@
 	if r.step.LongRunning {
 		r.began = e.now + e.scenario.Services.Startup
 	}
-	w.runs = append(w.runs, r)
-	e.runs[st.Run] = r
-	e.orderedAt[st.Run] = e.now
+	e.add(r, sub)
+}
+
+// add lets a worker carry out a run. It checks that no other worker carries out a
+// run of the same task, whatever the record says, and that the task is not done.
+func (e *emulation) add(r *run, s *submission.Submission) {
+	task := r.id.Task
+	switch {
+	case e.violation != nil:
+	case e.running[task] > 0 && !r.step.Speculative:
+		e.violation = fmt.Errorf("run %d of %s starts on %s beside another run", r.id.Number, task, r.worker.incarnation)
+	case s.Task(task).Done && !r.step.LongRunning:
+		e.violation = fmt.Errorf("run %d of %s starts on %s although the task is done", r.id.Number, task, r.worker.incarnation)
+	}
+	r.worker.runs = append(r.worker.runs, r)
+	e.runs[r.id] = r
+	e.running[task]++
+}
+
+// remove removes a run that has ended from the sums. The caller removes it from its
+// worker.
+func (e *emulation) remove(r *run) {
+	delete(e.runs, r.id)
+	if e.running[r.id.Task]--; e.running[r.id.Task] == 0 {
+		delete(e.running, r.id.Task)
+	}
 }
 
 // stopTime returns the time until an ordered stop takes effect.
--- a/internal/workerapi/http.go
+++ b/internal/workerapi/http.go
@@ -59,6 +59,12 @@
 	ClockMS int64 `json:"clock_ms"`
 }
 
+// SessionDocument is the JSON form of the answer to an order to stop all tasks.
+type SessionDocument struct {
+	ClockMS int64  `json:"clock_ms"`
+	Session string `json:"session"` // decimal number; empty for a worker without sessions
+}
+
 // StatusDocument is the JSON form of a task's status.
 type StatusDocument struct {
 	State  string `json:"progress"`
@@ -88,14 +94,14 @@
 // String returns the state's name in JSON documents.
 func (s State) String() string { return _stateNames[s] }
 
-// ParseState returns the state with the given name, or Unknown.
+// ParseState returns the state with the given name, or 0 if there is none.
 func ParseState(name string) State {
 	for s, n := range _stateNames {
 		if n == name {
 			return s
 		}
 	}
-	return Unknown
+	return 0
 }
 
 // Client calls a worker over HTTP.
@@ -146,6 +152,9 @@
 	if err != nil {
 		return fault.Wrap(fault.TargetFailed, err, "read the worker's answer")
 	}
+	if resp.StatusCode == http.StatusConflict {
+		return fault.New(fault.StaleWorker, "the worker rejected the call as outdated: %s", bytes.TrimSpace(data))
+	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		text := strings.ToValidUTF8(string(data[:min(len(data), _maxErrorBytes)]), "")
 		return fault.New(fault.TargetFailed, "the worker answered with status %d: %s", resp.StatusCode, strings.TrimSpace(text))
@@ -176,6 +185,8 @@
 	return duration(out.ClockMS)
 }
 
+func sessionQuery(session uint64) string { return "?session=" + strconv.FormatUint(session, 10) }
+
 func taskPath(id TaskID, suffix string) string {
 	return fmt.Sprintf("/tasks/%s/%d%s", id.Job, id.Attempt, suffix)
 }
@@ -188,24 +199,30 @@
 // Start implements Worker.
 func (c *Client) Start(ctx context.Context, t Task) (time.Duration, error) {
 	in := StartDocument{Target: t.Target, Body: t.Body, Checkpoint: t.Checkpoint, LeaseEndMS: t.LeaseEnd.Milliseconds()}
-	return c.callForClock(ctx, http.MethodPut, taskPath(t.ID, ""), in)
+	return c.callForClock(ctx, http.MethodPut, taskPath(t.ID, sessionQuery(t.Session)), in)
 }
 
 // Renew implements Worker.
-func (c *Client) Renew(ctx context.Context, ids []TaskID, leaseEnd time.Duration) (time.Duration, error) {
+func (c *Client) Renew(ctx context.Context, session uint64, ids []TaskID, leaseEnd time.Duration) (time.Duration, error) {
 	in := RenewDocument{LeaseEndMS: leaseEnd.Milliseconds()}
 	for _, id := range ids {
 		in.Tasks = append(in.Tasks, TaskDocument(id))
 	}
-	return c.callForClock(ctx, http.MethodPost, "/renew", in)
+	return c.callForClock(ctx, http.MethodPost, "/renew"+sessionQuery(session), in)
 }
 
 // Wait implements Worker.
 func (c *Client) Wait(ctx context.Context, id TaskID, wait time.Duration) (Status, error) {
 	path := taskPath(id, "?wait_ms="+strconv.FormatInt(wait.Milliseconds(), 10))
 	var out StatusDocument
-	err := c.call(ctx, _callTimeout+wait, http.MethodGet, path, nil, &out)
-	return Status{State: ParseState(out.State), Code: out.Code, Result: out.Result, Reason: out.Reason}, err
+	if err := c.call(ctx, _callTimeout+wait, http.MethodGet, path, nil, &out); err != nil {
+		return Status{}, err
+	}
+	state := ParseState(out.State)
+	if state == 0 {
+		return Status{}, fault.New(fault.TargetFailed, "the worker answered with the unexpected progress %q", out.State)
+	}
+	return Status{State: state, Code: out.Code, Result: out.Result, Reason: out.Reason}, nil
 }
 
 // Checkpoint implements Worker.
@@ -228,8 +245,18 @@
 }
 
 // StopAll implements Worker.
-func (c *Client) StopAll(ctx context.Context) error {
-	return c.call(ctx, _callTimeout, http.MethodDelete, "/tasks", nil, nil)
+func (c *Client) StopAll(ctx context.Context, session uint64) (clock time.Duration, present uint64, err error) {
+	var out SessionDocument
+	if err := c.call(ctx, _callTimeout, http.MethodDelete, "/tasks"+sessionQuery(session), nil, &out); err != nil {
+		return 0, 0, err
+	}
+	if out.Session != "" {
+		if present, err = strconv.ParseUint(out.Session, 10, 64); err != nil {
+			return 0, 0, fault.Wrap(fault.TargetFailed, err, "decode the worker's session")
+		}
+	}
+	clock, err = duration(out.ClockMS)
+	return clock, present, err
 }
 
 // Usage implements Worker.
