--- a/internal/workerapi/http_test.go
+++ b/internal/workerapi/http_test.go
@@ -36,7 +36,7 @@
 		for name, call := range map[string]func(context.Context) (time.Duration, error){
 			"clock": c.Clock,
 			"start": func(ctx context.Context) (time.Duration, error) { return c.Start(ctx, Task{}) },
-			"renew": func(ctx context.Context) (time.Duration, error) { return c.Renew(ctx, nil, 0) },
+			"renew": func(ctx context.Context) (time.Duration, error) { return c.Renew(ctx, 0, nil, 0) },
 		} {
 			got, err := call(context.Background())
 			if (err == nil) != (want >= 0) || err == nil && got != want {
