Fence late orders for a former incarnation without waiting for the leader

What callers could see: a second run of a task, or a start of one that is done, for as long as no leader can be reached after a worker has started again under its identifier.

Cause: the token that lets the next incarnation refuse late orders came with the first order of a new stream.

Evidence: TestLateStartIsFencedWithoutLeader fails without the change ('a start for the former incarnation was carried out').

Why it works: the agent raises the token itself, in bits below the number of the stream, before it first asks an announced incarnation under the identifier of its own. A leader of an earlier version numbers no streams; its agent does not wait for a token that would never come (TestLeaderWithoutStreamNumbersGetsLists).

--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -19,6 +19,7 @@
 // that has ended would end the runs of the one that is running.
 type candidate struct {
 	announcement Announcement
+	polled       bool      // the worker has been asked
 	retryAt      time.Time // before which the worker is not asked again
 }
 
@@ -36,11 +37,17 @@
 // that runs, and takes it up if so.
 func (r *Runner) confirmCandidate(ctx context.Context) {
 	r.mu.Lock()
-	c, fence := r.candidate, r.token.fence()
-	r.mu.Unlock()
+	c := r.candidate
 	if c == nil || clock.Now().Before(c.retryAt) {
+		r.mu.Unlock()
 		return
 	}
+	if !c.polled && c.announcement.ID == r.incarnation.ID {
+		r.raised++ // late orders for the current incarnation must not start runs on the announced one
+	}
+	c.polled = true
+	fence := r.fence()
+	r.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, _callTimeout)
 	list, err := r.worker.Poll(callCtx, c.announcement.ID, PollRequest{Token: fence})
 	cancel()
@@ -91,8 +98,11 @@
 // isSettled reports whether it is known which runs of earlier incarnations the current
 // one has. An order for an earlier one under the same identifier may start its run on
 // the current one, until that has listed its runs under a later token than those of all
-// such orders. r.mu must be held.
-func (r *Runner) isSettled() bool { return r.formerToken.before(r.listedToken) }
+// such orders. A leader that does not number its streams does not wait for that. r.mu
+// must be held.
+func (r *Runner) isSettled() bool {
+	return r.formerToken.before(r.listedToken) || r.token.term > 0 && r.token.attachment == 0
+}
 
 // isCertain reports whether an inferred end is certain. An incarnation under another
 // identifier rejects orders for the former one. r.mu must be held.
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -326,7 +326,7 @@
 	l.exchange(1)
 	eventually(t, "the run starts", func() bool { return w.runs(testRun(1)) })
 	l.settle()
-	w.set(func() { w.token = 1 << 40 })
+	w.set(func() { w.token = 1 << 50 })
 	r.announceIncarnation(Incarnation{ID: "w", StartTimeMS: 500})
 	if got := r.currentIncarnation().StartTimeMS; got != 1000 {
 		t.Errorf("the agent took up the incarnation of %d", got)
@@ -377,7 +377,7 @@
 func TestCancelledStartOfEarlierAgentIsStopped(t *testing.T) {
 	r, w, l := newReturningRunner(t)
 	w.set(func() {
-		w.held = []StartOrder{{Run: testRun(1), LeaseEnd: time.Hour, Token: token{term: 1, attachment: l.last}.fence()}}
+		w.held = []StartOrder{{Run: testRun(1), LeaseEnd: time.Hour, Token: token{term: 1, attachment: l.last}.fence(0)}}
 	})
 	r.announce(Announcement{ID: "w", StartTimeMS: 1000, Sequence: 2, Address: "10.0.0.1:1", Draining: true})
 	l.attach()
@@ -463,3 +463,30 @@
 		t.Error("a run was started on the room of the stray one")
 	}
 }
+
+// TestLateStartIsFencedWithoutLeader guards against a late start on an incarnation that
+// the agent has taken up while no leader can be reached.
+func TestLateStartIsFencedWithoutLeader(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	w.set(func() {
+		w.held = []StartOrder{{Run: testRun(1), LeaseEnd: time.Hour, Token: token{term: 1, attachment: l.last}.fence(0)}}
+	})
+	r.announceIncarnation(w.restart())
+	w.carryOutHeld()
+	if w.runs(testRun(1)) {
+		t.Error("a start for the former incarnation was carried out")
+	}
+}
+
+// TestLeaderWithoutStreamNumbersGetsLists guards against a worker that gets no tasks, since
+// its agent waits for a token that a leader of an earlier version does not send.
+func TestLeaderWithoutStreamNumbersGetsLists(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	r.deliverOrder(&pb.AgentOrder{Term: 2, Sent: clock.Now().UnixNano(), Lease: int64(time.Minute)})
+	r.announceIncarnation(w.restart())
+	l.poll()
+	l.attach()
+	if report, _ := r.nextReport(&l.s); !report.GetComplete() {
+		t.Error("the agent sends no complete list")
+	}
+}
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -78,7 +78,7 @@
 		return Incarnation{}, PollRequest{}, false
 	}
 	r.polledToken = r.token
-	req := PollRequest{Token: r.token.fence(), Wait: r.pollWait()}
+	req := PollRequest{Token: r.fence(), Wait: r.pollWait()}
 	if r.failedPolls == 0 && !r.superseded { // the next incarnation numbers its ends anew and must not discard them
 		req.LastRecordedEnd = r.lastRecordedEnd
 	}
@@ -313,7 +313,7 @@
 		tr.settingShare = true
 		r.log.Emit(event.RunPaced, event.Fields{"task": tr.run.Task.String(), "run": tr.run.Number, "percent": d.Share, "worst": d.MaxTailLatency},
 			"setting the CPU share of a run")
-		fence := r.token.fence()
+		fence := r.fence()
 		r.goroutines.Go(func() { r.setShare(ctx, incarnation, tr, d.Share, fence) })
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -101,6 +101,7 @@
 	superseded      bool         // the latest poll was answered by another incarnation
 	disconnected    bool         // a poll since the latest answer failed before its timeout
 	token           token        // latest that a leader has sent
+	raised          uint64       // how often the agent has raised the fencing token since then
 	polledToken     token        // of the latest poll
 	listedToken     token        // latest under which the incarnation has listed its runs; zero for none
 	formerToken     token        // latest of an order for an earlier incarnation under the same identifier; zero for none
@@ -241,7 +242,7 @@
 		return
 	}
 	if r.token != t {
-		r.token = t
+		r.token, r.raised = t, 0
 		wake(r.wakePoll)
 	}
 	if o.GetSent() != 0 {
@@ -371,7 +372,7 @@
 		if !r.isInDoubt() && !r.hasStrayRun() {
 			leaseEnd, ok = r.lease.nextEnd(clock.Now())
 		}
-		tr.start.LeaseEnd, tr.start.Token = leaseEnd, r.token.fence()
+		tr.start.LeaseEnd, tr.start.Token = leaseEnd, r.fence()
 		start := tr.start
 		tr.startCalled = tr.startCalled || ok
 		r.mu.Unlock()
@@ -485,7 +486,7 @@
 	for ctx.Err() == nil {
 		r.mu.Lock()
 		stillNeeded := r.incarnation == incarnation && r.runs[tr.run] == tr
-		fence := r.token.fence()
+		fence := r.fence()
 		r.mu.Unlock()
 		if !stillNeeded {
 			return
--- a/internal/runner/token.go
+++ b/internal/runner/token.go
@@ -2,10 +2,13 @@
 
 import "github.com/gentianrail/gentianrail/internal/wire/pb"
 
-// _attachmentBits is the size of the part of a fencing token that numbers the streams
-// of one machine in one term. With the term it fits into the integers that JSON numbers
-// hold exactly.
-const _attachmentBits = 20
+// Sizes of the lower parts of a fencing token: the number of the stream in its term, and
+// how often the agent has raised the token on that stream. With the term they fit into
+// the integers that JSON numbers hold exactly.
+const (
+	_attachmentBits = 20
+	_raiseBits      = 8
+)
 
 // token orders the streams from an agent's machine to its leaders. Orders carry the
 // token of their stream, and the worker refuses those with a lower one than it has
@@ -24,7 +27,12 @@
 	return t.term < u.term || t.term == u.term && t.attachment < u.attachment
 }
 
-// fence returns the fencing token for the worker.
-func (t token) fence() uint64 {
-	return t.term<<_attachmentBits | min(t.attachment, 1<<_attachmentBits-1)
+// fence returns the fencing token for the worker. raised is how often the agent has
+// raised it on the stream.
+func (t token) fence(raised uint64) uint64 {
+	out := t.term<<_attachmentBits | min(t.attachment, 1<<_attachmentBits-1)
+	return out<<_raiseBits | min(raised, 1<<_raiseBits-1)
 }
+
+// fence returns the fencing token of the next order. r.mu must be held.
+func (r *Runner) fence() uint64 { return r.token.fence(r.raised) }
