Test retirements, late placements and late releases of claims

No fault was found here. TestMachineInvariants applied no retirement of a worker, placed jobs only with the registered agent, and released only claims that were held. It now retires present and earlier agents, places with earlier ones and releases claims that another request holds, and checks that each running attempt belongs to the registered agent of its worker.

It fails with each of these put into the code by hand; the first four passed before: a retirement without regard to the agent (j169 runs on w1/4, registered is 0); a retired worker keeps its attempts; a placement on an earlier agent (j259 runs on w0/3, registered is 4); a claim released by any token (k1 ran 2 times); a held claim granted again; an end of an earlier attempt. Ending all attempts of a worker instead of those of the retired agent passes, since no others exist there.

--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -102,6 +102,10 @@
 	case 11, 12:
 		sim.endAttempt(pick)
 	case 13:
+		if pick%4 == 0 {
+			sim.retireWorker(pick / 4)
+			break
+		}
 		sim.registerWorker(pick)
 	case 14:
 		if jobs := sim.m.Jobs().Jobs(); len(jobs) > 0 {
@@ -123,6 +127,9 @@
 		o = sim.apply(begin)
 	}
 	if o.Err != nil {
+		if sim.random.IntN(2) == 0 { // an agent that got no answer to its claim releases it
+			sim.apply(state.ReleaseClaim{Entry: "e1", Key: key, Token: token})
+		}
 		return
 	}
 	if o.Claim.State == claim.Finished {
@@ -199,13 +206,42 @@
 	}
 }
 
+// retireWorker retires an agent incarnation, which may have been succeeded.
+func (sim *simulation) retireWorker(pick int) {
+	id := fmt.Sprintf("w%d", pick%3)
+	incarnation := uint64(1 + pick/3%5)
+	before := sim.m.Jobs().RunningOnWorker(id)
+	o := sim.apply(state.RetireWorker{ID: id, AgentIncarnation: incarnation})
+	for _, j := range before {
+		after, _ := sim.m.Jobs().Job(j.ID)
+		ended := after.State != job.Running
+		if want := o.Err == nil && j.AgentIncarnation == incarnation; ended != want {
+			sim.failf("%s on %s/%d ended: %t when %d was retired (%v)", j.ID, id, j.AgentIncarnation, ended, incarnation, o.Err)
+		}
+		if ended {
+			delete(sim.runningAttempts, j.ID)
+		}
+	}
+}
+
+// checkWorkers checks that each running attempt belongs to the registered agent of its
+// worker. Only that agent is told to stop it.
+func (sim *simulation) checkWorkers() {
+	for _, j := range sim.m.Jobs().Running() {
+		if w, ok := sim.m.Workers().Worker(j.Worker); !ok || w.AgentIncarnation != j.AgentIncarnation {
+			sim.failf("%s runs on %s/%d, registered is %d", j.ID, j.Worker, j.AgentIncarnation, w.AgentIncarnation)
+		}
+	}
+}
+
 func (sim *simulation) placeJob(pick int) {
 	workers, queued := sim.m.Workers().Workers(), sim.m.Jobs().Queued()
 	if len(workers) == 0 || len(queued) == 0 {
 		return
 	}
 	wk, j := workers[pick%len(workers)], queued[pick%len(queued)]
-	cmd := state.PlaceJob{ID: j.ID, Attempt: j.Attempt + 1, Worker: wk.ID, AgentIncarnation: wk.AgentIncarnation}
+	incarnation := wk.AgentIncarnation - uint64(pick/4%2) // sometimes of an earlier agent
+	cmd := state.PlaceJob{ID: j.ID, Attempt: j.Attempt + 1, Worker: wk.ID, AgentIncarnation: incarnation}
 	for range 1 + pick%2 {
 		o := sim.apply(cmd)
 		if o.Err != nil {
@@ -264,6 +300,7 @@
 	sim.apply(state.PutEntry{Spec: spec("plans", catalogue.Batch, 1), Base: catalogue.AnyVersion})
 	for _, n := range ops {
 		sim.runStep(n)
+		sim.checkWorkers()
 		if sim.violation != "" {
 			return sim.violation
 		}
@@ -274,7 +311,8 @@
 // TestMachineInvariants applies random sequences of requests, jobs, workers and
 // declarations, with crashes, resends and leader clocks that go back. It guards
 // against a claimed request that runs twice, a job with two running attempts or
-// two results, and an entry or worker that reverts to an older version.
+// two results, an attempt that outlasts its agent's registration or is ended with another
+// agent, and an entry or worker that reverts to an older version.
 func TestMachineInvariants(t *testing.T) {
 	params := gopter.DefaultTestParametersWithSeed(fuzzSeed)
 	params.MinSuccessfulTests = 400
