Let the cost of isolating suspected tasks follow the isolated workers

What callers could see: rounds of seconds on a large pool with many submissions that are suspected of crashing workers, and so late starts for everybody.

Cause: for each placement of a suspected task the scheduler counted the isolated workers by a look at all workers of the service, and looked at all runs of each candidate for the latest start of another submission.

Why it works: the pool keeps an index of isolated workers, a round counts them once, and a worker keeps its latest starts until its runs change. The tests of isolation pass unchanged.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -120,3 +120,32 @@
 		s.Starts(clocksAt(testNow), &store)
 	}
 }
+
+// BenchmarkSuspectedStarts measures one scheduling round in a full pool beside tasks
+// that are suspected of crashing workers: those of one submission, which can start,
+// and those of more submissions than workers may be isolated for.
+func BenchmarkSuspectedStarts(b *testing.B) {
+	for _, workers := range []int{60, 5900} {
+		for _, submissions := range []int{1, workers / _isolatedShare * 2} {
+			b.Run(fmt.Sprintf("workers=%d/submissions=%d", workers, submissions), func(b *testing.B) {
+				s, store := newFullPool(b, workers)
+				step := plainStep
+				step.Count, step.Needs = 9, submission.Resources{CPU: 500, Memory: 500}
+				for i := range submissions {
+					id := fmt.Sprint("suspected", i)
+					submitSteps(store, id, 0, step)
+					for x := range step.Count {
+						run := testRunID(id, x)
+						store.Start([]submission.Start{{Run: run, Worker: "crashed"}}, testNow)
+						store.End(submission.End{Run: run, Worker: "crashed", Reason: submission.Crashed, Ran: time.Millisecond}, testNow)
+					}
+				}
+				at := clocksAt(testNow.Add(time.Second))
+				b.ReportAllocs()
+				for b.Loop() {
+					s.Starts(at, store)
+				}
+			})
+		}
+	}
+}
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -47,11 +47,68 @@
 	}
 }
 
+// indexIsolated updates the index of isolated workers.
+func (p *pool) indexIsolated(n *node) {
+	if n.isolatedFor == "" {
+		delete(p.isolated, n.Incarnation)
+		return
+	}
+	if p.isolated == nil {
+		p.isolated = make(map[string]*node)
+	}
+	p.isolated[n.Incarnation] = n
+}
+
+// isolations counts the isolated workers of a round.
+type isolations struct {
+	byService    map[string]int
+	bySubmission map[string]int // for which the workers are isolated
+}
+
+// countIsolations returns the round's isolated workers. The cost follows their number.
+func (r *round) countIsolations() *isolations {
+	if r.isolations != nil {
+		return r.isolations
+	}
+	r.isolations = &isolations{byService: make(map[string]int), bySubmission: make(map[string]int)}
+	for incarnation, n := range r.pool.isolated {
+		if _, cordoned := r.cordons[incarnation]; !cordoned && r.at.Log.Before(n.isolatedUntil) {
+			r.isolations.add(n, n.isolatedFor)
+		}
+	}
+	for incarnation, c := range r.cordons {
+		if n := r.pool.nodes[incarnation]; n != nil && r.at.Log.Before(c.until) {
+			r.isolations.add(n, c.submission)
+		}
+	}
+	return r.isolations
+}
+
+func (i *isolations) add(n *node, submissionID string) {
+	i.byService[n.Service]++
+	i.bySubmission[submissionID]++
+}
+
+// mayIsolateMore reports whether one more worker of the submission's service may be
+// isolated.
+func (p *placement) mayIsolateMore() bool {
+	service := p.ws.sub.Service
+	return p.countIsolations().byService[service] < max(1, p.pool.services[service].workers/_isolatedShare)
+}
+
 // bestIsolatedWorker returns the candidate with the fewest runs on which no run of
 // another submission has just started, or nil. If there is none, it cordons off a
 // candidate. A starved submission does not wait for that, and a long-running task
 // does not wait until other isolated workers are free.
 func (p *placement) bestIsolatedWorker() *node {
+	if p.pool.services[p.ws.sub.Service] == nil {
+		return nil
+	}
+	hasOwn, mayIsolate := p.countIsolations().bySubmission[p.ws.sub.ID] > 0, p.mayIsolateMore()
+	mustNotWait := p.isStarved(p.ws.sub) || p.step.LongRunning && !mayIsolate
+	if !hasOwn && !mayIsolate && !mustNotWait {
+		return nil
+	}
 	var best, fallback *node
 	for {
 		for _, c := range p.candidates {
@@ -61,7 +118,7 @@
 			if fallback == nil || c.n.runs < fallback.runs {
 				fallback = c.n
 			}
-			if !p.hasJustStarted(c.n) && (p.isIsolated(c.n) || p.mayIsolateMore()) && (best == nil || c.n.runs < best.runs) {
+			if (mayIsolate || p.isIsolated(c.n)) && (best == nil || c.n.runs < best.runs) && !p.hasJustStarted(c.n) {
 				best = c.n
 			}
 		}
@@ -72,10 +129,11 @@
 	switch {
 	case best != nil || fallback == nil:
 		return best
-	case p.isStarved(p.ws.sub), p.step.LongRunning && !p.mayIsolateMore():
+	case mustNotWait:
 		return fallback
+	case !hasOwn && !p.isIsolated(fallback):
+		p.cordonOff(fallback)
 	}
-	p.cordonOff(fallback)
 	return nil
 }
 
@@ -88,52 +146,33 @@
 		}
 	}
 	u := p.store.Usage(n.Incarnation)
-	return u != nil && p.at.Log.Sub(u.LatestStart(p.ws.sub.ID)) < submission.StartWindow
-}
-
-// mayIsolateMore reports whether one more worker of the submission's service may be
-// isolated.
-func (p *placement) mayIsolateMore() bool {
-	service := p.pool.services[p.ws.sub.Service]
-	n, counted := p.isolatedWorkers[p.ws.sub.Service]
-	if !counted {
-		for _, list := range service.byFree {
-			for _, other := range list {
-				if p.isIsolated(other) {
-					n++
-				}
-			}
-		}
-		p.isolatedWorkers[p.ws.sub.Service] = n
+	if u == nil {
+		return false
+	}
+	if n.latestStarts == nil {
+		latest := u.LatestStarts()
+		n.latestStarts = &latest
 	}
-	return n < max(1, service.workers/_isolatedShare)
+	return p.at.Log.Sub(n.latestStarts.ExceptOf(p.ws.sub.ID)) < submission.StartWindow
 }
 
-// cordonOff keeps other submissions off a worker, unless one is waiting for the
-// submission already.
+// cordonOff keeps other submissions off a worker that is not isolated.
 func (p *placement) cordonOff(n *node) {
-	for _, c := range p.cordons {
-		if c.submission == p.ws.sub.ID {
-			return
-		}
-	}
-	if p.isIsolated(n) || !p.mayIsolateMore() {
-		return
-	}
 	if p.cordons == nil {
 		p.cordons = make(map[string]cordon)
 	}
 	p.cordons[n.Incarnation] = cordon{submission: p.ws.sub.ID, until: p.at.Log.Add(_cordonTime)}
-	p.isolatedWorkers[n.Service]++
+	p.countIsolations().add(n, p.ws.sub.ID)
 }
 
 // isolate keeps other submissions off a worker on which a suspected task starts.
 func (p *placement) isolate(n *node, d time.Duration) {
 	if !p.isIsolated(n) {
-		p.isolatedWorkers[n.Service]++
+		p.countIsolations().add(n, p.ws.sub.ID)
 	}
 	if until := p.at.Log.Add(d); n.isolatedFor != p.ws.sub.ID || until.After(n.isolatedUntil) {
 		n.isolatedFor, n.isolatedUntil = p.ws.sub.ID, until
 	}
+	p.pool.indexIsolated(n)
 	delete(p.cordons, n.Incarnation)
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -49,6 +49,7 @@
 	// The submission for which the worker is isolated until a log time; "" for none.
 	isolatedFor   string
 	isolatedUntil time.Time
+	latestStarts  *submission.LatestStarts // of recorded runs; nil until needed
 
 	freeIndex, idleIndex position
 	rackIndex            int
@@ -110,6 +111,7 @@
 type pool struct {
 	nodes    map[string]*node // by incarnation
 	services map[string]*service
+	isolated map[string]*node // with isolatedFor, also if that has expired; by incarnation
 	// A worker with service tasks has been removed. The owner resets it.
 	lostServiceTasks bool
 }
@@ -166,6 +168,7 @@
 		return
 	}
 	delete(p.nodes, incarnation)
+	delete(p.isolated, incarnation)
 	p.lostServiceTasks = p.lostServiceTasks || n.serviceRuns > 0
 	s := p.services[n.Service]
 	s.add(n.counted, -1)
@@ -211,7 +214,7 @@
 	n.free, n.idleCPU = n.Capacity, n.Capacity.CPU
 	n.serviceRuns, n.serviceCPU, n.batchRuns, n.runs = 0, 0, 0, 0
 	n.roundLoads, n.roundStarts, n.changed = nil, nil, false
-	n.isolatedFor, n.isolatedUntil = "", time.Time{}
+	n.isolatedFor, n.isolatedUntil, n.latestStarts = "", time.Time{}, nil
 	if u := store.Usage(incarnation); u != nil {
 		n.free = n.Capacity.Sub(u.Reserved)
 		n.idleCPU -= u.RequestedCPU - u.ServiceCPU + expectedServiceCPU(u.ServiceCPU)
@@ -221,6 +224,7 @@
 	} else {
 		n.serviceImages = nil
 	}
+	p.indexIsolated(n)
 	s := p.services[n.Service]
 	s.add(n.counted, -1)
 	n.counted = n.totals()
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -49,7 +49,7 @@
 	lightlyLoaded   map[string]bool    // services with a large share of free CPU
 	unhealthy       map[string]bool    // worker incarnations
 	absent          map[string]absence // by service
-	isolatedWorkers map[string]int     // by service; filled when first needed
+	isolations      *isolations        // nil until needed
 	started         map[string]bool    // submissions with a start in this round
 	starts          []submission.Start
 	changed         []*node // workers with starts in this round
@@ -58,7 +58,6 @@
 func (s *Scheduler) newRound(at Clocks, store *submission.Store) *round {
 	r := &round{
 		Scheduler: s, at: at, store: store, serviceHeadroom: make(map[string]bool), lightlyLoaded: make(map[string]bool), started: make(map[string]bool),
-		isolatedWorkers: make(map[string]int),
 	}
 	for name, service := range s.pool.services {
 		r.lightlyLoaded[name] = float64(service.free) > _lightLoadFreeShare*float64(service.capacity)
--- a/submission/crash.go
+++ b/submission/crash.go
@@ -107,19 +107,15 @@
 	return submission, until
 }
 
-// LatestStart returns the log time of the latest start of an active run of another
-// submission on the worker; zero if there is none.
-func (u *Usage) LatestStart(exceptSubmission string) time.Time {
-	var latest time.Time
+// LatestStarts returns the latest starts of the active runs on the worker.
+func (u *Usage) LatestStarts() LatestStarts {
+	var out LatestStarts
 	for id, s := range u.Runs {
-		if s.ID == exceptSubmission {
-			continue
-		}
-		if r := s.run(id); r != nil && r.Started.After(latest) {
-			latest = r.Started
+		if r := s.run(id); r != nil {
+			out.add(s.ID, r.Started)
 		}
 	}
-	return latest
+	return out
 }
 
 // run returns an active run, or nil.
@@ -147,14 +143,24 @@
 	u.isolations[id] = isolation{submission: id.Task.Submission, until: started.Add(d)}
 }
 
-// latestStarts are the latest starts on a crashed worker.
-type latestStarts struct {
+// LatestStarts are the latest starts of runs on a worker, in log time. The zero value
+// has none.
+type LatestStarts struct {
 	submission string
 	at         time.Time // of that submission's latest run
 	others     time.Time // of all other submissions' latest run
 }
 
-func (l *latestStarts) add(submission string, at time.Time) {
+// ExceptOf returns the latest start of a run of another submission; zero if there is
+// none.
+func (l *LatestStarts) ExceptOf(submission string) time.Time {
+	if submission == l.submission {
+		return l.others
+	}
+	return l.at
+}
+
+func (l *LatestStarts) add(submission string, at time.Time) {
 	switch {
 	case submission == l.submission:
 		l.at = maxTime(l.at, at)
@@ -167,11 +173,8 @@
 
 // isAlone reports whether a run had started alone: all runs of other submissions
 // were at work for StartWindow by then.
-func (l *latestStarts) isAlone(submission string, started time.Time) bool {
-	others := l.others
-	if submission != l.submission {
-		others = l.at
-	}
+func (l *LatestStarts) isAlone(submission string, started time.Time) bool {
+	others := l.ExceptOf(submission)
 	return others.IsZero() || !others.Add(StartWindow).After(started)
 }
 
@@ -184,8 +187,8 @@
 
 // latestStartsOfCrashes returns the latest starts by crashed worker. Only runs that
 // the worker had when it crashed count.
-func (store *Store) latestStartsOfCrashes(ends []End) map[string]*latestStarts {
-	var out map[string]*latestStarts
+func (store *Store) latestStartsOfCrashes(ends []End) map[string]*LatestStarts {
+	var out map[string]*LatestStarts
 	for _, e := range ends {
 		if e.Reason != Crashed {
 			continue
@@ -199,10 +202,10 @@
 			continue
 		}
 		if out == nil {
-			out = make(map[string]*latestStarts)
+			out = make(map[string]*LatestStarts)
 		}
 		if out[e.Worker] == nil {
-			out[e.Worker] = &latestStarts{}
+			out[e.Worker] = &LatestStarts{}
 		}
 		out[e.Worker].add(s.ID, r.Started)
 	}
--- a/submission/store.go
+++ b/submission/store.go
@@ -422,7 +422,7 @@
 }
 
 // end records the end of a run. latest is that of its worker if that has crashed.
-func (store *Store) end(e End, latest *latestStarts, now time.Time) bool {
+func (store *Store) end(e End, latest *LatestStarts, now time.Time) bool {
 	s, ok := store.all[e.Run.Task.Submission]
 	if !ok {
 		return false
