Refuse orders to the sample target that are out of range

Why this works: a lease end is from 0 to 100 years on the target's clock, and a body has at most 64 MiB.

--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	_maxBody       = 64 << 20    // bytes of a request body
+	_maxBody       = 64 << 20 // bytes of a request body
+	_maxClock      = 100 * 365 * 24 * time.Hour
 	_watchInterval = time.Second // between the events of a watch
 )
 
@@ -133,6 +134,19 @@
 
 var errBadAttempt = errors.New("the attempt is not an unsigned 32-bit number")
 
+// readOrder decodes the body of an order.
+func readOrder(w http.ResponseWriter, r *http.Request, order any) error {
+	return json.UnmarshalRead(http.MaxBytesReader(w, r.Body, _maxBody), order)
+}
+
+// leaseEnd returns a lease end on the target's clock.
+func leaseEnd(ms int64) (time.Duration, error) {
+	if ms < 0 || ms > _maxClock.Milliseconds() {
+		return 0, fmt.Errorf("until_ms: found %d, allowed are 0 to %d", ms, _maxClock.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
 func taskID(r *http.Request) (workerapi.TaskID, error) {
 	n, err := strconv.ParseUint(web.PathValue(r, "attempt"), 10, 32)
 	if err != nil {
@@ -145,14 +159,18 @@
 	id, err := taskID(r)
 	var doc workerapi.StartDocument
 	if err == nil {
-		err = json.UnmarshalRead(r.Body, &doc)
+		err = readOrder(w, r, &doc)
+	}
+	if err != nil {
+		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
+		return
 	}
+	end, err := leaseEnd(doc.LeaseEndMS)
 	if err != nil {
 		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
 		return
 	}
-	leaseEnd := time.Duration(doc.LeaseEndMS) * time.Millisecond
-	if !t.store.startTask(id, doc.Body, doc.Checkpoint, leaseEnd, time.Now()) {
+	if !t.store.startTask(id, doc.Body, doc.Checkpoint, end, time.Now()) {
 		web.WriteFault(w, fault.New(fault.StaleAttempt, "a later attempt of the job was started"))
 		return
 	}
@@ -227,7 +245,12 @@
 
 func (t *Target) renewLeases(w http.ResponseWriter, r *http.Request) {
 	var doc workerapi.RenewDocument
-	if err := json.UnmarshalRead(r.Body, &doc); err != nil {
+	err := readOrder(w, r, &doc)
+	var end time.Duration
+	if err == nil {
+		end, err = leaseEnd(doc.LeaseEndMS)
+	}
+	if err != nil {
 		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
 		return
 	}
@@ -235,7 +258,7 @@
 	for _, d := range doc.Tasks {
 		ids = append(ids, workerapi.TaskID(d))
 	}
-	t.store.renewLeases(ids, time.Duration(doc.LeaseEndMS)*time.Millisecond, time.Now())
+	t.store.renewLeases(ids, end, time.Now())
 	t.writeClock(w)
 }
 
