--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	_maxBody       = 64 << 20    // bytes of a request body
+	_maxBody       = 64 << 20 // bytes of a request body
+	_maxClock      = 100 * 365 * 24 * time.Hour
 	_watchInterval = time.Second // between the events of a watch
 )
 
@@ -133,6 +134,19 @@
 
 var errBadAttempt = errors.New("the attempt is not an unsigned 32-bit number")
 
+// readOrder decodes the body of an order.
+func readOrder(w http.ResponseWriter, r *http.Request, order any) error {
+	return json.UnmarshalRead(http.MaxBytesReader(w, r.Body, _maxBody), order)
+}
+
+// leaseEnd returns a lease end on the target's clock.
+func leaseEnd(ms int64) (time.Duration, error) {
+	if ms < 0 || ms > _maxClock.Milliseconds() {
+		return 0, fmt.Errorf("until_ms: found %d, allowed are 0 to %d", ms, _maxClock.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
 func taskID(r *http.Request) (workerapi.TaskID, error) {
 	n, err := strconv.ParseUint(web.PathValue(r, "attempt"), 10, 32)
 	if err != nil {
@@ -159,14 +173,18 @@
 		session, err = sessionOf(r)
 	}
 	if err == nil {
-		err = json.UnmarshalRead(r.Body, &doc)
+		err = readOrder(w, r, &doc)
 	}
 	if err != nil {
 		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
 		return
 	}
-	leaseEnd := time.Duration(doc.LeaseEndMS) * time.Millisecond
-	if err := t.store.startTask(session, id, doc.Body, doc.Checkpoint, leaseEnd, time.Now()); err != nil {
+	end, err := leaseEnd(doc.LeaseEndMS)
+	if err != nil {
+		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
+		return
+	}
+	if err := t.store.startTask(session, id, doc.Body, doc.Checkpoint, end, time.Now()); err != nil {
 		web.WriteFault(w, err)
 		return
 	}
@@ -250,7 +268,11 @@
 	var doc workerapi.RenewDocument
 	session, err := sessionOf(r)
 	if err == nil {
-		err = json.UnmarshalRead(r.Body, &doc)
+		err = readOrder(w, r, &doc)
+	}
+	var end time.Duration
+	if err == nil {
+		end, err = leaseEnd(doc.LeaseEndMS)
 	}
 	if err != nil {
 		web.WriteFault(w, fault.New(fault.BadRequest, "%s", err))
@@ -260,7 +282,7 @@
 	for _, d := range doc.Tasks {
 		ids = append(ids, workerapi.TaskID(d))
 	}
-	if err := t.store.renewLeases(session, ids, time.Duration(doc.LeaseEndMS)*time.Millisecond, time.Now()); err != nil {
+	if err := t.store.renewLeases(session, ids, end, time.Now()); err != nil {
 		web.WriteFault(w, err)
 		return
 	}
