dispatch: place a moved task even if an earlier task of its step has no worker

Cause: the tasks of a step are placed in order, and the first without a worker ended the step, as the others are alike. A moved task is not: its destination holds resources for it, for 2.5 s. Behind a sibling that had waited since a crash, it never had its turn, lost the reservation, and then waited for free capacity like the sibling.

Now the step goes on with its moved tasks. The new test fails without the change.

--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -36,6 +36,16 @@
 // destination returns the worker incarnation to which a task is being moved, or "".
 func (m *mover) destination(task submission.TaskID) string { return m.moves[task].to }
 
+// isMoving reports whether a task of a submission is being moved.
+func (m *mover) isMoving(submissionID string) bool {
+	for task := range m.moves {
+		if task.Submission == submissionID {
+			return true
+		}
+	}
+	return false
+}
+
 // endMove ends a task's move, for example when the task has started.
 func (m *mover) endMove(task submission.TaskID) { delete(m.moves, task) }
 
--- a/dispatch/exchange_test.go
+++ b/dispatch/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -168,3 +169,35 @@
 		t.Errorf("stops %v, want none", got)
 	}
 }
+
+// TestMovedTaskDoesNotWaitForOthersOfItsStep guards against a moved task that loses the
+// resources reserved for it because an earlier task of its step finds no worker.
+func TestMovedTaskDoesNotWaitForOthersOfItsStep(t *testing.T) {
+	var store submission.Store
+	s := newScheduler(&store, newWorkers(2, 32000, 256000))
+	s.trainPairs(testNow, map[string]string{"a1": "a", "b1": "b"}, "a", "b")
+	step := serviceStep
+	step.Image, step.Count = "a1", 2
+	submitSteps(&store, "a0", 0, step)
+	moved := submission.RunID{Task: submission.TaskID{Submission: "a0", Index: 1}, Number: 1}
+	first := []submission.Start{{Run: moved, Worker: "w00"}}
+	store.Start(first, testNow)
+	s.RecordStart(testNow, &store, first[0])
+	submitService(t, s, &store, "b0", "b1", "w00", 1)
+	submitService(t, s, &store, "a1", "a1", "w01", 1)
+	submitService(t, s, &store, "b1", "b1", "w01", 1)
+	stops := s.Stops(clocksAt(testNow), &store)
+	index := slices.IndexFunc(stops, func(stop Stop) bool { return stop.Run == moved })
+	if len(stops) != 2 || index < 0 {
+		t.Fatalf("stops %v, want two, one of them of %v", stops, moved)
+	}
+	for _, stop := range stops {
+		s.recordEnd(&store, testNow, submission.End{Run: stop.Run, Worker: stop.Worker, Reason: submission.Stopped}, time.Second)
+	}
+	for _, st := range s.startTasks(t, &store, testNow) {
+		if st.Run.Task == moved.Task && st.Worker == stops[1-index].Worker {
+			return
+		}
+	}
+	t.Error("the moved task has not started at its destination")
+}
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -147,13 +147,16 @@
 	}
 	p.countActiveRuns(rec)
 	p.search = r.newSearch(ws.sub, p.step)
-	firstStart := len(r.starts)
+	firstStart, full := len(r.starts), false
 	for i := range rec.Tasks {
 		t := &rec.Tasks[i]
 		if t.Done || len(t.Runs) > 0 || ws.suspectedFailing && !p.step.Gang && t.FailedRuns < submission.RepeatedFailures {
 			continue
 		}
 		id := submission.TaskID{Submission: ws.sub.ID, Occurrence: ws.occurrence, Step: ws.step, Index: i}
+		if full && r.mover.destination(id) == "" {
+			continue
+		}
 		isolation := p.step.Isolation(t)
 		n := p.bestWorker(id, isolation > 0)
 		if n == nil {
@@ -164,7 +167,13 @@
 			if t.FailedRuns > 0 || r.mover.destination(id) != "" || isolation > 0 {
 				continue // this task excludes workers that other tasks may use
 			}
-			return // the step's tasks are alike, so the rest do not fit either
+			// The step's tasks are alike, so the rest do not fit either, except where
+			// resources are reserved for a task that is being moved.
+			if !r.mover.isMoving(ws.sub.ID) {
+				return
+			}
+			full = true
+			continue
 		}
 		p.start(submission.RunID{Task: id, Number: max(lastRun, t.LastRun) + 1}, n)
 		if isolation > 0 {
