dispatch: a start that a shrunk worker rejects is no fault of the worker

An agent rejects a start that its worker, which has shrunk since the start was decided, cannot hold. The scheduler counted that like a failure of the worker. Three such starts made the worker unhealthy for seconds, with one task at a time, and for 20 s the tasks avoided it for workers on which they had not failed, even if those were full.

Seen in the simulation of the new test: after the worker has grown again, none of six tasks starts.

A rejection now counts only if the worker's announced capacity holds the task. The worker is protected otherwise: what it cannot hold isn't placed there. A second test keeps that a worker which rejects what it has announced to hold does not get the same tasks at once again.

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -70,3 +70,45 @@
 		t.Errorf("%d tasks started after the worker has grown, want %d", len(got), plainStep.Count)
 	}
 }
+
+// TestShrunkWorkerIsNotUnhealthy has a worker that shrinks while starts are on their
+// way, so that its agent rejects them. When it has grown again, the tasks must start
+// there at once: the other worker is full.
+func TestShrunkWorkerIsNotUnhealthy(t *testing.T) {
+	var store submission.Store
+	workers := newWorkers(2, 16000, 64000)
+	workers[1].Capacity.CPU = 500
+	s := newScheduler(&store, workers)
+	submitSteps(&store, "a", 0, plainStep)
+	starts := s.startTasks(t, &store, testNow)
+	shrunk := workers[0]
+	shrunk.Capacity.CPU = 800
+	s.SetWorker(&store, shrunk)
+	now := testNow.Add(50 * time.Millisecond)
+	for _, st := range starts {
+		store.End(submission.End{Run: st.Run, Worker: st.Worker, Reason: submission.Rejected}, now)
+	}
+	for _, st := range starts {
+		s.RecordEnd(now, &store, submission.End{Run: st.Run, Worker: st.Worker, Reason: submission.Rejected}, 50*time.Millisecond)
+	}
+	s.SetWorker(&store, workers[0])
+	if got := s.startTasks(t, &store, now); len(got) != plainStep.Count {
+		t.Errorf("%d tasks started after the worker has grown, want %d", len(got), plainStep.Count)
+	}
+}
+
+// TestWorkerThatRejectsWhatItHoldsIsUnhealthy has a worker that rejects starts for
+// which it has announced the capacity. It must not get the same tasks at once again.
+func TestWorkerThatRejectsWhatItHoldsIsUnhealthy(t *testing.T) {
+	var store submission.Store
+	workers := newWorkers(2, 16000, 64000)
+	workers[1].Capacity.CPU = 500
+	s := newScheduler(&store, workers)
+	submitSteps(&store, "a", 0, plainStep)
+	for _, st := range s.startTasks(t, &store, testNow) {
+		s.recordEnd(&store, testNow, submission.End{Run: st.Run, Worker: st.Worker, Reason: submission.Rejected}, 50*time.Millisecond)
+	}
+	if got := s.startTasks(t, &store, testNow); len(got) != 0 {
+		t.Errorf("%d tasks started on the worker again", len(got))
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -119,6 +119,9 @@
 		return
 	}
 	step, id := &sub.Steps[e.Run.Task.Step], estimate.Step{Submission: sub.ID, Index: e.Run.Task.Step}
+	if e.Reason == submission.Rejected && !s.pool.holds(e.Worker, step) {
+		return // the worker has shrunk since the start was decided, which is no fault
+	}
 	s.health.RecordEnd(now, e.Worker, e.Run, step, e.Reason, took, s.times.Step(sub.Queue, id, step))
 	if e.Reason == submission.Done {
 		s.times.RecordRunTime(sub.Queue, id, step, took)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -306,6 +306,13 @@
 	}
 }
 
+// holds reports whether a worker that can receive tasks has the free resources that a
+// task of a step reserves. It reports true for other workers.
+func (p *pool) holds(incarnation string, step *submission.Step) bool {
+	n := p.nodes[incarnation]
+	return n == nil || step.Reserved().Fits(n.free)
+}
+
 func (n *node) isEmpty() bool { return n.runs == 0 }
 
 // reservedShare returns the larger of the reserved shares of CPU and memory.
