dispatch: end a move whose destination can no longer run the task

A service task that had been stopped to move waited up to 2.5 s for its destination, also when that had gone or had shrunk below what the task needs, and while other workers had room.

The move ends if the destination is not in the pool, or if the task doesn't fit there even when the tasks that are being moved away have left. It then starts on any worker. A destination that is only occupied by its partner of the exchange is still waited for.

--- a/dispatch/exchange_test.go
+++ b/dispatch/exchange_test.go
@@ -201,3 +201,47 @@
 	}
 	t.Error("the moved task has not started at its destination")
 }
+
+// TestMovedTaskStartsElsewhereIfDestinationIsLost guards against a service task that
+// waits for a worker that can no longer run it.
+func TestMovedTaskStartsElsewhereIfDestinationIsLost(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(s *Scheduler, store *submission.Store, destination Worker)
+		want   bool // the moved task starts at once
+	}{
+		{"unchanged", func(*Scheduler, *submission.Store, Worker) {}, false},
+		{"removed", func(s *Scheduler, _ *submission.Store, w Worker) { s.RemoveWorker(w.Incarnation) }, true},
+		{"shrunk, still large enough", func(s *Scheduler, store *submission.Store, w Worker) {
+			w.Capacity.CPU = 2 * serviceStep.Needs.CPU
+			s.SetWorker(store, w)
+		}, false},
+		{"shrunk", func(s *Scheduler, store *submission.Store, w Worker) {
+			w.Capacity.CPU = serviceStep.Needs.CPU
+			s.SetWorker(store, w)
+		}, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var store submission.Store
+			workers := newWorkers(2, 32000, 256000)
+			s := newScheduler(&store, workers)
+			s.trainPairs(testNow, map[string]string{"a1": "a", "b1": "b"}, "a", "b")
+			submitService(t, s, &store, "a0", "a1", "w00", 1)
+			submitService(t, s, &store, "b0", "b1", "w00", 1)
+			submitService(t, s, &store, "a1", "a1", "w01", 1)
+			submitService(t, s, &store, "b1", "b1", "w01", 1)
+			stops := s.Stops(clocksAt(testNow), &store)
+			if len(stops) != 2 {
+				t.Fatalf("stops %v, want two", stops)
+			}
+			s.SetWorker(&store, Worker{Incarnation: "w02", Service: "s", Capacity: workers[0].Capacity, Schedulable: true})
+			s.recordEnd(&store, testNow, submission.End{Run: stops[0].Run, Worker: stops[0].Worker, Reason: submission.Stopped}, time.Second)
+			tc.change(s, &store, workers[slices.IndexFunc(workers, func(w Worker) bool { return w.Incarnation == stops[1].Worker })])
+			got := s.startTasks(t, &store, testNow)
+			if started := len(got) == 1 && got[0].Run.Task == stops[0].Run.Task; started != tc.want {
+				t.Errorf("starts %v; the moved task starts: %t, want %t", got, started, tc.want)
+			}
+		})
+	}
+}
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -241,10 +241,14 @@
 // nil. A task avoids workers on which it has failed if the submission's service has
 // a worker on which the task has not failed. Long-running tasks and the tasks of a
 // starved submission do not avoid workers. A task that is being moved starts at its
-// destination. A task that is suspected of crashing workers is isolated.
+// destination, unless that can no longer run it. A task that is suspected of crashing
+// workers is isolated.
 func (p *placement) bestWorker(id submission.TaskID, isolated bool) *node {
 	if destination := p.mover.destination(id); destination != "" {
-		return p.destinationWorker(destination)
+		if !p.isDestinationLost(destination) {
+			return p.destinationWorker(destination)
+		}
+		p.cancelMove(id)
 	}
 	if isolated {
 		return p.bestIsolatedWorker()
@@ -299,6 +303,36 @@
 		(!p.shouldWait(p.step, n) || p.isStarved(p.ws.sub))
 }
 
+// isDestinationLost reports whether the destination of a task that is being moved can
+// receive no tasks, or has shrunk so far that the task does not fit even when the
+// tasks that are being moved away have left.
+func (p *placement) isDestinationLost(incarnation string) bool {
+	n := p.pool.nodes[incarnation]
+	if n == nil {
+		return true
+	}
+	free := n.Capacity
+	if u := p.store.Usage(incarnation); u != nil {
+		free = free.Sub(u.Reserved)
+		for run, sub := range u.Runs {
+			if p.mover.moves[run.Task].from == incarnation {
+				free = free.Add(sub.Steps[run.Task.Step].Reserved())
+			}
+		}
+	}
+	return !p.step.Reserved().Fits(free)
+}
+
+// cancelMove lets a task that is being moved start on any worker, and releases what is
+// reserved for it.
+func (p *placement) cancelMove(id submission.TaskID) {
+	v := p.mover.moves[id]
+	if n := p.pool.nodes[v.to]; n != nil {
+		n.free = n.free.Add(v.reserved)
+	}
+	p.mover.endMove(id)
+}
+
 // destinationWorker returns the destination of a task that is being moved, if its
 // resources are free. They are reserved for the task.
 func (p *placement) destinationWorker(incarnation string) *node {
