submission: count unreported crashes of a suspected task

Task 52b0...0.0.0 crashed six workers; the rule allows five starts.

From the logs: run 1 crashed its worker at 9.02 s, and its agent was killed at 11.0 s, before the lease had expired, so that the run ended as lost. Runs 2 and 3 ended as crashed, in company, run 4 as crashed, alone. Run 5 ended as lapsed: the agent's polls had no answer before the crash, which it then took for a partition, although the worker had answered a start in between. With three crashes on record, two in company, the task got its sixth start.

Cause: a loss without a reason counted for nothing, also that of a task that had crashed workers before. Now such a loss within 4 s of the start counts like a crash in company, if two prompt crashes are on record. The verdict falls after the fifth start in the sequence above, which the new test plays; it fails without the change.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -38,6 +38,7 @@
 	waits      map[string]time.Duration // of submissions without an active run
 	longest    time.Duration            // of these waits
 	silentLoss bool                     // crashes show as expired leases
+	unreported func() bool              // whether the next crash shows as an expired lease; nil for never
 }
 
 func newCrashSim(t *testing.T, workers int) *crashSim {
@@ -69,9 +70,10 @@
 	if u == nil {
 		return
 	}
+	silent := sim.silentLoss || sim.unreported != nil && sim.unreported()
 	for run := range u.Runs {
 		e := submission.End{Run: run, Worker: w.Incarnation, Reason: submission.Crashed, Ran: sim.now.Sub(sim.startedAt[run])}
-		if sim.silentLoss {
+		if silent {
 			e.Reason, e.Ran = submission.LeaseExpired, 0
 		}
 		sim.endAt[run], sim.due[run] = e, sim.now.Add(_simDetection)
@@ -262,6 +264,7 @@
 	tests := []struct {
 		name   string
 		silent bool
+		share  float64 // of crashes that are not reported
 		every  time.Duration
 		count  int // workers at a time
 	}{
@@ -270,6 +273,8 @@
 		{name: "half of the pool", every: 6 * time.Second, count: 6},
 		{name: "the whole pool", every: 8 * time.Second, count: 11},
 		{name: "partitions", every: 2 * time.Second, count: 3, silent: true},
+		{name: "one worker at a time, every third unreported", every: 2 * time.Second, count: 1, share: 0.33},
+		{name: "half of the pool, every second unreported", every: 6 * time.Second, count: 6, share: 0.5},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -277,6 +282,7 @@
 				rnd := rand.New(rand.NewPCG(seed, 7))
 				sim := newCrashSim(t, 11)
 				sim.silentLoss = tc.silent
+				sim.unreported = func() bool { return tc.share > 0 && rnd.Float64() < tc.share }
 				sim.submit("watch", 0, watchStep)
 				next := sim.now.Add(tc.every)
 				for i := range 200 {
--- a/submission/crash.go
+++ b/submission/crash.go
@@ -24,9 +24,17 @@
 // crashes no worker.
 const _survivalTime = 4 * StartWindow
 
-// Crash is the crash of a worker under a run.
+// Nobody reports a crash if the agent ends, too, or if its polls had no answer before.
+// The run is then lost without a reason. A loss soon after the start of a task that
+// has crashed workers counts like a crash beside other fresh runs.
+const (
+	_minCrashesOfLoss = 2               // reported ones in the start window, from which a loss counts
+	_maxLossDelay     = 4 * time.Second // from a start until a crash in the start window shows as a loss: the lease has to expire
+)
+
+// Crash is the crash of a worker under a run, or a loss that may be one.
 type Crash struct {
-	Ran time.Duration // from the run's start; 0 if unknown
+	Ran time.Duration // from the run's start; 0 if unknown; StartWindow for a loss
 	// No run of another submission had started within StartWindow before the run, or
 	// after it.
 	Alone bool
@@ -228,6 +236,21 @@
 	}
 }
 
+// recordLoss records the loss of a run that may have crashed its worker.
+func (store *Store) recordLoss(s *Submission, e End, started, now time.Time) {
+	t := s.task(e.Run.Task)
+	prompt := 0
+	for _, c := range t.Crashes {
+		if c.isPrompt() {
+			prompt++
+		}
+	}
+	if prompt >= _minCrashesOfLoss && now.Sub(started) <= _maxLossDelay {
+		e.Ran = StartWindow
+		store.recordCrash(s, e, false, now)
+	}
+}
+
 // forgetPromptCrashes drops the crashes that a run's survival has explained
 // otherwise.
 func (t *Task) forgetPromptCrashes() {
--- a/submission/crash_test.go
+++ b/submission/crash_test.go
@@ -165,3 +165,49 @@
 		})
 	}
 }
+
+// TestUnreportedCrashCountsForSuspectedTask guards against a sixth start after five
+// crashes of which the agents reported only three.
+func TestUnreportedCrashCountsForSuspectedTask(t *testing.T) {
+	const (
+		detection = 2600 * time.Millisecond // from a start to the end of a run whose worker crashes promptly
+		ran       = 11 * time.Millisecond
+	)
+	type loss struct {
+		reason EndReason
+		after  time.Duration // from the start to the record of the end
+	}
+	crash, lapsed, lost := loss{Crashed, detection}, loss{LeaseExpired, detection}, loss{Lost, detection}
+	tests := []struct {
+		name string
+		ends []loss
+		want State
+	}{
+		{name: "the first and the last of five are unreported", ends: []loss{lost, crash, crash, crash, lapsed}, want: OutOfAttempts},
+		{name: "two reported, then two unreported", ends: []loss{crash, crash, lapsed, lost}, want: OutOfAttempts},
+		{name: "three reported", ends: []loss{crash, crash, crash}, want: Running},
+		{name: "one reported", ends: []loss{crash, lapsed, lapsed, lost, lost}, want: Running},
+		{name: "none reported", ends: []loss{lapsed, lapsed, lapsed, lost, lost, lost}, want: Running},
+		{name: "the last run had long been at work", ends: []loss{crash, crash, crash, {LeaseExpired, time.Minute}}, want: Running},
+		{name: "a run is stopped after it has survived its start", ends: []loss{crash, crash, crash, {Stopped, time.Minute}, lapsed}, want: Running},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			var store Store
+			store.Submit(oneStep("s", Step{Count: 1}), testNow)
+			store.Submit(oneStep("other", Step{Count: len(tc.ends)}), testNow)
+			now := testNow
+			for i, end := range tc.ends {
+				// A run of another submission has just started, so that the task is never alone.
+				r, other := run("s", 0, 0, uint32(i+1)), run("other", 0, i, 1)
+				startAt(t, &store, other, "w", now)
+				startAt(t, &store, r, "w", now)
+				now = now.Add(end.after)
+				store.EndAll([]End{{Run: other, Worker: "w", Reason: end.reason, Ran: ran}, {Run: r, Worker: "w", Reason: end.reason, Ran: ran}}, now)
+			}
+			if got := stateOf(t, &store, "s"); got != tc.want {
+				t.Errorf("the submission is %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
--- a/submission/store.go
+++ b/submission/store.go
@@ -449,6 +449,8 @@
 		store.failIfOutOfAttempts(s, e, now)
 	case Crashed:
 		store.recordCrash(s, e, latest.isAlone(s.ID, r.Started), now)
+	case LeaseExpired, Lost:
+		store.recordLoss(s, e, r.Started, now)
 	}
 	if (e.Reason == Stopped || e.Reason == Failed) && now.Sub(r.Started) >= _survivalTime {
 		t.forgetPromptCrashes()
