dispatch: test a burst beside workers that have shrunk

It fails if the scheduler keeps a worker's earlier capacity, and if it overlooks that a worker has grown.

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -112,3 +112,67 @@
 		t.Errorf("%d tasks started on the worker again", len(got))
 	}
 }
+
+// TestBurstBesideShrunkWorkers shrinks a quarter of the workers below what they run,
+// while a burst arrives. The runs must go on, the burst must be served by the others,
+// and workers that have grown again must share the load at once.
+func TestBurstBesideShrunkWorkers(t *testing.T) {
+	const (
+		shrinkAt, growAt   = 6 * time.Second, 20 * time.Second
+		burstAt, burstEnd  = 11 * time.Second, 17 * time.Second
+		interval, atBurst  = 250 * time.Millisecond, 180 * time.Millisecond
+		shrunk, shrunkCPU  = 2, 8800
+		maxWait, maxReturn = time.Second, 2 * time.Second
+	)
+	sim := newCrashSim(t, 4*shrunk)
+	watch := watchStep
+	watch.Count, watch.Needs.CPU = 8, 10000 // one for each worker
+	sim.submit("watch", 0, watch)
+	full := sim.workers[0].Capacity
+	setCPU := func(cpu int64) {
+		for i := range sim.workers[:shrunk] {
+			sim.workers[i].Capacity.CPU = cpu
+			sim.s.SetWorker(&sim.store, sim.workers[i])
+		}
+	}
+	sim.run(interval)
+	began := sim.now
+	reserved := func(i int) int64 { return sim.store.Usage(sim.workers[i].Incarnation).Reserved.CPU }
+	for submitted := 0; sim.now.Sub(began) < growAt+maxReturn; submitted++ {
+		before := sim.now.Sub(began)
+		sim.submit(fmt.Sprint("lookup", submitted), 0, lookupStep, lookupStep)
+		if submitted%8 == 0 {
+			sim.submit(fmt.Sprint("plan", submitted), 2, planStep)
+		}
+		was := [shrunk]int64{reserved(0), reserved(1)}
+		sim.run(map[bool]time.Duration{true: atBurst, false: interval}[before >= burstAt && before < burstEnd])
+		if stops := sim.s.Stops(clocksAt(sim.now), &sim.store); len(stops) > 0 {
+			t.Fatalf("%s: stops %v", before, stops)
+		}
+		for i := range was {
+			if now := reserved(i); sim.workers[i].Capacity.CPU == shrunkCPU && now > max(was[i], shrunkCPU) {
+				t.Fatalf("%s: a shrunk worker's runs reserve %d, before %d", before, now, was[i])
+			}
+		}
+		switch after := sim.now.Sub(began); {
+		case before < shrinkAt && after >= shrinkAt:
+			setCPU(shrunkCPU)
+		case before < growAt && after >= growAt:
+			setCPU(full.CPU)
+		}
+	}
+	if sim.longest > maxWait {
+		t.Errorf("a submission had no active run for %s, want at most %s", sim.longest, maxWait)
+	}
+	for i := range sim.workers[:shrunk] {
+		if reserved(i) <= watch.Needs.CPU {
+			t.Errorf("%s has got no task since it has grown", sim.workers[i].Incarnation)
+		}
+	}
+	sim.run(10 * time.Second)
+	for _, sub := range sim.store.Unended() {
+		if sub.ID != "watch" {
+			t.Errorf("%s is %s, want completed", sub.ID, sub.State)
+		}
+	}
+}
