--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -146,13 +146,16 @@
 	}
 	p.countActiveRuns(rec)
 	p.search = r.newSearch(ws.sub, p.step)
-	firstStart := len(r.starts)
+	firstStart, full := len(r.starts), false
 	for i := range rec.Tasks {
 		t := &rec.Tasks[i]
 		if t.Done || len(t.Runs) > 0 || ws.suspectedFailing && !p.step.Gang && t.FailedRuns < submission.RepeatedFailures {
 			continue
 		}
 		id := submission.TaskID{Submission: ws.sub.ID, Occurrence: ws.occurrence, Step: ws.step, Index: i}
+		if full && r.mover.destination(id) == "" {
+			continue
+		}
 		isolation := p.step.Isolation(t)
 		n := p.bestWorker(id, isolation > 0)
 		if n == nil {
@@ -163,7 +166,13 @@
 			if t.FailedRuns > 0 || r.mover.destination(id) != "" || isolation > 0 {
 				continue // this task excludes workers that other tasks may use
 			}
-			return // the step's tasks are alike, so the rest do not fit either
+			// The step's tasks are alike, so the rest do not fit either, except where
+			// resources are reserved for a task that is being moved.
+			if !r.mover.isMoving(ws.sub.ID) {
+				return
+			}
+			full = true
+			continue
 		}
 		p.start(submission.RunID{Task: id, Number: max(lastRun, t.LastRun) + 1}, n)
 		if isolation > 0 {
@@ -231,10 +240,14 @@
 // nil. A task avoids workers on which it has failed if the submission's service has
 // a worker on which the task has not failed. Long-running tasks and the tasks of a
 // starved submission do not avoid workers. A task that is being moved starts at its
-// destination. A task that is suspected of crashing workers is isolated.
+// destination, unless that can no longer run it. A task that is suspected of crashing
+// workers is isolated.
 func (p *placement) bestWorker(id submission.TaskID, isolated bool) *node {
 	if destination := p.mover.destination(id); destination != "" {
-		return p.destinationWorker(destination)
+		if !p.isDestinationLost(destination) {
+			return p.destinationWorker(destination)
+		}
+		p.cancelMove(id)
 	}
 	if isolated {
 		return p.bestIsolatedWorker()
@@ -289,6 +302,36 @@
 		(!p.shouldWait(p.step, n) || p.isStarved(p.ws.sub))
 }
 
+// isDestinationLost reports whether the destination of a task that is being moved can
+// receive no tasks, or has shrunk so far that the task does not fit even when the
+// tasks that are being moved away have left.
+func (p *placement) isDestinationLost(incarnation string) bool {
+	n := p.pool.nodes[incarnation]
+	if n == nil {
+		return true
+	}
+	free := n.Capacity
+	if u := p.store.Usage(incarnation); u != nil {
+		free = free.Sub(u.Reserved)
+		for run, sub := range u.Runs {
+			if p.mover.moves[run.Task].from == incarnation {
+				free = free.Add(sub.Steps[run.Task.Step].Reserved())
+			}
+		}
+	}
+	return !p.step.Reserved().Fits(free)
+}
+
+// cancelMove lets a task that is being moved start on any worker, and releases what is
+// reserved for it.
+func (p *placement) cancelMove(id submission.TaskID) {
+	v := p.mover.moves[id]
+	if n := p.pool.nodes[v.to]; n != nil {
+		n.free = n.free.Add(v.reserved)
+	}
+	p.mover.endMove(id)
+}
+
 // destinationWorker returns the destination of a task that is being moved, if its
 // resources are free. They are reserved for the task.
 func (p *placement) destinationWorker(incarnation string) *node {
