End the runs of a worker that never announces its next incarnation, and keep listed ends

What callers could see: a task that never runs again, and work that is done twice.

Cause: while another incarnation answered polls, no lease was checked for its end. And ends that the former incarnation had listed, but the leader had not recorded, were dropped with it: the leader then counted their runs as lost.

Why it works: the lease is not renewed while another incarnation answers, so its longest end is known from the first such answer. Listed ends are reported like inferred ones.

--- a/internal/controller/stray_test.go
+++ b/internal/controller/stray_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/state"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
@@ -230,3 +231,52 @@
 		}
 	}
 }
+
+// TestRunsRecordedByEarlierLeaderRestartSoon guards against runs on an ended incarnation
+// that this leader has never heard of: they must not wait for the sweep of leases.
+func TestRunsRecordedByEarlierLeaderRestartSoon(t *testing.T) {
+	l := newLeaderWithTask(t)
+	l.setLease(10 * time.Second)
+	former, stop := l.attach("m1/w/1")
+	l.run = l.waitForStart(former)
+	stop()
+	if err := l.core.Do(t.Context(), func(c *Core, now time.Time) { c.sessions.reset(now) }); err != nil {
+		t.Fatal(err)
+	}
+	l.restartsSoon("m1/w/2")
+}
+
+// TestRunRecordedOnEndedIncarnationRestartsSoon guards against runs whose start was
+// proposed before their worker's next incarnation had listed its runs.
+func TestRunRecordedOnEndedIncarnationRestartsSoon(t *testing.T) {
+	l := newLeaderWithTask(t)
+	l.setLease(10 * time.Second)
+	former, _ := l.attachWith(&pb.AgentReport{Worker: report("m1/w/1").GetWorker()})
+	<-former.orders
+	next, _ := l.attachWith(&pb.AgentReport{Worker: report("m1/w/2").GetWorker()})
+	<-next.orders
+	next.reports <- l.listingReport("m1/w/2")
+	<-next.orders
+	l.propose(state.StartRuns{Starts: []submission.Start{{Run: l.run, Worker: "m1/w/1"}}})
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		next.reports <- l.listingReport("m1/w/2")
+		if number, active := l.lastRun(); number == 1 && active == 0 {
+			return
+		}
+	}
+	t.Error("the run on the ended incarnation has not ended")
+}
+
+// restartsSoon checks that the task's second run starts on an incarnation long before a
+// lease of 10 s expires.
+func (l *leader) restartsSoon(incarnation string) {
+	l.Helper()
+	next, _ := l.attach(incarnation)
+	l.keepReporting(next)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if number, _ := l.lastRun(); number == 2 {
+			return
+		}
+	}
+	l.Error("the task does not start again")
+}
--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -82,6 +82,11 @@
 		"worker started a new incarnation")
 	r.endRuns(submission.Lost, func(*trackedRun) bool { return true })
 	inferredEnds := r.inferredEnds // repeated until the leader has recorded them
+	for _, e := range r.ends {
+		inferredEnds[e.Run] = inferredEnd{
+			End: submission.End{Run: e.Run, Worker: r.incarnationName(former), Reason: e.Reason, Checkpoint: e.Checkpoint},
+		}
+	}
 	r.reset()
 	r.formerToken = token{}
 	if former.ID == incarnation.ID {
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -154,17 +154,20 @@
 func (r *Runner) handleSuperseded(now time.Time, list Listing) {
 	if r.supersededBy != list.StartTimeMS {
 		r.supersededBy = list.StartTimeMS
+		r.lease.assumeHeld(now, r.maxLease)
 		r.log.Emit(event.WorkerSuperseded, event.Fields{
 			"worker": r.incarnationName(r.incarnation), "started_ms": list.StartTimeMS, "runs": len(list.Active),
 		}, "another incarnation of the worker answers")
 	}
 	r.superseded = true
 	r.outage.record(now, ErrOtherIncarnation)
-	r.lease.assumeHeld(now, r.maxLease)
 	if !r.unresponsive {
 		r.unresponsive = true
 		wake(r.wakeReport)
 	}
+	if r.lease.hasExpired(now) { // it is not renewed
+		r.endExpiredRuns(now)
+	}
 }
 
 // recordPollFailure counts a poll without an answer. The runs end once the
