--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -12,10 +12,10 @@
 	"github.com/gentianrail/gentianrail/submission"
 )
 
-// machine is the leader's state of a machine, on which one incarnation of a worker
+// machineHistory is the leader's state of a machine, on which one incarnation of a worker
 // follows another. An order names the worker and not its incarnation, so an order for an
 // earlier one may start a run on a later one.
-type machine struct {
+type machineHistory struct {
 	attachments uint64   // number of streams in this term
 	incarnation string   // of the latest stream
 	former      []string // other incarnations of earlier streams that may have runs
@@ -31,7 +31,7 @@
 func (s *sessions) addAttachment(incarnation string) uint64 {
 	m := s.machines[machineOf(incarnation)]
 	if m == nil {
-		m = &machine{}
+		m = &machineHistory{}
 		s.machines[machineOf(incarnation)] = m
 	}
 	m.attachments++
@@ -86,7 +86,7 @@
 		sess.strays[run] = true
 		recorded := recordedOn(store, sess.worker.Incarnation, run)
 		if recorded != "" {
-			c.sessions.strays[run] = sess.worker.Incarnation
+			c.sessions.strayHolders[run] = sess.worker.Incarnation
 		}
 		if sess.orderedStops[run] {
 			continue
@@ -99,7 +99,7 @@
 		order.Stops = append(order.Stops, wire.EncodeRun(run))
 	}
 	if in.GetComplete() {
-		maps.DeleteFunc(c.sessions.strays, func(run submission.RunID, on string) bool {
+		maps.DeleteFunc(c.sessions.strayHolders, func(run submission.RunID, on string) bool {
 			return on == sess.worker.Incarnation && !sess.strays[run]
 		})
 	}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -237,7 +237,7 @@
 			c.crashedRuns.Inc(1)
 		}
 		c.log.Emit(event.RunEnded, fields, "run ended")
-		delete(c.sessions.strays, e.Run)
+		delete(c.sessions.strayHolders, e.Run)
 		for _, sess := range c.sessions.ofMachine(e.Worker) {
 			touched[sess] = true
 			delete(sess.orderedStops, e.Run)
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -118,7 +118,7 @@
 	c.sessions.scheduler.RemoveWorker(incarnation)
 	c.log.Emit(event.WorkerLost, event.Fields{"worker": incarnation}, "leases of the worker's runs expired; rescheduling its tasks")
 	c.proposeEnds(now, c.endsOfActiveRuns(incarnation, submission.LeaseExpired, func(run submission.RunID) bool {
-		other, isStray := c.sessions.strays[run]
+		other, isStray := c.sessions.strayHolders[run]
 		return isStray && now.Before(c.sessions.leaseExpiry(other))
 	}))
 }
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -101,8 +101,8 @@
 	lease            time.Duration
 	leaderSince      time.Time
 	byIncarnation    map[string]*session
-	machines         map[string]*machine
-	strays           map[submission.RunID]string // worker incarnations that have a run which is recorded on an earlier one
+	machines         map[string]*machineHistory
+	strayHolders     map[submission.RunID]string // worker incarnations that have a run which is recorded on an earlier one
 	leaseExpiries    map[string]time.Time        // when the latest lease of a worker incarnation has expired for certain
 	leaseOrder       recency                     // worker incarnations by renewal of their lease
 	reportOrder      recency                     // worker incarnations that can receive tasks, by latest report
@@ -129,8 +129,8 @@
 	}
 	s.leaderSince = now
 	s.byIncarnation = make(map[string]*session)
-	s.machines = make(map[string]*machine)
-	s.strays = make(map[submission.RunID]string)
+	s.machines = make(map[string]*machineHistory)
+	s.strayHolders = make(map[submission.RunID]string)
 	s.leaseExpiries = make(map[string]time.Time)
 	s.expiring = make(map[string]time.Time)
 	s.startsProposedAt = time.Time{}
