Let an agent stop while its worker is in doubt

What operators saw: an agent that does not end on SIGTERM.

Cause: the poll that the stop cancels counted as a failed one, so the worker was in doubt, and starts wait for the next poll, of which there is none. The goroutines of orders outlived the agent's context.

A start that waited for a lease of an unresponsive worker could do the same before.

Why it works: orders end with the agent instead of with nothing, and a cancelled poll says nothing about the worker.

--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -48,6 +48,9 @@
 		sent := clock.Now()
 		list, err := r.worker.Poll(callCtx, incarnation.ID, req)
 		cancel()
+		if ctx.Err() != nil {
+			return // the agent stops, which says nothing about the worker
+		}
 		if !r.handlePollResult(ctx, incarnation, sent, list, err) {
 			r.waitForPoll(ctx, _retryInterval)
 		}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -78,16 +78,16 @@
 // worker's incarnation lasts. It returns the leader's address if the controller
 // names another leader, and whether the controller was the leader.
 func (r *Runner) runStream(ctx context.Context, address string) (leader string, attached bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
+	streamCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dialCtx, cancelDial := context.WithTimeout(ctx, _attachTimeout)
-	stream, err := r.controllers.Attach(ctx, dialCtx, address)
+	dialCtx, cancelDial := context.WithTimeout(streamCtx, _attachTimeout)
+	stream, err := r.controllers.Attach(streamCtx, dialCtx, address)
 	cancelDial()
 	if err != nil {
 		return "", false, err
 	}
 	orders := make(chan *pb.AgentOrder, 1)
-	r.goroutines.Go(func() { receiveOrders(ctx, stream, orders) })
+	r.goroutines.Go(func() { receiveOrders(streamCtx, stream, orders) })
 	defer stream.Close()
 	incarnation := r.currentIncarnation()
 	s := session{incarnation: incarnation, inferredEnds: make(map[submission.RunID]bool)}
@@ -153,7 +153,7 @@
 			orderTimer.Reset(orderTimeout)
 			r.mu.Lock()
 			if r.incarnation == s.incarnation {
-				r.applyOrder(context.WithoutCancel(ctx), o)
+				r.applyOrder(ctx, o)
 			}
 			r.mu.Unlock()
 			continue
--- a/internal/runner/stray_test.go
+++ b/internal/runner/stray_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -9,6 +10,8 @@
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/control"
 	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
@@ -339,3 +342,26 @@
 		t.Error("the run goes on after its lease has expired")
 	}
 }
+
+// TestStopEndsWhileWorkerIsInDoubt guards against an agent that does not stop, since a
+// start waits for an answer to a poll.
+func TestStopEndsWhileWorkerIsInDoubt(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	w.set(func() { w.down = true })
+	l.poll()
+	r.mu.Lock()
+	r.applyOrder(ctx, &pb.AgentOrder{Term: 1, Attachment: l.last, Starts: startOrder(1).GetStarts(), Stops: []*pb.Run{wire.EncodeRun(testRun(2))}})
+	r.mu.Unlock()
+	cancel()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		r.goroutines.Wait()
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Error("the goroutines go on after the agent has stopped")
+	}
+}
