Test that a cancelled poll puts the worker in no doubt

TestStopEndsWhileWorkerIsInDoubt stays green if orders outlive the agent's context again: it passes the context itself. The new test turns red ('the worker is in doubt') if a cancelled poll counts as a failed one, which was the cause of the hang.

--- a/internal/runner/stray_test.go
+++ b/internal/runner/stray_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -365,3 +366,26 @@
 		t.Error("the goroutines go on after the agent has stopped")
 	}
 }
+
+// TestCancelledPollPutsWorkerInNoDoubt guards against starts that wait for a poll which
+// the agent, as it stops, makes no more.
+func TestCancelledPollPutsWorkerInNoDoubt(t *testing.T) {
+	w := &slowPollWorker{}
+	r := newRunner(t, &w.fakeWorker)
+	r.worker = w
+	ctx, cancel := context.WithCancel(t.Context())
+	var loop sync.WaitGroup
+	loop.Go(func() { r.pollLoop(ctx) })
+	eventually(t, "a poll is made", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.polls > 0
+	})
+	cancel()
+	loop.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isInDoubt() {
+		t.Error("the worker is in doubt")
+	}
+}
