Review: show that a queue's count leaves out submissions that have not begun

The count covers submissions in the state queued, which a start leaves when it is recorded, and never returns to. While the only worker that may run them hangs, eight submissions that have not begun are counted as none.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -27,6 +27,8 @@
 	"many-ends":   playManyEnds,
 	"large-order": playLargeOrder,
 	"flap":        playFlap,
+	"pending":     playPending,
+	"drain":       playDrain,
 }
 
 func main() {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -17,6 +17,7 @@
 	_heartbeatInterval = 1500 * time.Millisecond
 	_maxListedEnds     = 500 // in one response
 	_maxWait           = 2 * time.Second
+	_remaining         = 6 * time.Second // that a draining worker still serves
 )
 
 // run is one run of a task on a worker, from its start on.
@@ -44,6 +45,8 @@
 	startup  time.Duration // from its start to its first status report
 
 	mu          sync.Mutex
+	hangsUntil  time.Time // until when it leaves all calls unanswered and carries out none
+	draining    bool      // as its status reports say
 	server      *http.Server
 	incarnation int
 	born        int64
@@ -131,11 +134,15 @@
 func (w *worker) report(ctx context.Context) bool {
 	w.mu.Lock()
 	w.sequence++
-	body, _ := json.Marshal(map[string]any{
+	report := map[string]any{
 		"service": _service, "address": w.m.at(_workerPort), "zone": "lv-central-a", "version": "v1", "slots": 8, "state": "ready",
 		"warmup-left-ms": 0, "capacity": w.capacity, "labels": w.labels, "timestamp-ms": w.clock().Milliseconds(),
 		"sequence": w.sequence, "born": w.born, "machine": "m-" + w.id,
-	})
+	}
+	if w.draining {
+		report["state"], report["remaining-ms"] = "draining", _remaining.Milliseconds()
+	}
+	body, _ := json.Marshal(report)
 	w.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
@@ -219,6 +226,9 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if w.leaveUnanswered(r.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if want := r.Header.Get("X-Expected-Instance"); want != "" && want != w.id {
@@ -243,6 +253,41 @@
 	_, _ = rw.Write(body)
 }
 
+// leaveUnanswered holds a call while the worker hangs, and reports whether it did.
+func (w *worker) leaveUnanswered(ctx context.Context) bool {
+	w.mu.Lock()
+	d := time.Until(w.hangsUntil)
+	w.mu.Unlock()
+	if d <= 0 {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+	return true
+}
+
+// hang lets the worker hang for some time. It still sends status reports.
+func (w *worker) hang(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hangsUntil = time.Now().Add(d)
+	w.rec.add("%s: worker hangs for %d ms", w.id, d.Milliseconds())
+}
+
+// leave lets the worker say that it is draining, and returns when that is acknowledged.
+func (w *worker) leave(ctx context.Context) time.Time {
+	w.mu.Lock()
+	w.draining = true
+	w.mu.Unlock()
+	for !w.report(ctx) {
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.rec.add("%s: worker says that it is draining; acknowledged", w.id)
+	return time.Now()
+}
+
 // waitForEnd waits until there is an end to list. w.mu must be held; it is released
 // while waiting.
 func (w *worker) waitForEnd(ctx context.Context, d time.Duration) {
