--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Names of the configuration.
@@ -50,9 +52,9 @@
 
 // applyConfig sends the configuration until it is acknowledged.
 func (d *deployment) applyConfig(config string) error {
-	for end := time.Now().Add(_startTimeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+	for end := clock.Now().Add(_startTimeout); clock.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		for _, m := range d.core {
-			status, _ := call(http.MethodPost, m.at(_controlPlanePort), "", "/gentianrail/Config.Replace", config, time.Second)
+			status, _ := call(http.MethodPost, m.at(_controlPlanePort), "", _wire.ReplaceConfig, config, time.Second)
 			d.rec.add("operator: configuration sent to %s, answer %d", m.name, status)
 			if status == http.StatusOK {
 				return nil
@@ -98,7 +100,7 @@
 // and returns the latest one.
 func (d *deployment) waitForState(id string, timeout time.Duration, wanted ...string) string {
 	last := ""
-	for end := time.Now().Add(timeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+	for end := clock.Now().Add(timeout); clock.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		s := d.state(id)
 		if s != last {
 			d.rec.add("requester: GET %s, state %s", id, s)
--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -14,6 +14,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Ports of a machine, the same on all machines. Each machine has a loopback address of
@@ -181,7 +183,7 @@
 			return err
 		}
 	}
-	for end := time.Now().Add(_startTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := clock.Now().Add(_startTimeout); clock.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		ready := 0
 		for _, m := range d.edge {
 			resp, err := http.Get("http://" + m.at(_readinessPort) + "/gentianrail/readyz")
--- a/review/stand/largeorder.go
+++ b/review/stand/largeorder.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // playLargeOrder hands in scheduled submissions that are due one after the other.
@@ -31,7 +33,7 @@
 	defer d.stopAll()
 	text := fmt.Sprintf("run-ms=%d ", runMS)
 	text += strings.Repeat("x", textBytes-len(text))
-	dueAt := time.Now().Add(5 * time.Second)
+	dueAt := clock.Now().Add(5 * time.Second)
 	var ids []string
 	for i := range submissions {
 		id := fmt.Sprintf("%016x", 0x7e21d94b36f80000+i)
@@ -44,7 +46,7 @@
 	}
 	last := dueAt.Add((submissions - 1) * between)
 	if trouble {
-		time.Sleep(time.Until(dueAt.Add(-beforeDue)))
+		time.Sleep(dueAt.Add(-beforeDue).Sub(clock.Now()))
 		if err := d.restartCore(); err != nil {
 			return outcome{}, err
 		}
@@ -53,9 +55,9 @@
 	idle := newIdleWatch(workers)
 	const lateID = "5c0e7a21d94b36f8"
 	open, isLateSent := ids, false
-	for end := last.Add(finish); (len(open) > 0 || !isLateSent) && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := last.Add(finish); (len(open) > 0 || !isLateSent) && clock.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		idle.observe()
-		if !isLateSent && time.Since(last) > lateAfter {
+		if !isLateSent && clock.Now().Sub(last) > lateAfter {
 			isLateSent = true
 			if !d.submit(lateID, fmt.Sprintf(`{"spec":"run-ms=%d","steps":[{"count":1,"cpu":1000,"mem-mb":100,"estimated-ms":%d}]}`, runMS, runMS)) {
 				return outcome{}, errors.New("the late submission was not accepted")
@@ -87,15 +89,15 @@
 }
 
 func newIdleWatch(workers []*worker) *idleWatch {
-	return &idleWatch{workers: workers, busyAt: time.Now()}
+	return &idleWatch{workers: workers, busyAt: clock.Now()}
 }
 
 func (i *idleWatch) observe() {
 	for _, w := range i.workers {
 		if w.activeRuns() > 0 {
-			i.busyAt = time.Now()
+			i.busyAt = clock.Now()
 		}
 	}
 }
 
-func (i *idleWatch) since() time.Duration { return time.Since(i.busyAt) }
+func (i *idleWatch) since() time.Duration { return clock.Now().Sub(i.busyAt) }
--- a/review/stand/manyends.go
+++ b/review/stand/manyends.go
@@ -4,11 +4,13 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // playManyEnds lets more runs of a worker end than one response lists, while all
 // processes of the core are killed and come back within a second. The ends are done and
-// stay listed until last-seen reaches them, so none of their tasks may start again.
+// stay listed until they are recorded, so none of their tasks may start again.
 func playManyEnds(rec *record, trouble bool) (outcome, error) {
 	const (
 		tasks      = 1800 // 600 for each worker, which lists 500 ends in one response
@@ -27,7 +29,7 @@
 		return outcome{}, errors.New("the submission was not accepted")
 	}
 	started := 0
-	for end := time.Now().Add(5 * time.Second); started < tasks && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	for end := clock.Now().Add(5 * time.Second); started < tasks && clock.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		started = 0
 		for _, w := range workers {
 			started += w.started()
@@ -38,13 +40,13 @@
 	}
 	rec.add("all %d tasks have started", tasks)
 	if trouble {
-		time.Sleep(time.Until(firstEnd(workers).Add(-beforeEnds)))
+		time.Sleep(firstEnd(workers).Add(-beforeEnds).Sub(clock.Now()))
 		if err := d.restartCore(); err != nil {
 			return outcome{}, err
 		}
 	}
 	state := d.waitForState(id, 30*time.Second, "completed", "failed")
-	time.Sleep(2 * time.Second) // last-seen reaches the last ends
+	time.Sleep(2 * time.Second) // the last ends are named as recorded
 	rec.add("state of the submission: %s", state)
 	return outcome{broken: brokenTwice(workers)}, nil
 }
--- a/review/stand/pending.go
+++ b/review/stand/pending.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // playPending lets the only worker that may run some submissions hang, and asks how many
@@ -26,18 +28,18 @@
 	if trouble {
 		w.hang(hang)
 	}
-	hangsUntil := time.Now().Add(hang)
+	hangsUntil := clock.Now().Add(hang)
 	body := fmt.Sprintf(`{"spec":"run-ms=%d","steps":[{"count":1,"cpu":7000,"mem-mb":13000,"estimated-ms":%d,"requirements":"b"}]}`, runMS, runMS)
 	for i := range submissions {
 		if !d.submit(fmt.Sprintf("%016x", 0x5c0e7a23d9400000+i), body) {
 			return outcome{}, errors.New("a submission was not accepted")
 		}
 	}
-	accepted := time.Now()
+	accepted := clock.Now()
 	time.Sleep(visible + 50*time.Millisecond)
 	var out outcome
 	asked := 0
-	for ; time.Now().Before(hangsUntil); time.Sleep(100 * time.Millisecond) {
+	for ; clock.Now().Before(hangsUntil); time.Sleep(100 * time.Millisecond) {
 		m := d.edge[asked%len(d.edge)]
 		asked++
 		status, text := call(http.MethodGet, m.at(_frontendPort), _host, _prefix, "", _requestTimeout)
@@ -49,7 +51,7 @@
 		}
 		if waiting := submissions - begun; 2*pending < waiting {
 			out.broken = append(out.broken, fmt.Sprintf("%d submissions are said to wait; %d were accepted over %d ms before and haven't begun",
-				pending, waiting, time.Since(accepted).Milliseconds()))
+				pending, waiting, clock.Now().Sub(accepted).Milliseconds()))
 		}
 	}
 	if asked == 0 {
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -5,6 +5,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // record is the list of what was sent, answered and run. It is safe for concurrent
@@ -20,14 +22,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: f, began: time.Now()}, nil
+	return &record{file: f, began: clock.Now()}, nil
 }
 
 // add writes a line with the time since the start.
 func (r *record) add(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(r.file, "%8.3f  %s\n", clock.Now().Sub(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
 func (r *record) close() error { return r.file.Close() }
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -5,12 +5,15 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 const (
@@ -29,7 +32,7 @@
 	ended   time.Time // zero while it is active
 	how     string
 	end     int       // number of its end in its incarnation
-	noted   time.Time // when last-seen has reached its end; zero if it has not
+	noted   time.Time // when the agent has named its end as recorded; zero if it has not
 	lapsed  bool      // the worker's lease has lapsed between the end and then
 	restart int       // incarnation, from 1
 }
@@ -57,7 +60,7 @@
 	sequence    int
 	active      map[string]*run
 	highest     map[string]int // run number of the latest run started, stopped or ended, by task
-	listed      []*run         // ends that last-seen has not reached
+	listed      []*run         // ends that the agent has not named as recorded
 	lastEnd     int
 	ended       chan struct{} // closed and replaced at each end
 	runs        []*run        // of all incarnations
@@ -79,7 +82,7 @@
 	}
 	w.mu.Lock()
 	w.incarnation++
-	w.born, w.clockStart = time.Now().UnixMilli(), time.Now()
+	w.born, w.clockStart = clock.Now().UnixMilli(), clock.Now()
 	w.leaseEnd, w.expired, w.token, w.sequence, w.lastEnd = 0, false, 0, 0, 0
 	w.active, w.highest, w.listed = make(map[string]*run), make(map[string]int), nil
 	w.ended = make(chan struct{})
@@ -100,7 +103,7 @@
 	w.mu.Lock()
 	w.cancel()
 	server := w.server
-	now := time.Now()
+	now := clock.Now()
 	for _, r := range w.active {
 		r.ended, r.how = now, "crashed"
 	}
@@ -110,7 +113,7 @@
 	_ = server.Close()
 }
 
-func (w *worker) clock() time.Duration { return time.Since(w.clockStart) }
+func (w *worker) clock() time.Duration { return clock.Now().Sub(w.clockStart) }
 
 // announce sends a status report every heartbeat interval, and sooner after one that
 // wasn't acknowledged.
@@ -146,7 +149,7 @@
 	w.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.m.at(_controlPlanePort)+"/gentianrail/Instances.Heartbeat/"+w.id, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.m.at(_controlPlanePort)+_wire.Heartbeat+w.id, bytes.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -177,7 +180,7 @@
 
 // endDue ends the runs that are due. w.mu must be held.
 func (w *worker) endDue() {
-	now := time.Now()
+	now := clock.Now()
 	if w.leaseEnd > 0 && w.clock() >= w.leaseEnd {
 		if !w.expired {
 			w.expired = true
@@ -210,19 +213,13 @@
 	w.ended = make(chan struct{})
 }
 
-type order struct {
-	Task     string  `json:"task"`
-	Run      int     `json:"run-id"`
-	Spec     string  `json:"spec"`
-	Expires  float64 `json:"expires-at-ms"`
-	Token    uint64  `json:"fencing-token"`
-	LastSeen int     `json:"last-seen"`
-	Wait     int     `json:"wait-ms"`
-}
-
 func (w *worker) serve(rw http.ResponseWriter, r *http.Request) {
-	var o order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the caller has gone
+	}
+	o, err := decodeOrder(data)
+	if err != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -237,14 +234,14 @@
 	}
 	w.endDue()
 	status, reason := w.apply(r.URL.Path, o)
-	if status == http.StatusOK && strings.HasSuffix(r.URL.Path, "/hold") {
-		w.waitForEnd(r.Context(), time.Duration(o.Wait)*time.Millisecond)
+	if status == http.StatusOK && r.URL.Path == _wire.List {
+		w.waitForEnd(r.Context(), time.Duration(o.waitMS)*time.Millisecond)
 	}
 	response := map[string]any{"timestamp-ms": w.clock().Milliseconds(), "born": w.born}
 	if reason != "" {
 		response["reason"] = reason
 	}
-	if status == http.StatusOK && strings.HasSuffix(r.URL.Path, "/hold") {
+	if status == http.StatusOK && r.URL.Path == _wire.List {
 		response["active"], response["finished"] = w.lists()
 	}
 	body, _ := json.Marshal(response)
@@ -256,7 +253,7 @@
 // leaveUnanswered holds a call while the worker hangs, and reports whether it did.
 func (w *worker) leaveUnanswered(ctx context.Context) bool {
 	w.mu.Lock()
-	d := time.Until(w.hangsUntil)
+	d := w.hangsUntil.Sub(clock.Now())
 	w.mu.Unlock()
 	if d <= 0 {
 		return false
@@ -272,7 +269,7 @@
 func (w *worker) hang(d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.hangsUntil = time.Now().Add(d)
+	w.hangsUntil = clock.Now().Add(d)
 	w.rec.add("%s: worker hangs for %d ms", w.id, d.Milliseconds())
 }
 
@@ -285,7 +282,7 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	w.rec.add("%s: worker says that it is draining; acknowledged", w.id)
-	return time.Now()
+	return clock.Now()
 }
 
 // waitForEnd waits until there is an end to list. w.mu must be held; it is released
@@ -307,7 +304,7 @@
 // lists returns the rows of active and of ended runs. w.mu must be held.
 func (w *worker) lists() (active, finished [][]any) {
 	active, finished = [][]any{}, [][]any{}
-	now := time.Now()
+	now := clock.Now()
 	for _, r := range w.active {
 		percent := min(99, int(100*now.Sub(r.begun)/r.endsAt.Sub(r.begun)))
 		active = append(active, []any{r.task, r.number, "", percent, 50})
@@ -320,26 +317,26 @@
 
 // apply carries out a call. w.mu must be held.
 func (w *worker) apply(path string, o order) (status int, reason string) {
-	if o.Token < w.token {
+	if o.token < w.token {
 		return http.StatusConflict, "fence"
 	}
-	w.token = o.Token
-	leaseEnd := min(time.Duration(o.Expires)*time.Millisecond, w.clock()+_maxHoldMS*time.Millisecond)
+	w.token = o.token
+	leaseEnd := min(time.Duration(o.leaseEndMS)*time.Millisecond, w.clock()+_maxHoldMS*time.Millisecond)
 	switch path {
-	case "/gentianrail/run-start":
+	case _wire.Start:
 		return w.startRun(o, leaseEnd)
-	case "/gentianrail/run-stop":
-		if r := w.active[o.Task]; r != nil && r.number == o.Run {
-			w.endRun(r, time.Now(), "stopped")
+	case _wire.Stop:
+		if r := w.active[o.task]; r != nil && r.number == o.run {
+			w.endRun(r, clock.Now(), "stopped")
 		}
-		w.highest[o.Task] = max(w.highest[o.Task], o.Run)
-	case "/gentianrail/hold":
+		w.highest[o.task] = max(w.highest[o.task], o.run)
+	case _wire.List:
 		w.leaseEnd = max(w.leaseEnd, leaseEnd)
-		for len(w.listed) > 0 && w.listed[0].end <= o.LastSeen {
-			w.listed[0].noted = time.Now()
+		for len(w.listed) > 0 && w.listed[0].end <= o.recordedEnd {
+			w.listed[0].noted = clock.Now()
 			w.listed = w.listed[1:]
 		}
-	case "/gentianrail/pace":
+	case _wire.Pace:
 	default:
 		return http.StatusNotFound, ""
 	}
@@ -347,22 +344,22 @@
 }
 
 func (w *worker) startRun(o order, leaseEnd time.Duration) (status int, reason string) {
-	if r := w.active[o.Task]; r != nil && r.number == o.Run {
+	if r := w.active[o.task]; r != nil && r.number == o.run {
 		return http.StatusOK, ""
 	}
 	if leaseEnd <= w.clock() {
 		return http.StatusConflict, "late"
 	}
 	w.leaseEnd = max(w.leaseEnd, leaseEnd)
-	if o.Run <= w.highest[o.Task] {
+	if o.run <= w.highest[o.task] {
 		return http.StatusConflict, "old"
 	}
-	now := time.Now()
-	r := &run{task: o.Task, number: o.Run, begun: now, endsAt: now.Add(runTime(o.Spec)), restart: w.incarnation}
-	w.highest[o.Task] = o.Run
-	w.active[o.Task] = r
+	now := clock.Now()
+	r := &run{task: o.task, number: o.run, begun: now, endsAt: now.Add(runTime(o.spec)), restart: w.incarnation}
+	w.highest[o.task] = o.run
+	w.active[o.task] = r
 	w.runs = append(w.runs, r)
-	w.rec.add("%s: start %s run %d", w.id, o.Task, o.Run)
+	w.rec.add("%s: start %s run %d", w.id, o.task, o.run)
 	return http.StatusOK, ""
 }
 
