--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -87,6 +88,13 @@
 		return out
 	}
 	d.core, d.edge, d.side = add("controller", cores), add("entry", _edges), add("agent", sides)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		d.stopAll()
+		os.Exit(_notPlayed)
+	}()
 	return d, nil
 }
 
