--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -8,11 +8,11 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -67,6 +67,9 @@
 	side   []*machine
 }
 
+// _running is the deployment of the case that is played, which a signal to stop ends.
+var _running atomic.Pointer[deployment]
+
 // newDeployment renders the settings of the machines. It starts nothing.
 func newDeployment(rec *record, cores, sides int) (*deployment, error) {
 	folder, err := os.MkdirTemp("", "stand")
@@ -88,13 +91,7 @@
 		return out
 	}
 	d.core, d.edge, d.side = add("controller", cores), add("entry", _edges), add("agent", sides)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	go func() {
-		<-signals
-		d.stopAll()
-		os.Exit(_notPlayed)
-	}()
+	_running.Store(d)
 	return d, nil
 }
 
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -9,6 +9,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes.
@@ -36,6 +38,15 @@
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
 		os.Exit(_notPlayed)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		if d := _running.Load(); d != nil {
+			d.stopAll()
+		}
+		os.Exit(_notPlayed)
+	}()
 	os.Exit(play(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0"))
 }
 
--- a/review/stand/pending.go
+++ b/review/stand/pending.go
@@ -10,12 +10,12 @@
 	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
-// playPending lets the only worker that may run some submissions hang, and asks how many
+// playPending cuts off the only worker that may run some submissions, and asks how many
 // submissions of the queue have not started a task.
 func playPending(rec *record, trouble bool) (outcome, error) {
 	const (
 		submissions = 8
-		hang        = 5500 * time.Millisecond
+		cut         = 5500 * time.Millisecond
 		visible     = 5000 * time.Millisecond // visible_ms, and 2 s that the count may be old
 		runMS       = 2700
 	)
@@ -26,9 +26,9 @@
 	defer d.stopAll()
 	w := workers[0]
 	if trouble {
-		w.hang(hang)
+		w.cutOff(cut)
 	}
-	hangsUntil := clock.Now().Add(hang)
+	cutUntil := clock.Now().Add(cut)
 	body := fmt.Sprintf(`{"spec":"run-ms=%d","steps":[{"count":1,"cpu":7000,"mem-mb":13000,"estimated-ms":%d,"requirements":"b"}]}`, runMS, runMS)
 	for i := range submissions {
 		if !d.submit(fmt.Sprintf("%016x", 0x5c0e7a23d9400000+i), body) {
@@ -39,7 +39,7 @@
 	time.Sleep(visible + 50*time.Millisecond)
 	var out outcome
 	asked := 0
-	for ; clock.Now().Before(hangsUntil); time.Sleep(100 * time.Millisecond) {
+	for ; clock.Now().Before(cutUntil); time.Sleep(100 * time.Millisecond) {
 		m := d.edge[asked%len(d.edge)]
 		asked++
 		status, text := call(http.MethodGet, m.at(_frontendPort), _host, _prefix, "", _requestTimeout)
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -49,6 +49,7 @@
 
 	mu          sync.Mutex
 	hangsUntil  time.Time // until when it leaves all calls unanswered and carries out none
+	cut         bool      // its status reports don't arrive either until then
 	draining    bool      // as its status reports say
 	server      *http.Server
 	incarnation int
@@ -136,6 +137,10 @@
 
 func (w *worker) report(ctx context.Context) bool {
 	w.mu.Lock()
+	if w.cut && clock.Now().Before(w.hangsUntil) {
+		w.mu.Unlock()
+		return false
+	}
 	w.sequence++
 	report := map[string]any{
 		"service": _service, "address": w.m.at(_workerPort), "zone": "lv-central-a", "version": "v1", "slots": 8, "state": "ready",
@@ -273,6 +278,14 @@
 	w.rec.add("%s: worker hangs for %d ms", w.id, d.Milliseconds())
 }
 
+// cutOff cuts the worker off from all machines for some time. It runs on.
+func (w *worker) cutOff(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hangsUntil, w.cut = clock.Now().Add(d), true
+	w.rec.add("%s: worker is cut off for %d ms", w.id, d.Milliseconds())
+}
+
 // leave lets the worker say that it is draining, and returns when that is acknowledged.
 func (w *worker) leave(ctx context.Context) time.Time {
 	w.mu.Lock()
