--- a/review/stand/manyends.go
+++ b/review/stand/manyends.go
@@ -13,7 +13,7 @@
 // stay listed until they are recorded, so none of their tasks may start again.
 func playManyEnds(rec *record, trouble bool) (outcome, error) {
 	const (
-		tasks      = 1800 // 600 for each worker, which lists 500 ends in one response
+		tasks      = 1800 // over 500 for a worker, which lists 500 ends in one response
 		cpu        = 90   // thousandths of a core
 		runMS      = 4000
 		beforeEnds = 300 * time.Millisecond // from the end of the core's processes to the first end of a task
