Log inferred ends of runs, and how long a start order has waited

The agent wrote no line when it took a run as ended without a listed end, and start_answered said neither how old the order was nor whether the worker had announced that it leaves.

run_end_inferred has the reason, the number of ends in the latest listing and for how long the listings have lacked the run; start_answered has waited_ms and draining. No decision changes.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -72,6 +72,7 @@
 	WorkerCrashed      Number = 313
 	WorkerSuperseded   Number = 314
 	EndedRunListed     Number = 315
+	RunEndInferred     Number = 316
 	ViewLost           Number = 401
 	ConnectionDead     Number = 402
 	WorkerEjected      Number = 403
@@ -146,6 +147,7 @@
 	{WorkerCrashed, "worker_crashed", logrus.WarnLevel},
 	{WorkerSuperseded, "worker_superseded", logrus.WarnLevel},
 	{EndedRunListed, "ended_run_listed", logrus.WarnLevel},
+	{RunEndInferred, "run_end_inferred", logrus.InfoLevel},
 	{ViewLost, "view_lost", logrus.WarnLevel},
 	{ConnectionDead, "connection_dead", logrus.WarnLevel},
 	{WorkerEjected, "worker_ejected", logrus.WarnLevel},
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -202,6 +202,7 @@
 // reconcileRuns updates the tracked runs from the worker's listing. r.mu must be
 // held.
 func (r *Runner) reconcileRuns(ctx context.Context, now, sent time.Time, list Listing) {
+	r.listedEnds = len(list.Ends)
 	active := make(map[submission.RunID]bool, len(list.Active))
 	for _, a := range list.Active {
 		active[a.Run] = true
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -65,6 +65,7 @@
 	startUnanswered bool                 // a call that starts the run got no answer
 	rejected        bool                 // the worker has rejected a call that starts the run
 	estimate        time.Duration        // of the task's run time; 0 if unknown
+	orderedAt       time.Time            // receipt of the start order; zero if the agent has not received one
 	lateGrants      int                  // Runner.lateGrants when the run was ordered
 	startedAt       time.Time            // first call that may have started the run; zero if an earlier agent made it
 	confirmed       bool                 // the worker has answered a start or stop, or has listed the run
@@ -116,6 +117,7 @@
 	unreported      map[submission.RunID]bool        // runs with changes that were not reported
 	supersededBy    int64                            // start time of another incarnation that has answered a poll, in ms since 1970; 0 for none
 	listed          bool                             // the worker has listed its runs in this incarnation
+	listedEnds      int                              // ends in the latest listing
 	failedPolls     int                              // consecutive, without an answer
 	outage          outage                           // the consecutive failed polls
 	unresponsive    bool
@@ -172,6 +174,7 @@
 	r.ends, r.lastListedEnd, r.lastRecordedEnd = nil, 0, 0
 	r.lease = lease{grantEnd: r.lease.grantEnd, heldUntil: r.lease.heldUntil}
 	r.listed, r.unresponsive, r.failedPolls, r.departed, r.disconnected = false, false, 0, false, false
+	r.listedEnds = 0
 	r.outage = outage{}
 	r.pacer, r.coefficients = pacing.Pacer{}, make(interference.Coefficients)
 	r.tailLatencies, r.loads = nil, nil
@@ -311,6 +314,7 @@
 		run:        run,
 		estimate:   time.Duration(s.GetEstimate()),
 		needs:      wire.DecodeResources(s.GetNeeds()),
+		orderedAt:  clock.Now(),
 		lateGrants: r.lateGrants,
 		share:      _fullShare,
 		described:  true,
@@ -350,6 +354,14 @@
 	r.inferredEnds[tr.run] = inferredEnd{
 		End: submission.End{Run: tr.run, Worker: r.incarnationName(r.incarnation), Reason: reason, Checkpoint: r.checkpoints[tr.run]},
 	}
+	fields := event.Fields{
+		"worker": r.incarnationName(r.incarnation), "task": tr.run.Task.String(), "run": tr.run.Number, "how": reason.String(),
+		"stop_ordered": tr.stopOrdered, "listed_ends": r.listedEnds,
+	}
+	if !tr.missingSince.IsZero() {
+		fields["missing_ms"] = clock.Now().Sub(tr.missingSince).Milliseconds()
+	}
+	r.log.Emit(event.RunEndInferred, fields, "run ended without being listed by the worker")
 	wake(r.wakeReport)
 }
 
@@ -447,6 +459,7 @@
 	r.log.Emit(event.StartAnswered, event.Fields{
 		"task": tr.run.Task.String(), "run": tr.run.Number, "answer": int(answer), "unsure": tr.startUnanswered,
 		"worker": r.incarnationName(incarnation), "failed_polls": r.failedPolls,
+		"waited_ms": now.Sub(tr.orderedAt).Milliseconds(), "draining": r.announcement.Draining || r.departed,
 	}, "worker answered a start order")
 	switch answer {
 	case Started, Superseded:
