Infer no end of a run from a listing that lacks ends

Cause: a worker lists 500 ends in one answer, and further ones when these are recorded, which takes a leader. The agent took a run that was neither active nor among these 500 as lost after a second, and a run with a stop order as stopped at once. The leader then placed the task again, and passed over the listed end.

From a partial listing the agent infers no end, and it doesn't count as a complete listing under its token. Two more places believed that: a restarted agent whose worker leaves rejected repeated starts of runs that were done, and ends of a former incarnation were settled by a partial listing. Ends are reported before the incarnation is settled, since the rest is listed only then.

--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -29,6 +29,7 @@
 	refuseStops bool
 	hold        bool         // keeps orders to start unanswered
 	held        []StartOrder // orders that are carried out later
+	maxEnds     int          // ends in one listing; 0 for all
 }
 
 func newReturningWorker() *returningWorker {
@@ -143,6 +144,9 @@
 	}
 	w.ends = slices.DeleteFunc(w.ends, func(e ListedEnd) bool { return e.Number <= req.LastRecordedEnd })
 	list := Listing{StartTimeMS: w.incarnation.StartTimeMS, Clock: clock.Now().Sub(w.began), Ends: slices.Clone(w.ends)}
+	if w.maxEnds > 0 && len(list.Ends) >= w.maxEnds {
+		list.Ends, list.MoreEnds = list.Ends[:w.maxEnds], true
+	}
 	for run := range w.active {
 		list.Active = append(list.Active, ListedRun{Run: run})
 	}
@@ -160,7 +164,7 @@
 	w     *returningWorker
 	s     session
 	last  uint64                                    // attachment
-	ended map[submission.RunID]submission.EndReason // as reported
+	ended map[submission.RunID]submission.EndReason // as reported first
 }
 
 func (l *stubLeader) attach() {
@@ -178,12 +182,12 @@
 	o := &pb.AgentOrder{Term: 1, Attachment: l.last, Sent: clock.Now().UnixNano(), Lease: int64(time.Minute)}
 	for _, e := range report.GetEnds() {
 		run := wire.DecodeRun(e.GetRun())
-		l.ended[run] = submission.EndReason(e.GetHow())
+		l.recordEnd(run, submission.EndReason(e.GetHow()))
 		o.Taken = max(o.Taken, e.GetNumber())
 	}
 	for _, e := range report.GetRefused() {
 		end := wire.DecodeRunEnd(e)
-		l.ended[end.Run] = end.Reason
+		l.recordEnd(end.Run, end.Reason)
 		o.Settled = append(o.Settled, e.GetRun())
 	}
 	for _, n := range starts {
@@ -193,6 +197,13 @@
 	l.r.deliverOrder(o)
 }
 
+// recordEnd records an end, unless the run has ended before.
+func (l *stubLeader) recordEnd(run submission.RunID, reason submission.EndReason) {
+	if l.ended[run] == 0 {
+		l.ended[run] = reason
+	}
+}
+
 // check fails the test if a run that the leader counts as ended runs.
 func (l *stubLeader) check() {
 	l.t.Helper()
@@ -228,16 +239,23 @@
 func newReturningRunner(t *testing.T) (*Runner, *returningWorker, *stubLeader) {
 	t.Helper()
 	w := newReturningWorker()
+	r := newRunnerBeside(t, w)
+	l := &stubLeader{t: t, r: r, w: w, ended: make(map[submission.RunID]submission.EndReason)}
+	r.announce(Announcement{ID: "w", StartTimeMS: 1000, Sequence: 1, Address: "10.0.0.1:1"})
+	l.settle()
+	return r, w, l
+}
+
+// newRunnerBeside returns a Runner that has just started and knows nothing of its worker.
+func newRunnerBeside(t *testing.T, w *returningWorker) *Runner {
+	t.Helper()
 	r := newRunner(t, &fakeWorker{})
 	r.worker = w
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.reset()
 	r.incarnation, r.token = Incarnation{}, token{}
-	r.mu.Unlock()
-	l := &stubLeader{t: t, r: r, w: w, ended: make(map[submission.RunID]submission.EndReason)}
-	r.announce(Announcement{ID: "w", StartTimeMS: 1000, Sequence: 1, Address: "10.0.0.1:1"})
-	l.settle()
-	return r, w, l
+	return r
 }
 
 func (r *Runner) announceIncarnation(i Incarnation) {
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -13,7 +13,7 @@
 )
 
 // _missingRunTimeout is how long a confirmed run must be missing from the
-// listings before it counts as lost. After a gang has ended as done, its other
+// complete listings before it counts as lost. After a gang has ended as done, its other
 // members are not listed; the leader learns of the gang's end within this time.
 const _missingRunTimeout = time.Second
 
@@ -138,19 +138,30 @@
 	}
 	r.failedPolls, r.unresponsive, r.superseded, r.disconnected, r.outage = 0, false, false, false, outage{}
 	r.lease.recordWorkerClock(list.Clock, now)
-	if !r.listed || r.listedToken != r.polledToken {
-		wasSettled := r.isSettled()
-		r.listed, r.listedToken = true, r.polledToken
-		if !wasSettled && r.formerToken != (token{}) {
-			r.lease.assumeHeld(now, r.maxLease) // by an order for an earlier incarnation
-		}
-		wake(r.wakeReport)
-	}
+	r.recordListing(now, list)
 	r.reconcileRuns(ctx, now, sent, list)
 	r.applyPacing(ctx, incarnation, now, list)
 	return true
 }
 
+// recordListing records that the incarnation has listed its runs, and under which token
+// it has listed all of them. r.mu must be held.
+func (r *Runner) recordListing(now time.Time, list Listing) {
+	if !r.listed {
+		r.listed = true
+		wake(r.wakeReport)
+	}
+	if list.MoreEnds || r.listedAll && r.listedToken == r.polledToken {
+		return
+	}
+	wasSettled := r.isSettled()
+	r.listedAll, r.listedToken = true, r.polledToken
+	if !wasSettled && r.formerToken != (token{}) {
+		r.lease.assumeHeld(now, r.maxLease) // by an order for an earlier incarnation
+	}
+	wake(r.wakeReport)
+}
+
 // handleSuperseded handles a listing by the next incarnation, which has not announced
 // itself yet. It may have carried out starts that were meant for the current one. r.mu
 // must be held.
@@ -230,7 +241,9 @@
 		r.ends = append(r.ends, e)
 		wake(r.wakeReport)
 	}
-	r.detectMissingRuns(now, sent, active)
+	if !list.MoreEnds { // a run that is not listed may have ended
+		r.detectMissingRuns(now, sent, active)
+	}
 }
 
 // trackFoundRun tracks a run that the worker lists and that the agent does not know. If
@@ -277,8 +290,8 @@
 }
 
 // detectMissingRuns ends confirmed runs that the worker lists neither as active
-// nor as ended. A listing requested before the confirmation does not count. r.mu
-// must be held.
+// nor as ended. The listing must be complete; one requested before the confirmation
+// does not count. r.mu must be held.
 func (r *Runner) detectMissingRuns(now, sent time.Time, active map[submission.RunID]bool) {
 	for run, tr := range r.runs {
 		if active[run] || !tr.confirmed || !sent.After(tr.confirmedAt) {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -194,10 +194,14 @@
 		report.Worker = r.encodeWorker()
 		s.announced, s.departed, s.unresponsive = r.announcement, r.departed, r.unresponsive
 	}
-	if !r.listed || !r.isSettled() {
+	if !r.listed {
 		r.addInferredEnds(s, report) // of an earlier incarnation
 		return report, false
 	}
+	if !r.isSettled() {
+		r.addEnds(s, report) // further ones are listed when these are recorded
+		return report, false
+	}
 	report.ListedTerm, report.ListedAttachment = r.listedToken.term, r.listedToken.attachment
 	if !s.complete {
 		s.complete = true
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -104,7 +104,7 @@
 	token           token        // latest that a leader has sent
 	raised          uint64       // how often the agent has raised the fencing token since then
 	polledToken     token        // of the latest poll
-	listedToken     token        // latest under which the incarnation has listed its runs; zero for none
+	listedToken     token        // latest under which the incarnation has listed all its runs and ends; zero for none
 	formerToken     token        // latest of an order for an earlier incarnation under the same identifier; zero for none
 	lease           lease
 	lateGrants      int // grants that arrived after the previous grant had expired
@@ -116,7 +116,8 @@
 	checkpoints     map[submission.RunID]string      // latest, by run
 	unreported      map[submission.RunID]bool        // runs with changes that were not reported
 	supersededBy    int64                            // start time of another incarnation that has answered a poll, in ms since 1970; 0 for none
-	listed          bool                             // the worker has listed its runs in this incarnation
+	listed          bool                             // the worker has listed its active runs in this incarnation
+	listedAll       bool                             // and all its ends that are not recorded, in one listing
 	listedEnds      int                              // ends in the latest listing
 	failedPolls     int                              // consecutive, without an answer
 	outage          outage                           // the consecutive failed polls
@@ -173,7 +174,8 @@
 	r.supersededBy, r.superseded, r.listedToken = 0, false, token{}
 	r.ends, r.lastListedEnd, r.lastRecordedEnd = nil, 0, 0
 	r.lease = lease{grantEnd: r.lease.grantEnd, heldUntil: r.lease.heldUntil}
-	r.listed, r.unresponsive, r.failedPolls, r.departed, r.disconnected = false, false, 0, false, false
+	r.listed, r.listedAll = false, false
+	r.unresponsive, r.failedPolls, r.departed, r.disconnected = false, 0, false, false
 	r.listedEnds = 0
 	r.outage = outage{}
 	r.pacer, r.coefficients = pacing.Pacer{}, make(interference.Coefficients)
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -84,8 +84,9 @@
 type Listing struct {
 	StartTimeMS int64         // of the incarnation that answered; 0 if the answer lacks it
 	Clock       time.Duration // worker's clock when it answered
-	Active      []ListedRun
-	Ends        []ListedEnd
+	Active      []ListedRun   // all active runs
+	Ends        []ListedEnd   // ends after the latest recorded one, the earliest first
+	MoreEnds    bool          // there may be further ends, which are listed when these are recorded
 }
 
 // PollRequest is a long poll that renews the lease of all runs on a worker and
