Check before each call of a start whether the worker leaves

Cause: the agent looked at the worker's announcement when the order arrived. The loop that repeats a start without an answer checked the lease, the grant and the capacity again, but not the announcement.

The loop now checks it with the others, before each call, in place of the check at the order's arrival. A start without any call is rejected at once, so that the task starts elsewhere; after a call without an answer the run is stopped and no longer started.

--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -38,7 +38,7 @@
 
 // endRuns infers the ends of the runs for which hasEnded is true. r.mu must be held.
 func (r *Runner) endRuns(reason submission.EndReason, hasEnded func(*trackedRun) bool) {
-	crashed := r.outage.isCrash() && !r.announcement.Draining && !r.departed
+	crashed := r.outage.isCrash() && !r.isLeaving()
 	runs := 0
 	for _, tr := range r.runs {
 		if !hasEnded(tr) {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -268,7 +268,7 @@
 	a := r.announcement
 	return &pb.WorkerLife{
 		Life: r.incarnationName(r.incarnation), Service: a.Service, Zone: a.Zone, Rack: a.Rack, Labels: a.Labels, Machine: a.Machine,
-		Capacity: wire.EncodeResources(a.Capacity), Leaving: a.Draining || r.departed, Remaining: int64(a.Remaining), Silent: r.unresponsive,
+		Capacity: wire.EncodeResources(a.Capacity), Leaving: r.isLeaving(), Remaining: int64(a.Remaining), Silent: r.unresponsive,
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -325,10 +325,6 @@
 	}
 	r.runs[run] = tr
 	incarnation := r.incarnation
-	if r.announcement.Draining || r.departed {
-		r.cancelStart(ctx, incarnation, tr)
-		return
-	}
 	r.goroutines.Go(func() { r.startRun(ctx, incarnation, tr) })
 }
 
@@ -367,8 +363,9 @@
 	wake(r.wakeReport)
 }
 
-// startRun repeats a start until the worker answers or the start is no longer
-// needed.
+// startRun repeats a start until the worker answers or the order is no longer valid.
+// That is checked before each call, since a worker may leave calls unanswered for
+// seconds.
 func (r *Runner) startRun(ctx context.Context, incarnation Incarnation, tr *trackedRun) {
 	for ctx.Err() == nil {
 		r.mu.Lock()
@@ -376,7 +373,7 @@
 			r.mu.Unlock()
 			return
 		}
-		if tr.lateGrants != r.lateGrants || !r.holds(tr) {
+		if tr.lateGrants != r.lateGrants || r.isLeaving() || !r.holds(tr) {
 			r.cancelStart(ctx, incarnation, tr)
 			r.mu.Unlock()
 			return
@@ -413,6 +410,10 @@
 	}
 }
 
+// isLeaving reports whether the worker has announced that it leaves, or its departure.
+// r.mu must be held.
+func (r *Runner) isLeaving() bool { return r.announcement.Draining || r.departed }
+
 // isInDoubt reports whether the worker has perhaps started again, or does not answer. It
 // must not get a start then, which names no incarnation and extends the lease of all
 // runs. r.mu must be held.
@@ -461,7 +462,7 @@
 	r.log.Emit(event.StartAnswered, event.Fields{
 		"task": tr.run.Task.String(), "run": tr.run.Number, "answer": int(answer), "unsure": tr.startUnanswered,
 		"worker": r.incarnationName(incarnation), "failed_polls": r.failedPolls,
-		"waited_ms": now.Sub(tr.orderedAt).Milliseconds(), "draining": r.announcement.Draining || r.departed,
+		"waited_ms": now.Sub(tr.orderedAt).Milliseconds(), "draining": r.isLeaving(),
 	}, "worker answered a start order")
 	switch answer {
 	case Started, Superseded:
