Withdraw attempts of jobs that wait when a stop or a drain arrives

Owners of jobs saw attempts start on a worker that had been drained, and after their stop was ordered.

Cause: an assignment was taken as valid until its start. An attempt that waited for its slots, for up to an hour, or for a target that failed, for up to 20 s, looked at neither the drain nor the stop order. A stopped attempt started first and was stopped then.

A drain now withdraws the attempts whose start the target has not answered, and a start is repeated only while no stop is ordered. They are returned with the checkpoint that they came with, so that they start elsewhere. One that has finished after all keeps its result.

agent TestWithdrawnAttemptIsNotStarted failed before in its three cases ("1 starts reached the target", "ended as job.Finished"), and holds now.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -304,6 +304,7 @@
 func (a *Agent) applyOrders(ctx context.Context, reply *pb.SyncReply) {
 	if reply.GetDrained() && !a.announcement.Drained {
 		a.watches.endAll()
+		a.tasks.withdrawUnstarted()
 	}
 	a.announcement.Drained = reply.GetDrained()
 	a.gate.setClosing(a.isLeaving() && a.departureAnnounced.Load() || reply.GetDrained())
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gentianrail/gentianrail/admission"
@@ -30,10 +32,20 @@
 	cancel   context.CancelFunc // ends the goroutine without reporting an outcome
 	stop     chan struct{}      // closed to stop the attempt
 	stopOnce sync.Once
+	started  atomic.Bool // the worker has answered its start
 }
 
 func (t *runningTask) requestStop() { t.stopOnce.Do(func() { close(t.stop) }) }
 
+func (t *runningTask) isStopRequested() bool {
+	select {
+	case <-t.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // taskSet holds the attempts of this agent.
 type taskSet struct {
 	mu    sync.Mutex
@@ -101,6 +113,18 @@
 	}
 }
 
+// withdrawUnstarted requests that the attempts stop that the worker has not started. They
+// are returned, so that the controllers place them on another worker.
+func (s *taskSet) withdrawUnstarted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.tasks {
+		if !t.started.Load() {
+			t.requestStop()
+		}
+	}
+}
+
 // startAttempt starts an attempt that the controllers assigned to this worker.
 func (a *Agent) startAttempt(as *pb.Assignment) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -140,9 +164,12 @@
 		return job.Evicted{Checkpoint: as.GetCheckpoint(), Reason: fault.From(err).Message()}
 	}
 	defer a.gate.release(ticket)
-	if err := a.startTask(ctx, t, as); err != nil {
+	if err := a.startTask(ctx, t, as); errors.Is(err, errWithdrawn) {
+		return a.withdrawStart(ctx, t, as)
+	} else if err != nil {
 		return a.abandonStart(ctx, t, err)
 	}
+	t.started.Store(true)
 	a.log.Emit(event.TaskStarted, event.Fields{"job": t.id.Job, "attempt": t.id.Attempt}, "task started")
 	return a.awaitTask(ctx, t)
 }
@@ -165,6 +192,21 @@
 	}
 }
 
+// errWithdrawn means that a stop was ordered before the worker answered a start.
+var errWithdrawn = errors.New("the attempt was withdrawn before its start")
+
+// withdrawStart stops an attempt whose start the worker has perhaps accepted although its
+// answer was lost. An attempt that has not finished is returned with the checkpoint that it
+// came with: the worker may know none.
+func (a *Agent) withdrawStart(ctx context.Context, t *runningTask, as *pb.Assignment) job.Outcome {
+	outcome := a.stopTask(ctx, t)
+	if e, ok := outcome.(job.Evicted); ok {
+		e.Checkpoint = as.GetCheckpoint()
+		return e
+	}
+	return outcome
+}
+
 // abandonStart abandons an attempt that failed to start. The worker may have
 // accepted the attempt although its answer was lost, so the attempt is stopped
 // first.
@@ -178,9 +220,14 @@
 	return nil
 }
 
+// startTask repeats a start until the worker answers. Before each call it checks whether
+// the attempt is still to start here.
 func (a *Agent) startTask(ctx context.Context, t *runningTask, as *pb.Assignment) error {
 	deadline := time.Now().Add(_startTimeout)
 	for {
+		if t.isStopRequested() {
+			return errWithdrawn
+		}
 		leaseEnd, session, ok := a.lease.endOnWorkerClock(clock.Now())
 		if !ok {
 			return fault.New(fault.StaleAttempt, "the lease expired before the task was started")
@@ -205,10 +252,8 @@
 		status, err := a.worker.Wait(waitCtx, t.id, _taskPollTimeout)
 		unhook()
 		cancel()
-		select {
-		case <-t.stop:
+		if t.isStopRequested() {
 			return a.stopTask(ctx, t)
-		default:
 		}
 		if err != nil {
 			clock.Sleep(ctx, _workerRetryInterval)
