Take no rejection of an unhealthy worker as proof about earlier starts

A task could run twice: an agent is killed while its start has no answer, the next agent repeats the start, and a worker that is unhealthy for the moment answers 503. The agent reported the run as rejected at once, so that its task started elsewhere, although the first start may be carried out seconds later.

Such a worker has done nothing with the order, so nothing shows that it has seen the new token and refuses the earlier order. The run is now stopped, as after a start without an answer, unless the worker has listed its runs under the present token.

runner TestUnhealthyAnswerRejectsNoEarlierStart failed before ("the run is refused before the worker has listed its runs under the present token"), and holds now.

--- a/internal/runner/drain_test.go
+++ b/internal/runner/drain_test.go
@@ -58,3 +58,19 @@
 		})
 	}
 }
+
+// TestUnhealthyAnswerRejectsNoEarlierStart guards against a run that counts as rejected
+// while the start that an earlier agent has sent is still under way. A worker that answers
+// as unhealthy has not read the order, so it may not refuse that start yet.
+func TestUnhealthyAnswerRejectsNoEarlierStart(t *testing.T) {
+	w := &fakeWorker{startResults: []startResult{{answer: Unhealthy}}}
+	r := newRunner(t, w)
+	o := startOrder(1)
+	o.Attachment = 1 // the worker has listed its runs under an earlier token
+	r.deliverOrder(o)
+	eventually(t, "the start is tried", func() bool { return len(w.recordedCalls()) > 0 })
+	eventually(t, "the run is stopped", func() bool { return slices.Contains(w.recordedCalls(), "stop") || r.inferredReason(testRun(1)) != 0 })
+	if got := r.inferredReason(testRun(1)); got != 0 {
+		t.Errorf("the run is %s before the worker has listed its runs under the present token", got)
+	}
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -63,7 +63,7 @@
 	settingShare    bool                 // a call that sets the share is in flight
 	startCalled     bool                 // a call that starts the run was made
 	startUnanswered bool                 // a call that starts the run got no answer
-	rejected        bool                 // the worker has rejected a call that starts the run
+	rejected        bool                 // the worker has read a call that starts the run, and rejected it
 	estimate        time.Duration        // of the task's run time; 0 if unknown
 	orderedAt       time.Time            // receipt of the start order; zero if the agent has not received one
 	lateGrants      int                  // Runner.lateGrants when the run was ordered
@@ -477,15 +477,15 @@
 		// The later leader counts the run as ordered or stops it.
 		return false
 	default:
-		tr.rejected = true
+		tr.rejected = answer != Unhealthy
 		r.cancelStart(ctx, incarnation, tr)
 		return true
 	}
 }
 
 // cancelStart resolves a start that must not be carried out. The worker may still
-// carry out an unanswered start, or one of an earlier agent; a stop prevents that. An
-// answer and a listing show that the worker refuses the orders of an earlier stream.
+// carry out an unanswered start, or one of an earlier agent; a stop prevents that. A
+// rejection and a listing show that the worker refuses the orders of an earlier stream.
 // r.mu must be held.
 func (r *Runner) cancelStart(ctx context.Context, incarnation Incarnation, tr *trackedRun) {
 	if !tr.startUnanswered && (tr.rejected || !r.listedToken.before(r.token)) {
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -58,7 +58,8 @@
 	Fenced
 	// Rejected means that the worker never accepts this start.
 	Rejected
-	// Unhealthy means that the worker is unhealthy and has not started the run.
+	// Unhealthy means that the worker is unhealthy and has not read the order. It may
+	// still carry out an earlier one.
 	Unhealthy
 	// OtherIncarnation means that another incarnation of the worker has answered.
 	OtherIncarnation
