Raise the fencing token when polls show that a worker may have restarted

A worker gets a start and doesn't answer it, and is gone until its lease is over. The agent reports the run as lapsed, and its task starts elsewhere. The worker returns under its identifier and carries the start out late. It has answered a poll by then, but that had the token of the start, and the agent raised the token only when the worker announced itself.

The agent now raises it when a connection breaks and when three polls in a row have no answer, so that the first poll after the return fences every earlier start. A start that comes before that poll is still carried out, listed and stopped.

runner TestLateStartAfterLapseIsFencedByNextPoll failed before ("was reported as lapsed while it runs"), and holds now.

--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -43,7 +43,7 @@
 		return
 	}
 	if !c.polled && c.announcement.ID == r.incarnation.ID {
-		r.raised++ // late orders for the current incarnation must not start runs on the announced one
+		r.raiseToken()
 	}
 	c.polled = true
 	fence := r.fence()
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -191,10 +191,14 @@
 		return // the worker has answered; the leader's next order carries the term
 	}
 	r.failedPolls++
-	r.disconnected = r.disconnected || !errors.Is(err, context.DeadlineExceeded)
 	r.outage.record(now, err)
+	if !r.disconnected && !errors.Is(err, context.DeadlineExceeded) {
+		r.disconnected = true
+		r.raiseToken()
+	}
 	if r.failedPolls >= _maxFailedPolls && !r.unresponsive {
 		r.unresponsive = true
+		r.raiseToken()
 		r.log.Emit(event.TargetSilent, event.Fields{"worker": r.incarnationName(r.incarnation), "error": err.Error()},
 			"worker does not answer; lease not renewed")
 		wake(r.wakeReport)
--- /dev/null
+++ b/internal/runner/reuse_test.go
@@ -0,0 +1,45 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// holdStart orders run 1 and waits until its start is under way on the worker.
+func holdStart(t *testing.T, w *returningWorker, l *stubLeader) {
+	t.Helper()
+	w.set(func() { w.hold = true })
+	l.exchange(1)
+	eventually(t, "the start is sent", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.held) > 0
+	})
+	w.set(func() { w.hold, w.down = false, true })
+}
+
+// TestLateStartAfterLapseIsFencedByNextPoll guards against a start that the next
+// incarnation carries out after the run has ended with its lease: the incarnation has
+// answered a poll, but hasn't announced itself yet.
+func TestLateStartAfterLapseIsFencedByNextPoll(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	holdStart(t, w, l)
+	for range _maxFailedPolls {
+		l.poll()
+	}
+	r.mu.Lock()
+	r.lease.maxSentEnd, r.lease.heldUntil = time.Time{}, time.Time{} // the lease has expired
+	r.mu.Unlock()
+	l.poll()
+	l.exchange()
+	if got := l.ended[testRun(1)]; got != submission.LeaseExpired {
+		t.Fatalf("the run is reported as %s, want lapsed", got)
+	}
+	w.restart()
+	w.set(func() { w.down = false })
+	l.poll()
+	w.carryOutHeld()
+	l.check()
+}
--- a/internal/runner/token.go
+++ b/internal/runner/token.go
@@ -36,3 +36,8 @@
 
 // fence returns the fencing token of the next order. r.mu must be held.
 func (r *Runner) fence() uint64 { return r.token.fence(r.raised) }
+
+// raiseToken lets the worker refuse the orders that were sent before, once it has answered
+// a later one. The worker may have started again: the next incarnation has seen no token,
+// and would carry out a late start whose run may have ended by then. r.mu must be held.
+func (r *Runner) raiseToken() { r.raised++ }
