Remember the identifiers of earlier incarnations of a worker

A worker starts again under another identifier, and then once more under the first one. The agent compared identifiers with those of the incarnation just before, so it believed at the first listing that the run of a start for the first incarnation was lost, under a token that doesn't refuse that start. The worker then carried it out late.

The agent keeps the identifiers of the last sixteen incarnations with the token of the latest order that may name each, and waits for a listing under a later one.

runner TestIdentifierOfEarlierIncarnationIsRemembered failed before ("was reported as lost while it runs"), and holds now.

--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -42,7 +42,7 @@
 		r.mu.Unlock()
 		return
 	}
-	if !c.polled && c.announcement.ID == r.incarnation.ID {
+	if !c.polled && (c.announcement.ID == r.incarnation.ID || r.identifiers.token(c.announcement.ID) != (token{})) {
 		r.raiseToken()
 	}
 	c.polled = true
@@ -88,9 +88,9 @@
 		}
 	}
 	r.reset()
-	r.formerToken = token{}
-	if former.ID == incarnation.ID {
-		r.formerToken = r.token
+	r.identifiers.record(former.ID, r.token)
+	r.formerToken = r.identifiers.token(incarnation.ID)
+	if former.ID == incarnation.ID || r.formerToken != (token{}) {
 		r.lease.assumeHeld(clock.Now(), r.maxLease)
 	}
 	r.inferredEnds = inferredEnds
--- a/internal/runner/reuse_test.go
+++ b/internal/runner/reuse_test.go
@@ -43,3 +43,33 @@
 	w.carryOutHeld()
 	l.check()
 }
+
+// TestIdentifierOfEarlierIncarnationIsRemembered guards against a late start for an
+// incarnation before the former one: the present one has its identifier again.
+func TestIdentifierOfEarlierIncarnationIsRemembered(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	holdStart(t, w, l)
+	w.set(func() {
+		w.reset()
+		w.down = false
+		w.incarnation = Incarnation{ID: "v", StartTimeMS: 2000}
+	})
+	r.announceIncarnation(Incarnation{ID: "v", StartTimeMS: 2000})
+	w.set(func() {
+		w.reset()
+		w.incarnation = Incarnation{ID: "w", StartTimeMS: 3000}
+	})
+	r.announceIncarnation(Incarnation{ID: "w", StartTimeMS: 3000})
+	for range 20 {
+		l.poll()
+		l.exchange()
+		if l.ended[testRun(1)] != 0 {
+			break
+		}
+	}
+	if l.ended[testRun(1)] == 0 {
+		t.Error("the end was not reported")
+	}
+	w.carryOutHeld()
+	l.check()
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -106,6 +106,7 @@
 	polledToken     token        // of the latest poll
 	listedToken     token        // latest under which the incarnation has listed all its runs and ends; zero for none
 	formerToken     token        // latest of an order for an earlier incarnation under the same identifier; zero for none
+	identifiers     identifiers  // of earlier incarnations
 	lease           lease
 	lateGrants      int // grants that arrived after the previous grant had expired
 	runs            map[submission.RunID]*trackedRun
--- a/internal/runner/token.go
+++ b/internal/runner/token.go
@@ -1,6 +1,10 @@
 package runner
 
-import "github.com/gentianrail/gentianrail/internal/wire/pb"
+import (
+	"slices"
+
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+)
 
 // Sizes of the lower parts of a fencing token: the number of the stream in its term, and
 // how often the agent has raised the token on that stream. With the term they fit into
@@ -41,3 +45,35 @@
 // a later one. The worker may have started again: the next incarnation has seen no token,
 // and would carry out a late start whose run may have ended by then. r.mu must be held.
 func (r *Runner) raiseToken() { r.raised++ }
+
+// _maxIdentifiers bounds the identifiers that are remembered. Orders for a worker that is
+// gone arrive within seconds.
+const _maxIdentifiers = 16
+
+// identifiers are the identifiers of former incarnations, each with the latest token of
+// an order that may name it, the latest one last. The zero value is empty.
+type identifiers []identifierToken
+
+type identifierToken struct {
+	id    string
+	token token
+}
+
+// record records the latest token of the orders that name an identifier.
+func (ids *identifiers) record(id string, t token) {
+	if id == "" {
+		return
+	}
+	rest := slices.DeleteFunc(*ids, func(i identifierToken) bool { return i.id == id })
+	*ids = append(rest[max(0, len(rest)-_maxIdentifiers+1):], identifierToken{id: id, token: t})
+}
+
+// token returns the latest token of the orders that name an identifier; zero for none.
+func (ids identifiers) token(id string) token {
+	for _, i := range ids {
+		if i.id == id {
+			return i.token
+		}
+	}
+	return token{}
+}
