--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -220,6 +220,31 @@
 	}
 }
 
+// TestGangWaitsForTheEndOfEachMember guards against a second run of a gang that is done.
+// One member's end stands for all, and the others count as lost before it is recorded.
+func TestGangWaitsForTheEndOfEachMember(t *testing.T) {
+	var store submission.Store
+	step := plainStep
+	step.Gang = true
+	submitSteps(&store, "a", 0, step)
+	s := newScheduler(&store, newWorkers(6, 1000, 256000))
+	starts := s.startTasks(t, &store, testNow)
+	if len(starts) != step.Count {
+		t.Fatalf("%d starts, want %d", len(starts), step.Count)
+	}
+	now := testNow.Add(time.Second)
+	for _, st := range starts[1:] {
+		s.recordEnd(&store, now, submission.End{Run: st.Run, Worker: st.Worker, Reason: submission.Lost}, time.Second)
+	}
+	if again := s.startTasks(t, &store, now); len(again) != 0 {
+		t.Errorf("%d tasks start again before the last run of the gang has ended", len(again))
+	}
+	s.recordEnd(&store, now, submission.End{Run: starts[0].Run, Worker: starts[0].Worker, Reason: submission.Done}, time.Second)
+	if again := s.startTasks(t, &store, now); len(again) != 0 {
+		t.Errorf("%d tasks start again although the gang is done", len(again))
+	}
+}
+
 // TestAdvisedStepsNeedValidTickets has a queue whose steps need tickets. Tasks
 // must start only on approved workers and only while the tickets are valid.
 func TestAdvisedStepsNeedValidTickets(t *testing.T) {
--- a/internal/runner/drain_test.go
+++ b/internal/runner/drain_test.go
@@ -6,12 +6,19 @@
 	"time"
 
 	"github.com/gentianrail/gentianrail/internal/clock"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
-// TestNoStartOnLeavingWorker guards against a start that was ordered before the worker
-// announced that it leaves, and that is carried out when the worker answers again.
-func TestNoStartOnLeavingWorker(t *testing.T) {
+func stopOrder(number uint32) *pb.AgentOrder {
+	return &pb.AgentOrder{Term: 1, Stops: []*pb.Run{wire.EncodeRun(testRun(number))}}
+}
+
+// TestOutdatedStartIsNotRepeated guards against a start that was ordered before the worker
+// announced that it leaves, or before a stop was ordered, and that is carried out when the
+// worker answers again.
+func TestOutdatedStartIsNotRepeated(t *testing.T) {
 	leave := Announcement{ID: "w", StartTimeMS: 1000, Sequence: 2, Address: "10.0.0.1:1", Draining: true}
 	for _, tc := range []struct {
 		name   string
@@ -21,6 +28,7 @@
 	}{
 		{name: "draining, a call without an answer", called: true, leave: func(r *Runner) { r.announce(leave) }, want: submission.Stopped},
 		{name: "departed, a call without an answer", called: true, leave: func(r *Runner) { r.HandleDeparture(Incarnation{"w", 1000}) }, want: submission.Stopped},
+		{name: "stop ordered, a call without an answer", called: true, leave: func(r *Runner) { r.deliverOrder(stopOrder(1)) }, want: submission.Stopped},
 		{name: "draining, no call yet", leave: func(r *Runner) { r.announce(leave) }, want: submission.Rejected},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -53,7 +61,7 @@
 				t.Errorf("the run is %s, want %s", got, tc.want)
 			}
 			if calls := w.recordedCalls(); slices.Contains(calls, "start") {
-				t.Errorf("calls %v: a start on a worker that leaves", calls)
+				t.Errorf("calls %v: a start after its order is out of date", calls)
 			}
 		})
 	}
