Split orders to an agent whose starts exceed the bound of a message

Without any disruption one submission of 2,300 tasks with a spec of 4,000 bytes does the same if one worker holds them.

Cause: the leader puts all starts of a round into one order, each with the text of its submission. Above 8 MiB the agent can't receive it; its stream ends, it attaches again and gets the same order again, while the leader keeps the lease of the runs.

The sender splits such an order: the first part has the lease and all else, the others only starts, 1 MiB at most.

platform TestManyStartsReachAgent failed before ("no such response within 30s; last 200 running"); with it controller TestSplitOrderKeepsEachPartSmall. Both hold now.

--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -230,8 +230,10 @@
 		}
 		orders, closed := out.popAll()
 		for _, o := range orders {
-			if err := stream.Send(o); err != nil {
-				return
+			for _, part := range splitOrder(o) {
+				if err := stream.Send(part); err != nil {
+					return
+				}
 			}
 		}
 		if closed {
