Bound the concurrent calls of starts and stops to a worker

Cause: the agent made the calls of all starts at once. The client has eight connections, so calls waited for one until their timeout of 200 ms, without having been sent, and were repeated 50 ms later. Polls waited with them: the agent took its worker as unresponsive, stopped renewing the lease and lost its runs, and the leader ordered them again. Evidence: agents end their streams with "the leader has not answered a report" while thousands of starts are under way, and the runs that did start are stray ones by then.

A run is not checked against the capacity while the worker is in doubt, since it isn't started then.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -93,6 +93,8 @@
 	maxLease    time.Duration // longest lease that the worker accepts
 	controllers *control.Client
 	startTimer  metrics.Timer // calls that start a run; nil in tests
+	startSlots  callSlots
+	stopSlots   callSlots
 
 	mu              sync.Mutex
 	announcement    Announcement // latest of the incarnation
@@ -146,6 +148,8 @@
 		maxLease:    maxLease,
 		controllers: controllers,
 		startTimer:  metrics.NewRegisteredTimer("agent.starts", registry),
+		startSlots:  make(callSlots, _maxConcurrentStarts),
+		stopSlots:   make(callSlots, _maxConcurrentStops),
 		wakeReport:  make(chan struct{}, 1),
 		wakePoll:    make(chan struct{}, 1),
 		cancel:      cancel,
@@ -369,46 +373,57 @@
 // seconds.
 func (r *Runner) startRun(ctx context.Context, incarnation Incarnation, tr *trackedRun) {
 	for ctx.Err() == nil {
-		r.mu.Lock()
-		if r.incarnation != incarnation || r.runs[tr.run] != tr || tr.confirmed || tr.stopOrdered {
-			r.mu.Unlock()
+		if !r.startSlots.acquire(ctx) {
 			return
 		}
-		if tr.lateGrants != r.lateGrants || r.isLeaving() || !r.holds(tr) {
-			r.cancelStart(ctx, incarnation, tr)
-			r.mu.Unlock()
+		resolved := r.tryStart(ctx, incarnation, tr)
+		r.startSlots.release()
+		if resolved {
 			return
 		}
-		var leaseEnd time.Duration
-		ok := false
-		if !r.isInDoubt() && !r.hasStrayRun() {
-			leaseEnd, ok = r.lease.nextEnd(clock.Now())
-		}
-		tr.start.LeaseEnd, tr.start.Token = leaseEnd, r.fence()
-		start := tr.start
-		tr.startCalled = tr.startCalled || ok
+		clock.Sleep(ctx, _retryInterval)
+	}
+}
+
+// tryStart calls the worker once if the order is still valid, and reports whether the
+// start is resolved.
+func (r *Runner) tryStart(ctx context.Context, incarnation Incarnation, tr *trackedRun) bool {
+	r.mu.Lock()
+	if r.incarnation != incarnation || r.runs[tr.run] != tr || tr.confirmed || tr.stopOrdered {
 		r.mu.Unlock()
-		if !ok {
-			clock.Sleep(ctx, _retryInterval)
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, _callTimeout)
-		began := clock.Now()
-		answer, workerClock, err := r.worker.Start(callCtx, incarnation.ID, start)
-		cancel()
-		if r.startTimer != nil {
-			r.startTimer.Update(clock.Now().Sub(began))
-		}
-		r.mu.Lock()
-		if tr.startedAt.IsZero() && !errors.Is(err, ErrRefused) {
-			tr.startedAt = began
-		}
+		return true
+	}
+	inDoubt := r.isInDoubt()
+	if tr.lateGrants != r.lateGrants || r.isLeaving() || !inDoubt && !r.holds(tr) {
+		r.cancelStart(ctx, incarnation, tr)
 		r.mu.Unlock()
-		if r.handleStartAnswer(ctx, incarnation, tr, answer, workerClock, err) {
-			return
-		}
-		clock.Sleep(ctx, _retryInterval)
+		return true
+	}
+	var leaseEnd time.Duration
+	ok := false
+	if !inDoubt && !r.hasStrayRun() {
+		leaseEnd, ok = r.lease.nextEnd(clock.Now())
 	}
+	tr.start.LeaseEnd, tr.start.Token = leaseEnd, r.fence()
+	start := tr.start
+	tr.startCalled = tr.startCalled || ok
+	r.mu.Unlock()
+	if !ok {
+		return false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, _callTimeout)
+	began := clock.Now()
+	answer, workerClock, err := r.worker.Start(callCtx, incarnation.ID, start)
+	cancel()
+	if r.startTimer != nil {
+		r.startTimer.Update(clock.Now().Sub(began))
+	}
+	r.mu.Lock()
+	if tr.startedAt.IsZero() && !errors.Is(err, ErrRefused) {
+		tr.startedAt = began
+	}
+	r.mu.Unlock()
+	return r.handleStartAnswer(ctx, incarnation, tr, answer, workerClock, err)
 }
 
 // isLeaving reports whether the worker has announced that it leaves, or its departure.
@@ -501,23 +516,37 @@
 // run that the worker never had gets an inferred end.
 func (r *Runner) stopRun(ctx context.Context, incarnation Incarnation, tr *trackedRun) {
 	for ctx.Err() == nil {
-		r.mu.Lock()
-		stillNeeded := r.incarnation == incarnation && r.runs[tr.run] == tr
-		fence := r.fence()
-		r.mu.Unlock()
-		if !stillNeeded {
+		if !r.stopSlots.acquire(ctx) {
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, _callTimeout)
-		err := r.worker.Stop(callCtx, incarnation.ID, tr.run, fence)
-		cancel()
-		if err == nil {
-			r.mu.Lock()
-			tr.confirmed, tr.confirmedAt = true, clock.Now()
-			r.mu.Unlock()
-			wake(r.wakePoll)
+		resolved := r.tryStop(ctx, incarnation, tr)
+		r.stopSlots.release()
+		if resolved {
 			return
 		}
 		clock.Sleep(ctx, _retryInterval)
 	}
 }
+
+// tryStop calls the worker once if the run is still to be stopped, and reports whether
+// the stop is resolved.
+func (r *Runner) tryStop(ctx context.Context, incarnation Incarnation, tr *trackedRun) bool {
+	r.mu.Lock()
+	stillNeeded := r.incarnation == incarnation && r.runs[tr.run] == tr
+	fence := r.fence()
+	r.mu.Unlock()
+	if !stillNeeded {
+		return true
+	}
+	callCtx, cancel := context.WithTimeout(ctx, _callTimeout)
+	err := r.worker.Stop(callCtx, incarnation.ID, tr.run, fence)
+	cancel()
+	if err != nil {
+		return false
+	}
+	r.mu.Lock()
+	tr.confirmed, tr.confirmedAt = true, clock.Now()
+	r.mu.Unlock()
+	wake(r.wakePoll)
+	return true
+}
