Count submissions as waiting until a worker has started a run of them

Cause: a submission left the count when a start was recorded, which is before the order is sent. Nothing told the leader that a start had been carried out before the run ended.

Agents now report a run when the worker has answered its start, with their next report. A submission counts as waiting until then, or until one of its tasks is done. After a change of the leader, those that run are counted until their agents have attached.

--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -67,7 +67,7 @@
 	existing, exists := store.Submission(id)
 	switch control.Verb(in.GetVerb()) {
 	case control.Count:
-		out.Pending = int64(store.Pending(q.Name))
+		out.Pending = int64(store.Pending(q.Name, func(id string) bool { return c.sessions.started[id] }))
 	case control.Describe:
 		if !exists {
 			setFault(out, fault.New(fault.JobNotFound, "no submission %q", id))
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -123,6 +123,7 @@
 		c.handleRecordedEnds(cmd.Ends)
 	case state.CancelSubmission:
 		if s, ok := c.machine.Submissions().Submission(cmd.ID); ok {
+			delete(c.sessions.started, s.ID)
 			c.logSubmissionEnded(s)
 			c.stopSurplusRuns(s)
 		}
@@ -224,6 +225,7 @@
 		}
 		if ok && s.State.Ended() && s.EndedAt.Equal(c.machine.Now()) && !ended[s.ID] {
 			ended[s.ID] = true
+			delete(c.sessions.started, s.ID)
 			c.logSubmissionEnded(s)
 		}
 		if ok && ended[s.ID] {
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -115,6 +115,7 @@
 	wallClocks       clock.Majority // of the attached workers' machines and this one
 	lastStopCheck    time.Time
 	startOrderedAt   map[submission.RunID]time.Time // when this leader ordered the starts of active runs
+	started          map[string]bool                // unended submissions of which a worker has had a run, by ID
 	lastLeaseCheck   time.Time
 	lastLeaseSweep   time.Time // latest check of all workers with runs
 	lastPrune        time.Time // latest removal of expired interference estimates and samples
@@ -138,6 +139,7 @@
 	s.leaseOrder, s.reportOrder = recency{}, recency{}
 	s.wallClocks.Reset()
 	s.startOrderedAt = make(map[submission.RunID]time.Time)
+	s.started = make(map[string]bool)
 	s.changed = true
 }
 
@@ -241,6 +243,7 @@
 			stalled++
 		}
 		if isActive(c.machine.Submissions(), sess.worker.Incarnation, run) {
+			c.recordStarted(run)
 			c.sessions.scheduler.SetRunStatus(run, dispatch.RunStatus{Share: int(r.GetShare()), Progress: int(r.GetProgress()), Stalled: r.GetStalled()})
 		}
 	}
@@ -250,6 +253,15 @@
 	}
 }
 
+// recordStarted records that a worker has had a run. It is not in the log: a new leader
+// learns it from the agents' complete reports.
+func (c *Core) recordStarted(run submission.RunID) {
+	id := run.Task.Submission
+	if s, ok := c.machine.Submissions().Submission(id); ok && !s.State.Ended() {
+		c.sessions.started[id] = true
+	}
+}
+
 // updateWorker updates the worker from an agent's report.
 func (s *session) updateWorker(now time.Time, w *pb.WorkerLife) {
 	if w.GetLeaving() && !s.leaving {
@@ -299,6 +311,7 @@
 		}
 		sess.highestEnd = e.GetNumber()
 		delete(sess.strays, run)
+		c.recordStarted(run)
 		worker := recordedOn(store, sess.worker.Incarnation, run)
 		if worker == "" {
 			continue
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -485,6 +485,9 @@
 		// A run that the worker has had before is in the next listing, or
 		// counts as lost.
 		tr.confirmed, tr.confirmedAt = true, now
+		if answer == Started {
+			r.unreported[tr.run] = true
+		}
 		wake(r.wakePoll)
 		return true
 	case TooLate:
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -513,3 +513,15 @@
 		t.Error("the worker counts as unresponsive")
 	}
 }
+
+// TestStartIsReported guards against a leader that doesn't learn for the whole of a run that
+// its start was carried out.
+func TestStartIsReported(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	l.exchange(1)
+	w.waitForStarts(t, 1)
+	eventually(t, "the run is reported", func() bool {
+		report, _ := r.nextReport(&l.s)
+		return len(report.GetActive()) == 1 && wire.DecodeRun(report.GetActive()[0].GetRun()) == testRun(1)
+	})
+}
--- a/submission/store.go
+++ b/submission/store.go
@@ -201,17 +201,30 @@
 	return slices.Sorted(maps.Keys(store.usage))
 }
 
-// Pending returns how many submissions of a queue have not started a task.
-func (store *Store) Pending(queue string) int {
+// Pending returns how many submissions of a queue wait for the first start of a task.
+// The start that is recorded may not have been carried out yet: hasStarted reports whether
+// a worker is known to have started a run of the submission.
+func (store *Store) Pending(queue string, hasStarted func(id string) bool) int {
 	n := 0
 	for _, s := range store.unended {
-		if s.Queue == queue && s.State == Queued {
+		if s.Queue == queue && !s.hasDoneTask() && !hasStarted(s.ID) {
 			n++
 		}
 	}
 	return n
 }
 
+func (s *Submission) hasDoneTask() bool {
+	for _, steps := range s.StepRecords {
+		for i := range steps {
+			if steps[i].DoneTasks > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Submit adds a submission. If its identifier is already stored, Submit changes
 // nothing and returns true.
 func (store *Store) Submit(s Submission, now time.Time) (repeated bool) {
