Start suspected tasks only on workers that have been up for a while

Cause: three crashes of a worker within 0.5 s of the task's start, two of them alone, count as caused by the task. A worker that goes down soon after each return for reasons of its own gives the same evidence, since the task starts there at once.

A suspected task now starts only on a worker that the leader has known for 2 s, so that a crash right after its start says something about the task. On a flapping worker it waits until that stays up; a task that takes down its only worker is still given up.

dispatch TestTaskOnFlappingWorkerIsNotGivenUp failed before ("the submission is failed, want completed", in its four cases), and holds now.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -106,6 +106,7 @@
 		if at, ok := sim.downSince[w.Incarnation]; ok && sim.now.Sub(at) >= _simDowntime {
 			delete(sim.downSince, w.Incarnation)
 			w.Incarnation += "+"
+			w.Since = sim.now
 			sim.s.SetWorker(&sim.store, *w)
 		}
 	}
--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -9,6 +9,7 @@
 // Parameters of the isolation of tasks that are suspected of crashing workers.
 const (
 	_cordonTime    = 2 * submission.StartWindow // for which a worker without new starts waits for a suspected task
+	_settleTime    = 4 * submission.StartWindow // from the start of a worker until its crash is no longer taken as its own fault
 	_isolatedShare = 4                          // at most one in _isolatedShare of a service's workers is isolated at a time
 )
 
@@ -99,7 +100,9 @@
 // bestIsolatedWorker returns the candidate with the fewest runs on which no run of
 // another submission has just started, or nil. If there is none, it cordons off a
 // candidate. A starved submission does not wait for that, and a long-running task
-// does not wait until other isolated workers are free.
+// does not wait until other isolated workers are free. Every task waits until the worker
+// has been up for a while: the crash of one that goes down again and again would count
+// as caused by the task.
 func (p *placement) bestIsolatedWorker() *node {
 	if p.pool.services[p.ws.sub.Service] == nil {
 		return nil
@@ -115,6 +118,9 @@
 			if len(p.absent) > 0 && !p.fits(c.n) {
 				continue // starts on other workers have used the room
 			}
+			if p.at.Now.Sub(c.n.Since) < _settleTime {
+				continue
+			}
 			if fallback == nil || c.n.runs < fallback.runs {
 				fallback = c.n
 			}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -19,6 +19,7 @@
 	Labels        []string
 	Capacity      submission.Resources
 	Schedulable   bool                       // accepts new tasks
+	Since         time.Time                  // when the leader first heard of the incarnation; zero if that is unknown
 	TailLatencies []interference.TailLatency // latest tail latencies of its service tasks
 	Loads         []interference.Load        // latest loads of its batch tasks
 }
--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -16,9 +16,10 @@
 // follows another. An order names the worker and not its incarnation, so an order for an
 // earlier one may start a run on a later one.
 type machineHistory struct {
-	attachments uint64   // number of streams in this term
-	incarnation string   // of the latest stream
-	former      []string // other incarnations of earlier streams that may have runs
+	attachments uint64    // number of streams in this term
+	incarnation string    // of the latest stream
+	since       time.Time // first stream of that incarnation
+	former      []string  // other incarnations of earlier streams that may have runs
 }
 
 // machineOf returns the machine of a worker incarnation.
@@ -27,8 +28,9 @@
 	return name
 }
 
-// addAttachment numbers a new stream of a machine.
-func (s *sessions) addAttachment(incarnation string) uint64 {
+// addAttachment numbers a new stream of a machine. It also returns when the incarnation's
+// first stream in this term began.
+func (s *sessions) addAttachment(now time.Time, incarnation string) (number uint64, since time.Time) {
 	m := s.machines[machineOf(incarnation)]
 	if m == nil {
 		m = &machineHistory{}
@@ -38,9 +40,11 @@
 	if m.incarnation != "" && m.incarnation != incarnation && !slices.Contains(m.former, m.incarnation) {
 		m.former = append(m.former, m.incarnation)
 	}
-	m.incarnation = incarnation
+	if m.incarnation != incarnation {
+		m.incarnation, m.since = incarnation, now
+	}
 	m.former = slices.DeleteFunc(m.former, func(f string) bool { return f == incarnation })
-	return m.attachments
+	return m.attachments, m.since
 }
 
 // ofMachine returns the sessions of an incarnation and of the latest one on its machine.
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -168,9 +168,11 @@
 	if old := c.sessions.byIncarnation[incarnation]; old != nil {
 		old.outbox.close()
 	}
+	attachment, since := c.sessions.addAttachment(now, incarnation)
 	sess := &session{
 		outbox:                 newOutbox(),
-		attachment:             c.sessions.addAttachment(incarnation),
+		attachment:             attachment,
+		worker:                 dispatch.Worker{Since: since},
 		unrecordedEnds:         make(map[uint64]recordedRun),
 		unrecordedInferredEnds: make(map[submission.RunID]string),
 		strays:                 make(map[submission.RunID]bool),
@@ -276,6 +278,7 @@
 		Labels:        w.GetLabels(),
 		Capacity:      wire.DecodeResources(w.GetCapacity()),
 		Schedulable:   !w.GetLeaving() && !w.GetSilent(),
+		Since:         s.worker.Since,
 		TailLatencies: s.worker.TailLatencies,
 		Loads:         s.worker.Loads,
 	}
