--- a/dispatch/isolation.go
+++ b/dispatch/isolation.go
@@ -9,7 +9,7 @@
 // Parameters of the isolation of tasks that are suspected of crashing workers.
 const (
 	_cordonTime    = 2 * submission.StartWindow // for which a worker without new starts waits for a suspected task
-	_settleTime    = 4 * submission.StartWindow // from the start of a worker until its crash is no longer taken as its own fault
+	_settleTime    = 4 * submission.StartWindow // from the start of a worker until its crash counts against the task that has just started
 	_isolatedShare = 4                          // at most one in _isolatedShare of a service's workers is isolated at a time
 )
 
