--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -226,6 +226,18 @@
 	l.r.handlePollResult(context.Background(), incarnation, sent, list, err)
 }
 
+// holdStart orders run 1 and waits until its start is under way on the worker.
+func holdStart(t *testing.T, w *returningWorker, l *stubLeader) {
+	t.Helper()
+	w.set(func() { w.hold = true })
+	l.exchange(1)
+	eventually(t, "the start is sent", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.held) > 0
+	})
+}
+
 // settle polls and reports until the agent and the leader have no news.
 func (l *stubLeader) settle() {
 	l.t.Helper()
@@ -295,13 +307,7 @@
 // and that the next incarnation carries out after its run was reported as lost.
 func TestLateStartOnNextIncarnationIsFenced(t *testing.T) {
 	r, w, l := newReturningRunner(t)
-	w.set(func() { w.hold = true })
-	l.exchange(1)
-	eventually(t, "the start is sent", func() bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		return len(w.held) > 0
-	})
+	holdStart(t, w, l)
 	next := w.restart()
 	w.set(func() { w.hold = false })
 	r.announceIncarnation(next)
--- a/internal/runner/reuse_test.go
+++ b/internal/runner/reuse_test.go
@@ -7,25 +7,13 @@
 	"github.com/gentianrail/gentianrail/submission"
 )
 
-// holdStart orders run 1 and waits until its start is under way on the worker.
-func holdStart(t *testing.T, w *returningWorker, l *stubLeader) {
-	t.Helper()
-	w.set(func() { w.hold = true })
-	l.exchange(1)
-	eventually(t, "the start is sent", func() bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		return len(w.held) > 0
-	})
-	w.set(func() { w.hold, w.down = false, true })
-}
-
 // TestLateStartAfterLapseIsFencedByNextPoll guards against a start that the next
 // incarnation carries out after the run has ended with its lease: the incarnation has
 // answered a poll, but hasn't announced itself yet.
 func TestLateStartAfterLapseIsFencedByNextPoll(t *testing.T) {
 	r, w, l := newReturningRunner(t)
 	holdStart(t, w, l)
+	w.set(func() { w.hold, w.down = false, true })
 	for range _maxFailedPolls {
 		l.poll()
 	}
@@ -49,6 +37,7 @@
 func TestIdentifierOfEarlierIncarnationIsRemembered(t *testing.T) {
 	r, w, l := newReturningRunner(t)
 	holdStart(t, w, l)
+	w.set(func() { w.hold, w.down = false, true })
 	w.set(func() {
 		w.reset()
 		w.down = false
--- a/internal/runner/stray_test.go
+++ b/internal/runner/stray_test.go
@@ -47,13 +47,7 @@
 // listing under the token of the order whose run it ends.
 func TestLateStartRightAfterReportedEndIsFenced(t *testing.T) {
 	r, w, l := newReturningRunner(t)
-	w.set(func() { w.hold = true })
-	l.exchange(1)
-	eventually(t, "the start is sent", func() bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		return len(w.held) > 0
-	})
+	holdStart(t, w, l)
 	next := w.restart()
 	w.set(func() { w.hold = false })
 	r.announceIncarnation(next)
@@ -73,13 +67,7 @@
 // was under way when the token of the next stream arrived.
 func TestListingUnderFormerTokenEndsNothing(t *testing.T) {
 	r, w, l := newReturningRunner(t)
-	w.set(func() { w.hold = true })
-	l.exchange(1)
-	eventually(t, "the start is sent", func() bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		return len(w.held) > 0
-	})
+	holdStart(t, w, l)
 	next := w.restart()
 	r.announceIncarnation(next)
 	incarnation, req, _ := r.nextPoll()
