Keep runs that a start call without an answer may still start

A task could run twice: a start has no answer, its agent is lost, cut off or frozen for more than a grant, and the worker starts again under its identifier meanwhile.

Ruled out: a longer margin for all runs of a lost agent (the tasks of a machine that is lost for good would wait 18 s instead of 4.4 s), and a record of each answered start (a write for each run).

The agent now reports with each active run for how long a call without an answer may still give it a lease, and the leader keeps a run for that time beyond the grant; one that it has not seen reported as active, for the whole time. Runs whose calls were all answered, which are most, end with the grant as before. worker_lost says how many runs ended and how many were kept.

controller TestUnansweredStartOfLostAgentIsNotPlacedElsewhere failed before in two of three cases ("the latest run is 1, 0 active; want run 1 to continue"), and so did TestReturningAgentKeepsRunWithoutLease. runner TestStartWithoutAnswerIsReportedWithItsHold fails if the time is reported as 0 ("the run may hold a lease for another 0s; want one: true").

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -81,6 +81,7 @@
 		SnapshotEntries: cfg.SnapshotEntries,
 		WorkerLease:     time.Duration(cfg.Lease),
 		RunLease:        time.Duration(cfg.RunLease),
+		StartWindow:     startWindow(s),
 		AdviceClient:    c.adviceClient,
 		Metrics:         c.registry,
 		Replicas:        cfg.Replicas,
@@ -144,3 +145,12 @@
 		time.Sleep(_tickInterval)
 	}
 }
+
+// startWindow returns how long after a start call without an answer a run may hold a lease
+// that the call gives. Targets check the session of a call and carry out none late.
+func startWindow(s *settings.Settings) time.Duration {
+	if s.Platform == nil {
+		return 0
+	}
+	return time.Duration(s.Platform.MaxCallDelay + s.Platform.MaxLease)
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -220,6 +220,7 @@
 		}
 		c.sessions.scheduler.RecordEnd(now, store, e, took)
 		delete(c.sessions.startOrderedAt, e.Run)
+		c.sessions.holds.remove(e.Run)
 		if ok && (s.State.Ended() || e.Reason == submission.Done) {
 			c.stopSurplusRuns(s)
 		}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -96,29 +96,45 @@
 // some may have no lease from this leader.
 func (c *Core) endExpiredRuns(now time.Time) {
 	for _, incarnation := range c.sessions.expiredLeases(now) {
-		c.endRunsWithoutLease(now, incarnation)
+		c.endRunsWithoutLease(now, incarnation, true)
 	}
 	if now.Sub(c.sessions.lastLeaseSweep) < _leaseSweepInterval {
 		return
 	}
 	c.sessions.lastLeaseSweep = now
 	for _, incarnation := range c.machine.Submissions().Incarnations() {
-		c.endRunsWithoutLease(now, incarnation)
+		c.endRunsWithoutLease(now, incarnation, false)
 	}
 }
 
-func (c *Core) endRunsWithoutLease(now time.Time, incarnation string) {
+// endRunsWithoutLease proposes the end of the incarnation's runs that have ended for
+// certain. It logs the loss of the worker also if there are none, if isFirst is true.
+func (c *Core) endRunsWithoutLease(now time.Time, incarnation string, isFirst bool) {
 	if now.Before(c.sessions.leaseExpiry(incarnation)) || c.machine.Submissions().Usage(incarnation) == nil {
 		return
 	}
 	if since, ok := c.sessions.expiring[incarnation]; ok && now.Sub(since) < _proposalRetryDelay {
 		return
 	}
-	c.sessions.expiring[incarnation] = now
 	c.sessions.scheduler.RemoveWorker(incarnation)
-	c.log.Emit(event.WorkerLost, event.Fields{"worker": incarnation}, "leases of the worker's runs expired; rescheduling its tasks")
-	c.proposeEnds(now, c.endsOfActiveRuns(incarnation, submission.LeaseExpired, func(run submission.RunID) bool {
-		other, isStray := c.sessions.strayHolders[run]
-		return isStray && now.Before(c.sessions.leaseExpiry(other))
-	}))
+	kept := 0
+	ends := c.endsOfActiveRuns(incarnation, submission.LeaseExpired, func(run submission.RunID) bool {
+		holder := incarnation
+		if other, isStray := c.sessions.strayHolders[run]; isStray {
+			holder = other
+		}
+		if c.sessions.holds.isOver(now, c.sessions.leaseExpiry(holder), run) {
+			return false
+		}
+		kept++
+		return true
+	})
+	if len(ends) > 0 || isFirst {
+		c.log.Emit(event.WorkerLost, event.Fields{"worker": incarnation, "runs": len(ends), "kept": kept},
+			"leases of the worker's runs expired; rescheduling the tasks of those that have ended for certain")
+	}
+	if len(ends) > 0 {
+		c.sessions.expiring[incarnation] = now
+		c.proposeEnds(now, ends)
+	}
 }
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -104,12 +104,13 @@
 	machines         map[string]*machineHistory
 	strayHolders     map[submission.RunID]string // worker incarnations that have a run which is recorded on an earlier one
 	leaseExpiries    map[string]time.Time        // when the latest lease of a worker incarnation has expired for certain
-	leaseOrder       recency                     // worker incarnations by renewal of their lease
-	reportOrder      recency                     // worker incarnations that can receive tasks, by latest report
-	expiring         map[string]time.Time        // when the end of a worker incarnation's expired runs was proposed
-	startsProposedAt time.Time                   // when the pending StartRuns was proposed; zero if there is none
-	changed          bool                        // the state has changed since the last scheduling round
-	nextRound        time.Time                   // when a scheduling round is due without a change
+	holds            holds
+	leaseOrder       recency              // worker incarnations by renewal of their lease
+	reportOrder      recency              // worker incarnations that can receive tasks, by latest report
+	expiring         map[string]time.Time // when the end of a worker incarnation's expired runs was proposed
+	startsProposedAt time.Time            // when the pending StartRuns was proposed; zero if there is none
+	changed          bool                 // the state has changed since the last scheduling round
+	nextRound        time.Time            // when a scheduling round is due without a change
 	scheduler        dispatch.Scheduler
 	missedTargets    int            // samples since the latest pool state in which a service task missed its target
 	wallClocks       clock.Majority // of the attached workers' machines and this one
@@ -133,6 +134,7 @@
 	s.machines = make(map[string]*machineHistory)
 	s.strayHolders = make(map[submission.RunID]string)
 	s.leaseExpiries = make(map[string]time.Time)
+	s.holds.reported = nil
 	s.expiring = make(map[string]time.Time)
 	s.startsProposedAt = time.Time{}
 	s.scheduler.Reset()
@@ -244,6 +246,9 @@
 		if r.GetStalled() && !c.sessions.scheduler.IsStalled(run) {
 			stalled++
 		}
+		if recordedOn(c.machine.Submissions(), sess.worker.Incarnation, run) != "" {
+			c.sessions.holds.record(now, run, r)
+		}
 		if isActive(c.machine.Submissions(), sess.worker.Incarnation, run) {
 			c.recordStarted(run)
 			c.sessions.scheduler.SetRunStatus(run, dispatch.RunStatus{Share: int(r.GetShare()), Progress: int(r.GetProgress()), Stalled: r.GetStalled()})
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -104,7 +104,8 @@
 	}
 	if s.HasRole(settings.RoleAgent) {
 		r := runner.Start(d.log.With("role", settings.RoleAgent), s.Name, s.Platform.Worker,
-			platform.NewWorkerClient(s.Platform.Worker, d.metrics), time.Duration(s.Platform.MaxLease), d.newClient(s), d.metrics)
+			platform.NewWorkerClient(s.Platform.Worker, d.metrics), time.Duration(s.Platform.MaxLease), time.Duration(s.Platform.MaxCallDelay),
+			d.newClient(s), d.metrics)
 		d.components = append(d.components, r)
 		if err := d.startServers(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.RegistryHandler(r)}); err != nil {
 			return err
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -214,6 +214,16 @@
 	r.endRuns(submission.LeaseExpired, func(tr *trackedRun) bool { return !now.Before(tr.heldUntil) })
 }
 
+// mayHold returns how long from now on a start call without an answer may give the run a
+// lease on the worker's next incarnation, which has seen no fencing token and has another
+// clock than the lease end in the call; 0 if no such call is left. r.mu must be held.
+func (r *Runner) mayHold(now time.Time, tr *trackedRun) time.Duration {
+	if tr.unansweredAt.IsZero() {
+		return 0
+	}
+	return max(tr.unansweredAt.Add(r.callDelay+r.maxLease).Sub(now), 0)
+}
+
 // reconcileRuns updates the tracked runs from the worker's listing. r.mu must be
 // held.
 func (r *Runner) reconcileRuns(ctx context.Context, now, sent time.Time, list Listing) {
@@ -254,7 +264,7 @@
 // the agent has inferred its end, the run must not go on: the order to start it was
 // carried out by a later incarnation, or after its end was inferred. r.mu must be held.
 func (r *Runner) trackFoundRun(ctx context.Context, now time.Time, run submission.RunID) *trackedRun {
-	tr := &trackedRun{run: run, confirmedAt: now, share: _unknownShare, heldUntil: now.Add(r.maxLease)}
+	tr := &trackedRun{run: run, confirmedAt: now, share: _unknownShare, heldUntil: now.Add(r.maxLease), unansweredAt: r.began}
 	r.runs[run] = tr
 	r.unreported[run] = true
 	wake(r.wakeReport)
@@ -263,6 +273,7 @@
 		return tr
 	}
 	delete(r.inferredEnds, run)
+	tr.unansweredAt = now
 	r.log.Emit(event.EndedRunListed, event.Fields{
 		"worker": r.incarnationName(r.incarnation), "task": run.Task.String(), "run": run.Number, "how": end.Reason.String(), "ended_on": end.Worker,
 	}, "worker lists a run whose end was inferred; stopping the run")
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -229,6 +229,7 @@
 func (r *Runner) encodeActiveRun(tr *trackedRun) *pb.ListedRun {
 	return &pb.ListedRun{
 		Run: wire.EncodeRun(tr.run), Saved: r.checkpoints[tr.run], Share: int64(tr.share), Progress: int64(tr.progress), Stalled: tr.stalled,
+		MayHold: int64(r.mayHold(clock.Now(), tr)),
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -63,6 +63,7 @@
 	settingShare    bool                 // a call that sets the share is in flight
 	startCalled     bool                 // a call that starts the run was made
 	startUnanswered bool                 // a call that starts the run got no answer
+	unansweredAt    time.Time            // latest time at which a call that starts the run and has no answer may have been made; zero for none
 	rejected        bool                 // the worker has read a call that starts the run, and rejected it
 	estimate        time.Duration        // of the task's run time; 0 if unknown
 	orderedAt       time.Time            // receipt of the start order; zero if the agent has not received one
@@ -91,6 +92,8 @@
 	address     string // of the worker; an announcement of another address is ignored
 	worker      Worker
 	maxLease    time.Duration // longest lease that the worker accepts
+	callDelay   time.Duration // how long after it was sent a call without an answer may be carried out
+	began       time.Time     // start of the agent, after which no earlier agent makes calls
 	controllers *control.Client
 	startTimer  metrics.Timer // calls that start a run; nil in tests
 	startSlots  callSlots
@@ -137,8 +140,9 @@
 }
 
 // Start starts the goroutines of a Runner. maxLease is the longest lease that the worker
-// accepts.
-func Start(log event.Log, machine, address string, worker Worker, maxLease time.Duration, controllers *control.Client, registry metrics.Registry) *Runner {
+// accepts, and callDelay how long after it was sent a call without an answer may be
+// carried out.
+func Start(log event.Log, machine, address string, worker Worker, maxLease, callDelay time.Duration, controllers *control.Client, registry metrics.Registry) *Runner {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Runner{
 		log:         log,
@@ -146,6 +150,8 @@
 		address:     address,
 		worker:      worker,
 		maxLease:    maxLease,
+		callDelay:   callDelay,
+		began:       clock.Now(),
 		controllers: controllers,
 		startTimer:  metrics.NewRegisteredTimer("agent.starts", registry),
 		startSlots:  make(callSlots, _maxConcurrentStarts),
@@ -318,15 +324,17 @@
 		return
 	}
 	tr := &trackedRun{
-		run:        run,
-		estimate:   time.Duration(s.GetEstimate()),
-		needs:      wire.DecodeResources(s.GetNeeds()),
-		orderedAt:  clock.Now(),
-		lateGrants: r.lateGrants,
-		share:      _fullShare,
-		described:  true,
-		start:      StartOrder{Run: run, Text: s.GetText(), Checkpoint: s.GetSaved(), Ticket: s.GetTicket()},
-		pacing:     pacingTask,
+		run: run,
+		// An earlier agent may have had the order.
+		unansweredAt: r.began,
+		estimate:     time.Duration(s.GetEstimate()),
+		needs:        wire.DecodeResources(s.GetNeeds()),
+		orderedAt:    clock.Now(),
+		lateGrants:   r.lateGrants,
+		share:        _fullShare,
+		described:    true,
+		start:        StartOrder{Run: run, Text: s.GetText(), Checkpoint: s.GetSaved(), Ticket: s.GetTicket()},
+		pacing:       pacingTask,
 	}
 	r.runs[run] = tr
 	incarnation := r.incarnation
@@ -407,12 +415,15 @@
 	tr.start.LeaseEnd, tr.start.Token = leaseEnd, r.fence()
 	start := tr.start
 	tr.startCalled = tr.startCalled || ok
+	began, unansweredAt := clock.Now(), tr.unansweredAt
+	if ok {
+		tr.unansweredAt = began
+	}
 	r.mu.Unlock()
 	if !ok {
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, _callTimeout)
-	began := clock.Now()
 	answer, workerClock, err := r.worker.Start(callCtx, incarnation.ID, start)
 	cancel()
 	if r.startTimer != nil {
@@ -422,6 +433,10 @@
 	if tr.startedAt.IsZero() && !errors.Is(err, ErrRefused) {
 		tr.startedAt = began
 	}
+	if err == nil || errors.Is(err, ErrRefused) {
+		tr.unansweredAt = unansweredAt
+		r.unreported[tr.run] = true
+	}
 	r.mu.Unlock()
 	return r.handleStartAnswer(ctx, incarnation, tr, answer, workerClock, err)
 }
--- a/internal/runner/stray_test.go
+++ b/internal/runner/stray_test.go
@@ -160,7 +160,7 @@
 // of the one before it for expired, also once it has taken up its worker.
 func TestNewAgentRespectsLeaseOfEarlierAgent(t *testing.T) {
 	w := newReturningWorker()
-	r := Start(event.Log{}, "m", "10.0.0.1:1", w, time.Minute, control.NewClient([]string{"127.0.0.1:1"}), metrics.NewRegistry())
+	r := Start(event.Log{}, "m", "10.0.0.1:1", w, time.Minute, time.Minute, control.NewClient([]string{"127.0.0.1:1"}), metrics.NewRegistry())
 	defer func() { _ = r.Stop(t.Context()) }()
 	soon := clock.Now().Add(_maxWorkerLease / 2)
 	r.announceIncarnation(w.incarnation)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -96,6 +96,9 @@
 	Advice       string `json:"advice,omitempty"`        // where a controller reaches the service that approves workers
 	// MaxLease is the longest lease of its runs that an agent's worker accepts.
 	MaxLease unit.Duration `json:"max_lease,omitempty"`
+	// MaxCallDelay is how long after it was sent a call without an answer may be
+	// carried out by a worker.
+	MaxCallDelay unit.Duration `json:"max_call_delay,omitempty"`
 }
 
 // Settings holds the contents of a settings file. The settings of a role are nil
@@ -131,6 +134,7 @@
 	_snapshotEntries  = 20_000
 	_runLease         = unit.Duration(4 * time.Second)
 	_maxLease         = unit.Duration(10 * time.Second)
+	_maxCallDelay     = unit.Duration(12 * time.Second)
 	_retries          = 2
 	_retryRatio       = 0.1
 	_watchHeartbeat   = unit.Duration(5 * time.Second)
@@ -229,6 +233,7 @@
 	setDefault(&s.MemoryLimit, _memoryLimit)
 	if s.Platform != nil {
 		setDefault(&s.Platform.MaxLease, _maxLease)
+		setDefault(&s.Platform.MaxCallDelay, _maxCallDelay)
 	}
 	if c := s.Controller; c != nil {
 		setDefault(&c.ElectionTimeout, _electionTimeout)
@@ -411,9 +416,10 @@
 	}
 	if s.HasRole(RoleAgent) {
 		c.checkDialAddress("platform.worker", s.Platform.Worker)
-		c.checkDuration("platform.max_lease", s.Platform.MaxLease)
 	}
 	if s.HasRole(RoleAgent) || s.HasRole(RoleController) {
+		c.checkDuration("platform.max_lease", s.Platform.MaxLease)
+		c.checkDuration("platform.max_call_delay", s.Platform.MaxCallDelay)
 		c.checkAddress("platform.control_plane", s.Platform.ControlPlane)
 	}
 	if s.Entry != nil || s.Agent != nil {
