controller: forget what was reported of a run when its start is ordered again

A task could run twice: an agent reports a run whose calls were all answered and is replaced; the next agent's listing lacks the run, it gets the start again, calls the worker without an answer and is lost. The leader still went by the former agent's word and ended the run with the grant.

The word is dropped when the start is ordered again, or when the agent says that the order is of unknown outcome.

controller TestRepeatedStartOfLostAgentIsNotPlacedElsewhere failed before ("the latest run is 1, 0 active; want run 1 to continue").

--- a/internal/controller/holds_test.go
+++ b/internal/controller/holds_test.go
@@ -70,3 +70,27 @@
 	}
 	l.checkUntouched(100 * time.Millisecond)
 }
+
+// TestRepeatedStartOfLostAgentIsNotPlacedElsewhere guards against an end on the word of
+// an earlier agent whose calls were all answered, while the next agent has repeated the
+// start and is gone.
+func TestRepeatedStartOfLostAgentIsNotPlacedElsewhere(t *testing.T) {
+	const lease, window = 500 * time.Millisecond, 3 * time.Second
+	l := newLeaderWithTask(t)
+	l.setLease(lease)
+	l.setStartWindow(window)
+	first, stopFirst := l.attach("m1/w/1")
+	l.run = l.waitForStart(first)
+	first.reports <- &pb.AgentReport{Active: report("", l.run).GetActive()}
+	<-first.orders
+	stopFirst()
+	next, stopNext := l.attach("m1/w/1")
+	if run := l.waitForStart(next); run != l.run {
+		t.Fatalf("%v is started, want %v again", run, l.run)
+	}
+	other, _ := l.attach("m2/w/1")
+	l.keepReporting(other)
+	stopNext()
+	l.checkUntouched(lease + window - 100*time.Millisecond)
+	l.waitForStart(other)
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -31,6 +31,7 @@
 	for _, r := range in.GetOrdered() {
 		run := wire.DecodeRun(r)
 		known[run] = true
+		c.sessions.holds.remove(run)
 		if !isActive(store, sess.worker.Incarnation, run) {
 			sess.orderedStops[run] = true
 			order.Stops = append(order.Stops, r)
@@ -46,6 +47,7 @@
 			sess.orderedStops[run] = true
 			order.Stops = append(order.Stops, wire.EncodeRun(run))
 		case !known[run]:
+			c.sessions.holds.remove(run) // what an earlier agent has reported doesn't hold for the next call
 			order.Starts = append(order.Starts, c.startOrder(now, s, run, sess.worker.Incarnation))
 		default:
 			// A restarted agent needs the description of each run that it found.
