Order nothing for a run whose end is proposed, and stop it if it is reported

Callers saw: a task could have two runs at the same time. An agent reports a run as rejected and is restarted, or a run's lease expires and its agent returns, while the end is on its way into the log. With slow disks that takes seconds.

Cause: the leader compared an agent's complete lists with the record alone. The run was still active there, so the next agent, which does not know the run, was ordered to start it; the worker remembers no run that it has rejected. If the agent reported the run as active or ordered, it was left as it was, and nothing stopped it after the end was recorded. The task then started elsewhere.

Evidence: the new tests, which decide when an entry is committed, failed before:

--- FAIL: TestRunWhoseEndIsProposedIsNotStartedAgain the starts [{s1.0.0.0 1}] were ordered, although the end of the run is proposed --- FAIL: TestActiveRunWhoseEndIsProposedIsStopped/active the run was not stopped --- FAIL: TestActiveRunWhoseEndIsProposedIsStopped/ordered the run was not stopped

Why the fix works: a proposal of this leader is applied, or the leader loses its role and forgets all of this. So a run whose end is proposed counts as ended for all orders. Reported as active it is a stray run, which is stopped and keeps its worker from new tasks until its end is reported.

--- /dev/null
+++ b/internal/controller/driven_test.go
@@ -0,0 +1,145 @@
+package controller
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
+	"github.com/gentianrail/gentianrail/internal/disk"
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/replica"
+	"github.com/gentianrail/gentianrail/state"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// drivenLeader is the leader "a" of a group of two. No goroutine runs its core: the test
+// calls it, and answers for the other member, so that it decides what is committed when.
+// The record has one waiting task.
+type drivenLeader struct {
+	*testing.T
+	core *Core
+	now  time.Time
+	task submission.TaskID
+}
+
+func newDrivenLeader(t *testing.T) *drivenLeader {
+	t.Helper()
+	files, err := disk.OpenFolder(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := clock.Now()
+	c, err := NewCore(CoreConfig{
+		Replica: replica.Config{
+			ID: "a", InitialMembers: []replica.Member{{ID: "a"}, {ID: "b"}}, ElectionTimeout: 10 * time.Second,
+			Heartbeat: time.Second, Rand: rand.New(rand.NewPCG(1, 1)),
+		},
+		Files: files, Send: func([]replica.Message) {}, SnapshotEntries: 1000, WorkerLease: 4 * time.Second, RunLease: 4 * time.Second,
+	}, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var writer sync.WaitGroup
+	writer.Go(func() { c.writer.run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		writer.Wait()
+		_ = c.store.Close()
+	})
+	l := &drivenLeader{T: t, core: c, now: now, task: submission.TaskID{Submission: "s1"}}
+	c.replica.Tick(now.Add(time.Hour))
+	l.answer(replica.VoteReply{PreVote: true, Granted: true})
+	l.answer(replica.VoteReply{Granted: true})
+	l.commit()
+	if !c.replica.HoldsLease(l.now) {
+		t.Fatal("the controller does not lead")
+	}
+	l.propose(state.ReplaceQueues{Table: testQueues()})
+	step := submission.Step{Count: 1, Needs: submission.Resources{CPU: 1000, Memory: 1}, Estimate: 10 * time.Second}
+	l.propose(state.Submit{Submission: submission.Submission{Spec: submission.Spec{ID: "s1", Queue: "q", Steps: []submission.Step{step}}}})
+	l.commit()
+	return l
+}
+
+// run returns a run of the task.
+func (l *drivenLeader) run(number uint32) submission.RunID {
+	return submission.RunID{Task: l.task, Number: number}
+}
+
+// answer delivers a message of the other member and carries out what follows.
+func (l *drivenLeader) answer(body replica.Body) {
+	l.Helper()
+	if err := l.core.replica.Step(l.now, replica.Message{From: "b", To: "a", Term: 1, Body: body}); err != nil {
+		l.Fatal(err)
+	}
+	l.core.processReady()
+	for l.core.writing {
+		l.core.handleWriteResult(<-l.core.writeResults)
+		l.core.processReady()
+	}
+}
+
+// answerHeartbeat answers a heartbeat, which renews the leader's own lease.
+func (l *drivenLeader) answerHeartbeat() { l.answer(replica.AppendReply{Sent: l.now}) }
+
+// commit commits and applies all entries.
+func (l *drivenLeader) commit() { l.commitUpTo(l.core.replica.LastIndex()) }
+
+// commitUpTo commits and applies the entries up to an index.
+func (l *drivenLeader) commitUpTo(index uint64) {
+	l.Helper()
+	l.answerHeartbeat() // all entries are written first
+	l.answer(replica.AppendReply{Sent: l.now, Match: index})
+}
+
+func (l *drivenLeader) propose(cmd state.Command) {
+	l.Helper()
+	if err := l.core.proposeAll(l.now, []proposal{{cmd: cmd, reply: make(chan result, 1)}}); err != nil {
+		l.Fatal(err)
+	}
+}
+
+// attach attaches an agent whose first report is in.
+func (l *drivenLeader) attach(in *pb.AgentReport) *session {
+	l.Helper()
+	sess := l.core.attach(l.now, in)
+	if sess == nil {
+		l.Fatal("the agent is turned away")
+	}
+	return sess
+}
+
+// startFirstRun records the first run on a worker, whose agent has attached.
+func (l *drivenLeader) startFirstRun(sess *session) {
+	l.Helper()
+	l.propose(state.StartRuns{Starts: []submission.Start{{Run: l.run(1), Worker: sess.worker.Incarnation}}})
+	l.commit()
+	if starts, _ := orderedRuns(sess); len(starts) != 1 {
+		l.Fatalf("the starts %v were ordered, want one", starts)
+	}
+}
+
+// orderedRuns removes the session's orders and returns the runs to start and to stop.
+func orderedRuns(sess *session) (starts, stops []submission.RunID) {
+	orders, _ := sess.outbox.popAll()
+	for _, o := range orders {
+		for _, s := range o.GetStarts() {
+			starts = append(starts, wire.DecodeRun(s.GetRun()))
+		}
+		for _, s := range o.GetStops() {
+			stops = append(stops, wire.DecodeRun(s))
+		}
+	}
+	return starts, stops
+}
+
+// activeRuns returns the active runs of the task in the record.
+func (l *drivenLeader) activeRuns() []submission.Start {
+	s, _ := l.core.machine.Submissions().Submission("s1")
+	return s.Runs()
+}
--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -78,18 +78,18 @@
 }
 
 // stopStrayRuns orders the stop of runs that a worker has and that are not recorded on
-// its incarnation. A run that is recorded on an earlier one counts as active until its
-// end is reported.
+// its incarnation, or whose end is proposed. A run that is recorded on an earlier one
+// counts as active until its end is reported.
 func (c *Core) stopStrayRuns(sess *session, in *pb.AgentReport, order *pb.AgentOrder) {
 	store := c.machine.Submissions()
 	for _, r := range in.GetActive() {
 		run := wire.DecodeRun(r.GetRun())
-		if isActive(store, sess.worker.Incarnation, run) {
+		if isActive(store, sess.worker.Incarnation, run) && !c.sessions.endsProposed[run] {
 			continue
 		}
 		sess.strays[run] = true
 		recorded := recordedOn(store, sess.worker.Incarnation, run)
-		if recorded != "" {
+		if recorded != "" && recorded != sess.worker.Incarnation {
 			c.sessions.strayHolders[run] = sess.worker.Incarnation
 		}
 		if sess.orderedStops[run] {
--- /dev/null
+++ b/internal/controller/inflight_test.go
@@ -0,0 +1,65 @@
+package controller
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/submission"
+)
+
+// TestRunWhoseEndIsProposedIsNotStartedAgain guards against a start beside the next run: an
+// agent reports a rejected run and restarts before the end is recorded.
+func TestRunWhoseEndIsProposedIsNotStartedAgain(t *testing.T) {
+	l := newDrivenLeader(t)
+	sess := l.attach(report("m1/w/1"))
+	l.startFirstRun(sess)
+	rejected := submission.End{Run: l.run(1), Worker: "m1/w/1", Reason: submission.Rejected}
+	l.core.handleReport(l.now, sess, &pb.AgentReport{Refused: []*pb.RunEnd{wire.EncodeRunEnd(rejected)}})
+	next := l.attach(report("m1/w/1"))
+	if starts, _ := orderedRuns(next); len(starts) > 0 {
+		t.Errorf("the starts %v were ordered, although the end of the run is proposed", starts)
+	}
+	l.commit()
+	if runs := l.activeRuns(); len(runs) > 0 {
+		t.Errorf("the record has the runs %v, want none", runs)
+	}
+}
+
+// TestActiveRunWhoseEndIsProposedIsStopped guards against a run that goes on beside the next
+// one: an agent reports it as active when its end is proposed and not recorded.
+func TestActiveRunWhoseEndIsProposedIsStopped(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		report func(submission.RunID) *pb.AgentReport
+	}{
+		{"active", func(run submission.RunID) *pb.AgentReport { return report("m1/w/1", run) }},
+		{"ordered", func(run submission.RunID) *pb.AgentReport {
+			r := report("m1/w/1")
+			r.Ordered = []*pb.Run{wire.EncodeRun(run)}
+			return r
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newDrivenLeader(t)
+			sess := l.attach(report("m1/w/1"))
+			l.startFirstRun(sess)
+			l.core.detach(sess)
+			l.now = l.now.Add(time.Minute)
+			l.answerHeartbeat()
+			l.core.endExpiredRuns(l.now)
+			next := l.attach(tc.report(l.run(1)))
+			_, stops := orderedRuns(next)
+			l.commit()
+			_, later := orderedRuns(next)
+			if stops = append(stops, later...); !slices.Contains(stops, l.run(1)) {
+				t.Error("the run was not stopped")
+			}
+			if runs := l.activeRuns(); len(runs) > 0 {
+				t.Errorf("the record has the runs %v, want none", runs)
+			}
+		})
+	}
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -15,7 +15,7 @@
 
 // reconcile compares an agent's complete lists with the store. It orders the
 // start of recorded runs that the agent does not know, and the stop of runs that
-// are not recorded or are surplus.
+// are not recorded or are surplus. A run whose end is proposed counts as not recorded.
 func (c *Core) reconcile(now time.Time, sess *session, in *pb.AgentReport, order *pb.AgentOrder) {
 	store := c.machine.Submissions()
 	known := make(map[submission.RunID]bool)
@@ -32,7 +32,7 @@
 		run := wire.DecodeRun(r)
 		known[run] = true
 		c.sessions.holds.remove(run)
-		if !isActive(store, sess.worker.Incarnation, run) {
+		if !isActive(store, sess.worker.Incarnation, run) || c.sessions.endsProposed[run] {
 			sess.orderedStops[run] = true
 			order.Stops = append(order.Stops, r)
 		}
@@ -43,6 +43,8 @@
 	}
 	for run, s := range u.Runs {
 		switch {
+		case c.sessions.endsProposed[run]:
+			// The record ends the run whatever the agent does from now on.
 		case s.IsSurplus(run):
 			sess.orderedStops[run] = true
 			order.Stops = append(order.Stops, wire.EncodeRun(run))
@@ -214,6 +216,7 @@
 	ended := make(map[string]bool)
 	touched := make(map[*session]bool)
 	for _, e := range ends {
+		delete(c.sessions.endsProposed, e.Run)
 		delete(c.sessions.expiring, e.Worker)
 		s, ok := store.Submission(e.Run.Task.Submission)
 		took := _unknownDuration
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -105,12 +105,13 @@
 	strayHolders     map[submission.RunID]string // worker incarnations that have a run which is recorded on an earlier one
 	leaseExpiries    map[string]time.Time        // when the latest lease of a worker incarnation has expired for certain
 	holds            holds
-	leaseOrder       recency              // worker incarnations by renewal of their lease
-	reportOrder      recency              // worker incarnations that can receive tasks, by latest report
-	expiring         map[string]time.Time // when the end of a worker incarnation's expired runs was proposed
-	startsProposedAt time.Time            // when the pending StartRuns was proposed; zero if there is none
-	changed          bool                 // the state has changed since the last scheduling round
-	nextRound        time.Time            // when a scheduling round is due without a change
+	leaseOrder       recency                   // worker incarnations by renewal of their lease
+	reportOrder      recency                   // worker incarnations that can receive tasks, by latest report
+	expiring         map[string]time.Time      // when the end of a worker incarnation's expired runs was proposed
+	endsProposed     map[submission.RunID]bool // runs whose end is proposed and not recorded yet
+	startsProposedAt time.Time                 // when the pending StartRuns was proposed; zero if there is none
+	changed          bool                      // the state has changed since the last scheduling round
+	nextRound        time.Time                 // when a scheduling round is due without a change
 	scheduler        dispatch.Scheduler
 	missedTargets    int            // samples since the latest pool state in which a service task missed its target
 	wallClocks       clock.Majority // of the attached workers' machines and this one
@@ -136,6 +137,7 @@
 	s.leaseExpiries = make(map[string]time.Time)
 	s.holds.reported = nil
 	s.expiring = make(map[string]time.Time)
+	s.endsProposed = make(map[submission.RunID]bool)
 	s.startsProposedAt = time.Time{}
 	s.scheduler.Reset()
 	s.leaseOrder, s.reportOrder = recency{}, recency{}
@@ -351,7 +353,11 @@
 func (c *Core) proposeEnds(now time.Time, ends []submission.End) {
 	for len(ends) > 0 {
 		n := min(len(ends), _maxRunEnds)
-		c.proposeOwn(now, state.EndRuns{Ends: ends[:n]})
+		if c.proposeOwn(now, state.EndRuns{Ends: ends[:n]}) {
+			for _, e := range ends[:n] {
+				c.sessions.endsProposed[e.Run] = true
+			}
+		}
 		ends = ends[n:]
 	}
 }
@@ -359,11 +365,11 @@
 // proposeOwn proposes a command of the core and does not wait for the outcome,
 // which shows in the state. If the proposal fails, for instance during a
 // leadership transfer, proposeOwn ends the agents' streams, so that the agents
-// send a complete report again to the controller that leads then.
-func (c *Core) proposeOwn(now time.Time, cmd state.Command) {
+// send a complete report again to the controller that leads then, and returns false.
+func (c *Core) proposeOwn(now time.Time, cmd state.Command) bool {
 	err := c.proposeAll(now, []proposal{{cmd: cmd, reply: make(chan result, 1)}})
 	if err == nil {
-		return
+		return true
 	}
 	c.log.Emit(event.ProposalLost, event.Fields{"error": err.Error(), "sessions": len(c.sessions.byIncarnation)},
 		"proposal failed; closing agent streams so that agents report again")
@@ -373,6 +379,7 @@
 		delete(c.sessions.byIncarnation, incarnation)
 		c.sessions.removeWorker(incarnation)
 	}
+	return false
 }
 
 // endsOfActiveRuns returns the ends of a worker incarnation's active runs, except those
