Grant no lease until all proposed ends of expired runs are recorded

Callers saw: a task could have two runs at the same time. The leases of a worker's runs have expired and the leader has proposed their ends, in more than one command or behind another end of that worker. The first command is recorded, and the worker's agent returns before the next.

Cause: any recorded end of a worker's run cleared the mark that its runs are about to end. The agent that returned got a lease and the orders to start the runs that the next command ended, and their tasks started elsewhere.

Evidence: the new test failed before:

--- FAIL: TestNoLeaseWhileEndOfExpiredRunsIsProposed a lease was granted while the end of the worker's runs is proposed

Why the fix works: the mark stays while the end of an active run on the worker is proposed.

--- a/internal/controller/inflight_test.go
+++ b/internal/controller/inflight_test.go
@@ -63,3 +63,27 @@
 		})
 	}
 }
+
+// TestNoLeaseWhileEndOfExpiredRunsIsProposed guards against a lease for runs that are about
+// to end: another end of their worker is recorded first.
+func TestNoLeaseWhileEndOfExpiredRunsIsProposed(t *testing.T) {
+	l := newDrivenLeader(t)
+	sess := l.attach(report("m1/w/1"))
+	l.startFirstRun(sess)
+	l.core.proposeEnds(l.now, []submission.End{{Run: l.run(7), Worker: "m1/w/1", Reason: submission.Stopped}})
+	other := l.core.replica.LastIndex()
+	l.core.detach(sess)
+	l.now = l.now.Add(time.Minute)
+	l.answerHeartbeat()
+	l.core.endExpiredRuns(l.now)
+	l.commitUpTo(other)
+	next := l.attach(report("m1/w/1", l.run(1)))
+	if orders, _ := next.outbox.popAll(); len(orders) == 0 || orders[0].GetLease() != 0 {
+		t.Error("a lease was granted while the end of the worker's runs is proposed")
+	}
+	l.commit()
+	l.core.handleReport(l.now, next, &pb.AgentReport{Sent: 1})
+	if orders, _ := next.outbox.popAll(); len(orders) == 0 || orders[len(orders)-1].GetLease() == 0 {
+		t.Error("no lease is granted after the ends are recorded")
+	}
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -217,7 +217,11 @@
 	touched := make(map[*session]bool)
 	for _, e := range ends {
 		delete(c.sessions.endsProposed, e.Run)
-		delete(c.sessions.expiring, e.Worker)
+	}
+	for _, e := range ends {
+		if _, expiring := c.sessions.expiring[e.Worker]; expiring && !c.hasProposedEnds(e.Worker) {
+			delete(c.sessions.expiring, e.Worker)
+		}
 		s, ok := store.Submission(e.Run.Task.Submission)
 		took := _unknownDuration
 		if orderedAt, known := c.sessions.startOrderedAt[e.Run]; known {
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -345,6 +345,21 @@
 	c.proposeEnds(now, ends)
 }
 
+// hasProposedEnds reports whether the end of an active run on the worker incarnation is
+// proposed.
+func (c *Core) hasProposedEnds(incarnation string) bool {
+	u := c.machine.Submissions().Usage(incarnation)
+	if u == nil {
+		return false
+	}
+	for run := range u.Runs {
+		if c.sessions.endsProposed[run] {
+			return true
+		}
+	}
+	return false
+}
+
 func isActive(store *submission.Store, incarnation string, run submission.RunID) bool {
 	u := store.Usage(incarnation)
 	return u != nil && u.Runs[run] != nil
