--- a/internal/controller/authority_test.go
+++ b/internal/controller/authority_test.go
@@ -121,3 +121,39 @@
 		t.Errorf("%d starts were ordered, want one", ordered)
 	}
 }
+
+// TestStartOfEarlierTermIsOrderedOnce guards against a second run of a task whose start an
+// earlier leader has proposed, and which is recorded only in the next term.
+func TestStartOfEarlierTermIsOrderedOnce(t *testing.T) {
+	l := newDrivenLeader(t)
+	former := l.attach(report("m1/w/1"))
+	l.core.dispatchTasks(l.now)
+	if len(l.activeRuns()) != 0 {
+		t.Fatal("the start was recorded at once")
+	}
+	last := l.core.replica.LastIndex()
+	l.answer(replica.AppendReply{Sent: l.now}) // the start is written
+	if err := l.core.replica.Step(l.now, replica.Message{From: "b", To: "a", Term: 2, Body: replica.VoteReply{}}); err != nil {
+		t.Fatal(err)
+	}
+	l.elect()
+	if l.core.attach(l.now, report("m2/w/1")) != nil {
+		t.Error("an agent was attached before the earlier leader's start was recorded")
+	}
+	l.core.dispatchTasks(l.now)
+	if got := l.core.replica.LastIndex(); got != last+1 { // the entry of the new term
+		t.Errorf("%d entries were proposed", got-last-1)
+	}
+	l.commit()
+	sessions := []*session{former, l.attach(report("m2/w/1")), l.attach(report("m1/w/1"))}
+	l.core.dispatchTasks(l.now)
+	l.commit()
+	if got, want := l.activeRuns(), []submission.Start{{Run: l.run(1), Worker: "m1/w/1"}}; !slices.Equal(got, want) {
+		t.Errorf("the record has the runs %v, want %v", got, want)
+	}
+	for i, want := range []int{0, 0, 1} {
+		if starts, _ := orderedRuns(sessions[i]); len(starts) != want {
+			t.Errorf("stream %d got the starts %v, want %d", i, starts, want)
+		}
+	}
+}
--- a/internal/controller/driven_test.go
+++ b/internal/controller/driven_test.go
@@ -52,9 +52,7 @@
 		_ = c.store.Close()
 	})
 	l := &drivenLeader{T: t, core: c, now: now, task: submission.TaskID{Submission: "s1"}}
-	c.replica.Tick(now.Add(time.Hour))
-	l.answer(replica.VoteReply{PreVote: true, Granted: true})
-	l.answer(replica.VoteReply{Granted: true})
+	l.elect()
 	l.commit()
 	if !c.replica.HoldsLease(l.now) {
 		t.Fatal("the controller does not lead")
@@ -66,6 +64,17 @@
 	return l
 }
 
+// elect makes the controller the leader of the next term.
+func (l *drivenLeader) elect() {
+	l.Helper()
+	l.core.replica.Tick(l.now.Add(time.Hour))
+	l.answer(replica.VoteReply{PreVote: true, Granted: true})
+	l.answer(replica.VoteReply{Granted: true})
+	if l.core.replica.Role() != replica.Leader {
+		l.Fatal("the controller was not elected")
+	}
+}
+
 // run returns a run of the task.
 func (l *drivenLeader) run(number uint32) submission.RunID {
 	return submission.RunID{Task: l.task, Number: number}
@@ -74,7 +83,11 @@
 // answer delivers a message of the other member and carries out what follows.
 func (l *drivenLeader) answer(body replica.Body) {
 	l.Helper()
-	if err := l.core.replica.Step(l.now, replica.Message{From: "b", To: "a", Term: 1, Body: body}); err != nil {
+	term := l.core.replica.Term()
+	if v, ok := body.(replica.VoteReply); ok && v.PreVote {
+		term++
+	}
+	if err := l.core.replica.Step(l.now, replica.Message{From: "b", To: "a", Term: term, Body: body}); err != nil {
 		l.Fatal(err)
 	}
 	l.core.processReady()
