Stop a run whose lease has expired if its agent's stream is still open

Callers saw: a task could have two runs at the same time. An agent is silent for longer than the leader's grant and then goes on with the same stream, for example after it was frozen. The record has ended its runs. A run that is still there, under a lease that the leader did not count, goes on beside the next one, and the agent's renewals keep it alive.

Cause: an agent reports a run when it changes, and completely when a stream begins. On a stream that stays open nothing told either side that the other has the run.

Evidence: the new test failed before:

--- FAIL: TestRunThatOutlivesItsLeaseIsStopped the stops [] were ordered, want one of run 1

Why the fix works: the stop follows the recorded end on the stream. If the run is gone, the agent finds so and reports an inferred end, which is acknowledged. An end that the agent has reported orders no stop.

--- a/internal/controller/inflight_test.go
+++ b/internal/controller/inflight_test.go
@@ -87,3 +87,44 @@
 		t.Error("no lease is granted after the ends are recorded")
 	}
 }
+
+// TestRunThatOutlivesItsLeaseIsStopped guards against a run that goes on beside the next one:
+// its agent is silent for longer than a lease and then goes on with the same stream.
+func TestRunThatOutlivesItsLeaseIsStopped(t *testing.T) {
+	l := newDrivenLeader(t)
+	sess := l.attach(report("m1/w/1"))
+	l.startFirstRun(sess)
+	l.core.handleReport(l.now, sess, &pb.AgentReport{Active: report("", l.run(1)).GetActive()})
+	l.now = l.now.Add(time.Minute)
+	l.answerHeartbeat()
+	l.core.endExpiredRuns(l.now)
+	l.commit()
+	if runs := l.activeRuns(); len(runs) > 0 {
+		t.Fatalf("the record has the runs %v, want none", runs)
+	}
+	l.core.handleReport(l.now, sess, &pb.AgentReport{Sent: 1}) // the run has not changed, so it is not reported
+	if _, stops := orderedRuns(sess); !slices.Equal(stops, []submission.RunID{l.run(1)}) {
+		t.Errorf("the stops %v were ordered, want one of run 1", stops)
+	}
+}
+
+// TestReportedEndOfLeaseOrdersNoStop guards against useless orders: the agent knows the end.
+func TestReportedEndOfLeaseOrdersNoStop(t *testing.T) {
+	lapsed := submission.End{Run: submission.RunID{Task: submission.TaskID{Submission: "s1"}, Number: 1}, Worker: "m1/w/1", Reason: submission.LeaseExpired}
+	for name, in := range map[string]*pb.AgentReport{
+		"listed":   {Ends: []*pb.ListedEnd{{Number: 1, Run: wire.EncodeRun(lapsed.Run), How: uint32(lapsed.Reason)}}},
+		"inferred": {Refused: []*pb.RunEnd{wire.EncodeRunEnd(lapsed)}},
+	} {
+		l := newDrivenLeader(t)
+		sess := l.attach(report("m1/w/1"))
+		l.startFirstRun(sess)
+		l.core.handleReport(l.now, sess, in)
+		l.commit()
+		if runs := l.activeRuns(); len(runs) > 0 {
+			t.Errorf("%s: the record has the runs %v, want none", name, runs)
+		}
+		if _, stops := orderedRuns(sess); len(stops) > 0 {
+			t.Errorf("%s: the stops %v were ordered", name, stops)
+		}
+	}
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -92,6 +92,20 @@
 	return last
 }
 
+// hasReportedEnd reports whether the agent has reported the end of a run that is not
+// acknowledged yet.
+func (s *session) hasReportedEnd(run submission.RunID) bool {
+	if _, ok := s.unrecordedInferredEnds[run]; ok {
+		return true
+	}
+	for _, r := range s.unrecordedEnds {
+		if r.run == run {
+			return true
+		}
+	}
+	return false
+}
+
 // popRecordedInferredEnds removes and returns the runs whose inferred ends are
 // recorded.
 func (s *session) popRecordedInferredEnds(store *submission.Store) []*pb.Run {
@@ -209,7 +223,8 @@
 const _unknownDuration time.Duration = -1
 
 // handleRecordedEnds lets the agents discard recorded ends and stops runs that
-// have become surplus.
+// have become surplus. It also stops a run whose lease has expired if its agent's stream is
+// still open: should the run go on, the agent would report it only when it changes.
 func (c *Core) handleRecordedEnds(ends []submission.End) {
 	store := c.machine.Submissions()
 	now := clock.Now()
@@ -241,15 +256,11 @@
 		if ok && ended[s.ID] {
 			c.logTaskGivenUp(s, e)
 		}
-		fields := event.Fields{
-			"submission": e.Run.Task.Submission, "task": e.Run.Task.String(), "run": e.Run.Number, "worker": e.Worker, "how": e.Reason.String(),
-		}
-		if e.Reason == submission.Crashed {
-			fields["ran_ms"] = e.Ran.Milliseconds()
-			c.crashedRuns.Inc(1)
-		}
-		c.log.Emit(event.RunEnded, fields, "run ended")
+		c.logRunEnded(e)
 		delete(c.sessions.strayHolders, e.Run)
+		if sess := c.sessions.byIncarnation[e.Worker]; sess != nil && e.Reason == submission.LeaseExpired && !sess.hasReportedEnd(e.Run) {
+			c.orderStop(e.Worker, e.Run)
+		}
 		for _, sess := range c.sessions.ofMachine(e.Worker) {
 			touched[sess] = true
 			delete(sess.orderedStops, e.Run)
@@ -267,6 +278,18 @@
 	}
 }
 
+// logRunEnded logs and counts the end of a run.
+func (c *Core) logRunEnded(e submission.End) {
+	fields := event.Fields{
+		"submission": e.Run.Task.Submission, "task": e.Run.Task.String(), "run": e.Run.Number, "worker": e.Worker, "how": e.Reason.String(),
+	}
+	if e.Reason == submission.Crashed {
+		fields["ran_ms"] = e.Ran.Milliseconds()
+		c.crashedRuns.Inc(1)
+	}
+	c.log.Emit(event.RunEnded, fields, "run ended")
+}
+
 // stopSurplusRuns orders the stop of a submission's surplus runs.
 func (c *Core) stopSurplusRuns(s *submission.Submission) {
 	if c.replica.Role() != replica.Leader || s.ActiveRuns() == 0 {
