--- a/internal/controller/authority_test.go
+++ b/internal/controller/authority_test.go
@@ -157,3 +157,36 @@
 		}
 	}
 }
+
+// TestControllerFromSnapshotRepeatsNoRun guards against a record that forgets a run, its
+// number or that its task is done, when a controller starts from a snapshot.
+func TestControllerFromSnapshotRepeatsNoRun(t *testing.T) {
+	l := newDrivenLeader(t)
+	check := func(want ...submission.Start) {
+		t.Helper()
+		l.core.dispatchTasks(l.now)
+		l.commit()
+		if got := l.activeRuns(); !slices.Equal(got, want) {
+			t.Fatalf("the record has the runs %v, want %v", got, want)
+		}
+	}
+	l.attach(report("m1/w/1"))
+	for number := uint32(1); number <= 3; number++ {
+		run := l.run(number)
+		check(submission.Start{Run: run, Worker: "m1/w/1"})
+		l.restart()
+		sess := l.attach(report("m1/w/1", run))
+		check(submission.Start{Run: run, Worker: "m1/w/1"})
+		reason := submission.Stopped
+		if number == 3 {
+			reason = submission.Done
+		}
+		l.core.handleReport(l.now, sess, &pb.AgentReport{
+			Sent: 1, Ends: []*pb.ListedEnd{{Number: 1, Run: wire.EncodeRun(run), How: uint32(reason)}},
+		})
+		l.commit()
+		l.restart()
+		l.attach(report("m1/w/1"))
+	}
+	check()
+}
--- a/internal/controller/driven_test.go
+++ b/internal/controller/driven_test.go
@@ -18,12 +18,13 @@
 
 // drivenLeader is the leader "a" of a group of two. No goroutine runs its core: the test
 // calls it, and answers for the other member, so that it decides what is committed when.
-// The record has one waiting task.
+// The record has a waiting task, and another one that no worker can run.
 type drivenLeader struct {
 	*testing.T
-	core *Core
-	now  time.Time
-	task submission.TaskID
+	core  *Core
+	files disk.Files
+	now   time.Time
+	task  submission.TaskID
 }
 
 func newDrivenLeader(t *testing.T) *drivenLeader {
@@ -32,36 +33,59 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	now := clock.Now()
+	l := &drivenLeader{T: t, files: files, now: clock.Now(), task: submission.TaskID{Submission: "s1"}}
+	l.start()
+	l.elect()
+	l.commit()
+	if !l.core.replica.HoldsLease(l.now) {
+		t.Fatal("the controller does not lead")
+	}
+	l.propose(state.ReplaceQueues{Table: testQueues()})
+	step := submission.Step{Count: 1, Needs: submission.Resources{CPU: 1000, Memory: 1}, Estimate: 10 * time.Second}
+	other := submission.Step{Count: 1, Requirement: "absent"}
+	l.propose(state.Submit{Submission: submission.Submission{Spec: submission.Spec{ID: "s1", Queue: "q", Steps: []submission.Step{step, other}}}})
+	l.commit()
+	return l
+}
+
+// start starts the controller with what is on its disk.
+func (l *drivenLeader) start() {
+	l.Helper()
 	c, err := NewCore(CoreConfig{
 		Replica: replica.Config{
 			ID: "a", InitialMembers: []replica.Member{{ID: "a"}, {ID: "b"}}, ElectionTimeout: 10 * time.Second,
 			Heartbeat: time.Second, Rand: rand.New(rand.NewPCG(1, 1)),
 		},
-		Files: files, Send: func([]replica.Message) {}, SnapshotEntries: 1000, WorkerLease: 4 * time.Second, RunLease: 4 * time.Second,
-	}, now)
+		Files: l.files, Send: func([]replica.Message) {}, SnapshotEntries: 1000, WorkerLease: 4 * time.Second, RunLease: 4 * time.Second,
+	}, l.now)
 	if err != nil {
-		t.Fatal(err)
+		l.Fatal(err)
 	}
+	l.core = c
 	ctx, cancel := context.WithCancel(context.Background())
 	var writer sync.WaitGroup
 	writer.Go(func() { c.writer.run(ctx) })
-	t.Cleanup(func() {
+	l.Cleanup(func() {
 		cancel()
 		writer.Wait()
 		_ = c.store.Close()
 	})
-	l := &drivenLeader{T: t, core: c, now: now, task: submission.TaskID{Submission: "s1"}}
-	l.elect()
-	l.commit()
-	if !c.replica.HoldsLease(l.now) {
-		t.Fatal("the controller does not lead")
+}
+
+// restart starts the controller again from a snapshot, and elects it.
+func (l *drivenLeader) restart() {
+	l.Helper()
+	l.core.snapshotEntries = 1
+	l.answerHeartbeat()
+	if l.core.snapshotIndex != l.core.lastApplied.Index {
+		l.Fatal("no snapshot was written")
 	}
-	l.propose(state.ReplaceQueues{Table: testQueues()})
-	step := submission.Step{Count: 1, Needs: submission.Resources{CPU: 1000, Memory: 1}, Estimate: 10 * time.Second}
-	l.propose(state.Submit{Submission: submission.Submission{Spec: submission.Spec{ID: "s1", Queue: "q", Steps: []submission.Step{step}}}})
+	if err := l.core.store.Close(); err != nil {
+		l.Fatal(err)
+	}
+	l.start()
+	l.elect()
 	l.commit()
-	return l
 }
 
 // elect makes the controller the leader of the next term.
