runner: raise the token when another incarnation answers a poll

Callers could see a task run again after it was done, or beside its next run. A worker may start again under its identifier. If one poll has timed out, which raises no token, and the next incarnation answers the following one, it has seen the token of the starts that were sent before. Until the incarnation announces itself, up to a heartbeat interval later, it carries out a start whose first call had no answer, although a repetition was answered and the run is done. The agent raised the token only when the connection broke, after three polls without an answer, and for an announcement.

The agent now raises the token as soon as another incarnation answers, and polls again at once. A start that arrives before the agent's first call is still carried out.

The test failed before:

TestLateStartIsFencedBeforeAnnouncement: reuse_test.go:86: {s.0.0.0 1} was reported as done while it runs

--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -168,6 +168,8 @@
 func (r *Runner) handleSuperseded(now time.Time, list Listing) {
 	if r.supersededBy != list.StartTimeMS {
 		r.supersededBy = list.StartTimeMS
+		r.raiseToken() // it has seen the token of the starts that were meant for the current one
+		wake(r.wakePoll)
 		r.lease.assumeHeld(now, r.maxLease)
 		r.log.Emit(event.WorkerSuperseded, event.Fields{
 			"worker": r.incarnationName(r.incarnation), "started_ms": list.StartTimeMS, "runs": len(list.Active),
--- a/internal/runner/reuse_test.go
+++ b/internal/runner/reuse_test.go
@@ -1,9 +1,11 @@
 package runner
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
@@ -62,3 +64,24 @@
 	w.carryOutHeld()
 	l.check()
 }
+
+// TestLateStartIsFencedBeforeAnnouncement guards against a start whose repetition was
+// answered and whose run is done: the next incarnation has answered a poll under the token
+// of that start, and announces itself seconds later.
+func TestLateStartIsFencedBeforeAnnouncement(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	holdStart(t, w, l)
+	w.set(func() { w.hold = false })
+	w.waitForStarts(t, 1)
+	w.endOf(1)
+	l.settle()
+	if got := l.ended[testRun(1)]; got != submission.Done {
+		t.Fatalf("the run is reported as %s, want done", got)
+	}
+	r.failPolls(clock.Now(), context.DeadlineExceeded)
+	w.restart()
+	l.poll()
+	l.poll()
+	w.carryOutHeld()
+	l.check()
+}
