runner: keep the runs that a worker lists under another identifier

An agent that takes up another identifier infers that all runs of the former incarnation are lost, and reports that at once, since a worker under another identifier rejects the orders for the former one. That shows nothing if it is the same process under another name: its runs went on, and their tasks would start elsewhere. The listing with which the worker confirms the identifier already shows them.

Runs that this listing names, as active or as ended, are no longer inferred as lost; the agent then reports them as it finds them, and the leader stops them and counts them until their end. No worker of the platform is known to do this; found by reading.

The tests failed before:

TestRenamedWorkerKeepsItsRuns/active: {s.0.0.0 1} was reported as lost while it runs TestRenamedWorkerKeepsItsRuns/done: the run is reported as lost, want done

TestStopOnNextIncarnationEndsNothing held before. It fails if answers of another incarnation are handled as those of the present one.

--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -69,6 +69,24 @@
 			"announcement ignored: another incarnation of the worker runs")
 	default:
 		r.adopt(c.announcement)
+		r.keepListedRuns(list)
+	}
+}
+
+// keepListedRuns takes back the ends of runs that the worker lists as it confirms its
+// incarnation: it has only changed its identifier. Ends that are not certain wait for further
+// listings anyway. r.mu must be held.
+func (r *Runner) keepListedRuns(list Listing) {
+	keep := func(run submission.RunID) {
+		if end, ok := r.inferredEnds[run]; ok && r.isCertain(end.End) {
+			delete(r.inferredEnds, run)
+		}
+	}
+	for _, a := range list.Active {
+		keep(a.Run)
+	}
+	for _, e := range list.Ends {
+		keep(e.Run)
 	}
 }
 
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -514,3 +514,61 @@
 		t.Error("the agent sends no complete list")
 	}
 }
+
+// TestRenamedWorkerKeepsItsRuns guards against runs that count as lost with the former
+// incarnation while the worker, which has changed its identifier, goes on with them.
+func TestRenamedWorkerKeepsItsRuns(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		done bool // the run ends before the agent takes up the identifier
+		want submission.EndReason
+	}{
+		{name: "active", want: submission.Stopped},
+		{name: "done", done: true, want: submission.Done},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, w, l := newReturningRunner(t)
+			l.exchange(1)
+			w.waitForStarts(t, 1)
+			l.settle()
+			w.set(func() { w.incarnation.ID = "v" })
+			if tc.done {
+				w.endOf(1)
+			}
+			r.announceIncarnation(w.incarnation)
+			l.exchange()
+			l.settle()
+			r.deliverOrder(&pb.AgentOrder{Term: 1, Attachment: l.last, Stops: []*pb.Run{wire.EncodeRun(testRun(1))}}) // the record names another incarnation
+			eventually(t, "the run ends", func() bool {
+				l.settle()
+				return l.ended[testRun(1)] != 0
+			})
+			if got := l.ended[testRun(1)]; got != tc.want {
+				t.Errorf("the run is reported as %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestStopOnNextIncarnationEndsNothing guards against a run that counts as stopped since
+// another incarnation has answered the stop and lacks the run.
+func TestStopOnNextIncarnationEndsNothing(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	l.exchange(1)
+	w.waitForStarts(t, 1)
+	l.settle()
+	w.restart()
+	r.deliverOrder(&pb.AgentOrder{Term: 1, Attachment: l.last, Stops: []*pb.Run{wire.EncodeRun(testRun(1))}})
+	eventually(t, "the stop is answered", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.highest[testRun(1).Task] == 1
+	})
+	for range 3 {
+		l.poll()
+		l.exchange()
+	}
+	if how := l.ended[testRun(1)]; how != 0 {
+		t.Errorf("the run is reported as %s on the word of another incarnation", how)
+	}
+}
