controller: refuse submissions whose tasks have no readable names

Each task of a submission whose identifier has a dot ran again and again, beside its earlier runs. The names of its tasks have five parts or more, so the agent passed over their rows in its worker's listings as those of another writer. A run that the worker had started was missing from all of them, counted as lost after a second, and its task was started again. An empty identifier, possible with a prefix that does not end in a slash, does the same.

A submission with such an identifier is now refused with status 400 and never runs. Names in listings are read as strictly as before: a row with five parts is still one of another writer. An accepted submission of this kind in an existing log is not changed.

--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -96,6 +96,10 @@
 		setFault(out, fault.New(fault.BadRequest, "%s", in.GetMalformed()))
 		return nil
 	}
+	if !submission.IsValidID(id) {
+		setFault(out, fault.New(fault.BadRequest, "the identifier %q is empty or has a dot", id))
+		return nil
+	}
 	spec := wire.DecodeSubmissionSpec(in.GetSpec())
 	spec.ID, spec.Queue = id, queue
 	if err := spec.Validate(); err != nil {
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -234,6 +234,13 @@
 	return id, id.String() == name
 }
 
+// IsValidID reports whether a submission may have the identifier: the names of its tasks can
+// be parsed. A worker lists its runs by these names.
+func IsValidID(id string) bool {
+	_, ok := ParseTaskID(TaskID{Submission: id}.String())
+	return ok
+}
+
 // RunID identifies a run of a task.
 type RunID struct {
 	Task   TaskID
