settings: refuse slashes in the name of an agent's machine

The name of a worker's incarnation begins with its machine's name and a slash. With names such as "side/1" and "side/2" the leader took all these machines for one, "side", on which one incarnation has followed another. When the second agent had attached and listed its runs, the runs of the first counted as lost, and their tasks started again beside them.

Settings with such a name are now refused at the start of an agent.

Seen on the code before, in package controller with two streams "side/1/w/1" and "side/2/w/1" (a trial, not kept as a test):

the latest run is 1, 0 active; want run 1 to continue

The test failed before:

TestMachineNameHasNoSlash: "side/1": got <nil>, want accepted: false

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -415,6 +415,9 @@
 		c.checkAddress("platform.readiness", s.Platform.Readiness)
 	}
 	if s.HasRole(RoleAgent) {
+		if strings.Contains(s.Name, "/") { // names of incarnations begin with the machine's name and a slash
+			c.addProblem("name", "found %q, allowed for an agent is a name without slashes", s.Name)
+		}
 		c.checkDialAddress("platform.worker", s.Platform.Worker)
 	}
 	if s.HasRole(RoleAgent) || s.HasRole(RoleController) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -175,3 +176,16 @@
 		}
 	}
 }
+
+// TestMachineNameHasNoSlash guards against two machines that count as one, since their names
+// begin alike: the leader would end the runs of the one whose agent has attached first.
+func TestMachineNameHasNoSlash(t *testing.T) {
+	const agent = `{"name":%q,"zone":"z","roles":["agent"],"controllers":["127.0.0.1:1"],
+		"platform":{"control_plane":"127.0.0.1:2","worker":"127.0.0.1:3"}}`
+	for name, accepted := range map[string]bool{"side-1": true, "side.1": true, "side/1": false, "/": false} {
+		_, err := Parse("f", fmt.Appendf(nil, agent, name))
+		if (err == nil) != accepted || err != nil && !strings.Contains(err.Error(), "without slashes") {
+			t.Errorf("%q: got %v, want accepted: %t", name, err, accepted)
+		}
+	}
+}
