Count a run as settled only if no late call of any kind can reach it

- A refused start was reported as an active run with no call left; its next call, without an answer, was not reported.
Only confirmed runs are reported now.
- A worker that is back under its identifier, while polls only time out, answers a start and gives its run the longest lease, since the lease end in the call means another time on its clock.
A start answer whose clock has stepped back now puts the agent in doubt and makes it assume that lease, as an answered poll of the next incarnation does, and the run is reported as not settled.
- A run that the agent knows from a stop order alone counted as if an earlier agent had made no calls.
- A late call for another run prolongs the lease of all.
So a run that is not settled when the grant expires is kept for the whole window after the grant.
- An agent of an earlier version, which says nothing, counted as one whose calls were all answered.

And one that cost callers time: for the first 18 s of an agent each of its runs counted as one with a late call. Only orders that an earlier agent may have had do so now.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -81,7 +81,7 @@
 		SnapshotEntries: cfg.SnapshotEntries,
 		WorkerLease:     time.Duration(cfg.Lease),
 		RunLease:        time.Duration(cfg.RunLease),
-		StartWindow:     startWindow(s),
+		LateStartWindow: lateStartWindow(s),
 		AdviceClient:    c.adviceClient,
 		Metrics:         c.registry,
 		Replicas:        cfg.Replicas,
@@ -146,9 +146,10 @@
 	}
 }
 
-// startWindow returns how long after a start call without an answer a run may hold a lease
-// that the call gives. Targets check the session of a call and carry out none late.
-func startWindow(s *settings.Settings) time.Duration {
+// lateStartWindow returns how long after a call without an answer a worker may hold a lease
+// that the call gives. The project's own worker interface has sessions, which late calls of
+// an earlier one don't pass.
+func lateStartWindow(s *settings.Settings) time.Duration {
 	if s.Platform == nil {
 		return 0
 	}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -110,7 +110,7 @@
 	SnapshotEntries int
 	WorkerLease     time.Duration           // length of a worker's lease, which its agent renews
 	RunLease        time.Duration           // length of the lease of a worker's runs
-	StartWindow     time.Duration           // from a start call without an answer until no run can hold a lease that it gives
+	LateStartWindow time.Duration           // from an agent's latest call until its worker can hold no lease from it
 	Metrics         metrics.Registry        // nil for none
 	AdviceClient    AdviceClient            // approves workers for the steps of some queues; nil if there is none
 	Replicas        int                     // voters that the group should have; 0 for a fixed group
@@ -156,7 +156,7 @@
 	}
 	c.sched.lease = cfg.WorkerLease
 	c.sessions.lease = cfg.RunLease
-	c.sessions.holds.window = cfg.StartWindow
+	c.sessions.lateStarts.window = cfg.LateStartWindow
 	registry := cfg.Metrics
 	if registry == nil {
 		registry = metrics.NewRegistry()
--- a/internal/controller/holds_test.go
+++ b/internal/controller/latestarts_test.go
@@ -6,12 +6,13 @@
 
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/submission"
 )
 
-// setStartWindow sets how long after a start call a run may hold a lease that it gives.
-func (l *leader) setStartWindow(d time.Duration) {
+// setLateStartWindow sets how long after an agent's latest call its worker may hold a lease.
+func (l *leader) setLateStartWindow(d time.Duration) {
 	l.Helper()
-	if err := l.core.Do(l.Context(), func(c *Core, _ time.Time) { c.sessions.holds.window = d }); err != nil {
+	if err := l.core.Do(l.Context(), func(c *Core, _ time.Time) { c.sessions.lateStarts.window = d }); err != nil {
 		l.Fatal(err)
 	}
 }
@@ -22,23 +23,25 @@
 	const lease, window = 500 * time.Millisecond, 3 * time.Second
 	for _, tc := range []struct {
 		name     string
-		reported bool
-		mayHold  time.Duration // of the report
+		reported *pb.ListedRun // nil for no report of the run
 		kept     time.Duration // for which the run must stay the only one after the latest report
 	}{
 		{name: "start not reported", kept: lease + window},
-		{name: "reported with a call without an answer", reported: true, mayHold: 2 * time.Second, kept: 2 * time.Second},
-		{name: "every call answered", reported: true, kept: lease},
+		{name: "call without an answer", reported: &pb.ListedRun{SettlesIn: int64(2 * time.Second)}, kept: lease + window},
+		{name: "agent that doesn't say", reported: &pb.ListedRun{}, kept: lease + window},
+		{name: "call too old when the lease expires", reported: &pb.ListedRun{SettlesIn: int64(lease / 2)}, kept: lease},
+		{name: "every call answered", reported: &pb.ListedRun{Settled: true}, kept: lease},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			l := newLeaderWithTask(t)
 			l.setLease(lease)
-			l.setStartWindow(window)
+			l.setLateStartWindow(window)
 			lost, stop := l.attach("m1/w/1")
 			l.run = l.waitForStart(lost)
-			if tc.reported {
-				lost.reports <- &pb.AgentReport{Active: []*pb.ListedRun{{Run: wire.EncodeRun(l.run), MayHold: int64(tc.mayHold)}}}
+			if tc.reported != nil {
+				tc.reported.Run = wire.EncodeRun(l.run)
+				lost.reports <- &pb.AgentReport{Active: []*pb.ListedRun{tc.reported}}
 				<-lost.orders
 			}
 			other, _ := l.attach("m2/w/1")
@@ -59,7 +62,7 @@
 func TestReturningAgentKeepsRunWithoutLease(t *testing.T) {
 	l := newLeaderWithTask(t)
 	l.setLease(300 * time.Millisecond)
-	l.setStartWindow(time.Minute)
+	l.setLateStartWindow(time.Minute)
 	lost, stop := l.attach("m1/w/1")
 	l.run = l.waitForStart(lost)
 	stop()
@@ -78,10 +81,10 @@
 	const lease, window = 500 * time.Millisecond, 3 * time.Second
 	l := newLeaderWithTask(t)
 	l.setLease(lease)
-	l.setStartWindow(window)
+	l.setLateStartWindow(window)
 	first, stopFirst := l.attach("m1/w/1")
 	l.run = l.waitForStart(first)
-	first.reports <- &pb.AgentReport{Active: report("", l.run).GetActive()}
+	first.reports <- &pb.AgentReport{Active: []*pb.ListedRun{{Run: wire.EncodeRun(l.run), Settled: true}}}
 	<-first.orders
 	stopFirst()
 	next, stopNext := l.attach("m1/w/1")
@@ -94,3 +97,28 @@
 	l.checkUntouched(lease + window - 100*time.Millisecond)
 	l.waitForStart(other)
 }
+
+// TestOtherLateCallsProlongLeaseOfLateRun guards against an end while a later call, for
+// another run, may prolong the lease.
+func TestOtherLateCallsProlongLeaseOfLateRun(t *testing.T) {
+	const callDelay, maxLease, grant = 12 * time.Second, 6 * time.Second, 4400 * time.Millisecond
+	var (
+		late     = lateStarts{window: callDelay + maxLease}
+		run      = submission.RunID{Task: submission.TaskID{Submission: "s1"}, Number: 1}
+		call     = time.Unix(1000, 0) // starts the run and has no answer
+		lastCall = call.Add(8 * time.Second)
+	)
+	late.record(call.Add(time.Second), run, &pb.ListedRun{Run: wire.EncodeRun(run), SettlesIn: int64(late.window - time.Second)})
+	// The worker starts again after lastCall; call is carried out 10 s late, and lastCall,
+	// which starts another run, 7.9 s late, while the first run holds its lease.
+	begins, prolonged := call.Add(10*time.Second), lastCall.Add(7900*time.Millisecond)
+	if prolonged.After(begins.Add(maxLease)) {
+		t.Fatal("the run has ended before its lease is prolonged")
+	}
+	end := prolonged.Add(maxLease)
+	for now := begins; now.Before(end); now = now.Add(50 * time.Millisecond) {
+		if late.hasEnded(now, lastCall.Add(grant), run) {
+			t.Fatalf("the run counts as ended %s before its lease ends", end.Sub(now))
+		}
+	}
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -31,7 +31,7 @@
 	for _, r := range in.GetOrdered() {
 		run := wire.DecodeRun(r)
 		known[run] = true
-		c.sessions.holds.remove(run)
+		c.sessions.lateStarts.remove(run)
 		if !isActive(store, sess.worker.Incarnation, run) || c.sessions.endsProposed[run] {
 			sess.orderedStops[run] = true
 			order.Stops = append(order.Stops, r)
@@ -49,8 +49,10 @@
 			sess.orderedStops[run] = true
 			order.Stops = append(order.Stops, wire.EncodeRun(run))
 		case !known[run]:
-			c.sessions.holds.remove(run) // what an earlier agent has reported doesn't hold for the next call
-			order.Starts = append(order.Starts, c.startOrder(now, s, run, sess.worker.Incarnation))
+			c.sessions.lateStarts.remove(run) // the next call is another one than those that were reported
+			start := c.startOrder(now, s, run, sess.worker.Incarnation)
+			start.Repeated = true
+			order.Starts = append(order.Starts, start)
 		default:
 			// A restarted agent needs the description of each run that it found.
 			description := c.startOrder(now, s, run, sess.worker.Incarnation)
@@ -244,7 +246,7 @@
 		}
 		c.sessions.scheduler.RecordEnd(now, store, e, took)
 		delete(c.sessions.startOrderedAt, e.Run)
-		c.sessions.holds.remove(e.Run)
+		c.sessions.lateStarts.remove(e.Run)
 		if ok && (s.State.Ended() || e.Reason == submission.Done) {
 			c.stopSurplusRuns(s)
 		}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -108,8 +108,9 @@
 }
 
 // endRunsWithoutLease proposes the end of the incarnation's runs that have ended for
-// certain. It logs the loss of the worker also if there are none, if isFirst is true.
-func (c *Core) endRunsWithoutLease(now time.Time, incarnation string, isFirst bool) {
+// certain. If the lease has just expired, it logs the loss of the worker also if there are
+// none.
+func (c *Core) endRunsWithoutLease(now time.Time, incarnation string, justExpired bool) {
 	if now.Before(c.sessions.leaseExpiry(incarnation)) || c.machine.Submissions().Usage(incarnation) == nil {
 		return
 	}
@@ -123,15 +124,15 @@
 		if other, isStray := c.sessions.strayHolders[run]; isStray {
 			holder = other
 		}
-		if c.sessions.holds.isOver(now, c.sessions.leaseExpiry(holder), run) {
+		if c.sessions.lateStarts.hasEnded(now, c.sessions.leaseExpiry(holder), run) {
 			return false
 		}
 		kept++
 		return true
 	})
-	if len(ends) > 0 || isFirst {
+	if len(ends) > 0 || justExpired {
 		c.log.Emit(event.WorkerLost, event.Fields{"worker": incarnation, "runs": len(ends), "kept": kept},
-			"leases of the worker's runs expired; rescheduling the tasks of those that have ended for certain")
+			"leases of the worker's runs expired; rescheduling the tasks, except of the kept runs, which a late call may still start")
 	}
 	if len(ends) > 0 {
 		c.sessions.expiring[incarnation] = now
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -104,7 +104,7 @@
 	machines         map[string]*machineHistory
 	strayHolders     map[submission.RunID]string // worker incarnations that have a run which is recorded on an earlier one
 	leaseExpiries    map[string]time.Time        // when the latest lease of a worker incarnation has expired for certain
-	holds            holds
+	lateStarts       lateStarts
 	leaseOrder       recency                   // worker incarnations by renewal of their lease
 	reportOrder      recency                   // worker incarnations that can receive tasks, by latest report
 	expiring         map[string]time.Time      // when the end of a worker incarnation's expired runs was proposed
@@ -135,7 +135,7 @@
 	s.machines = make(map[string]*machineHistory)
 	s.strayHolders = make(map[submission.RunID]string)
 	s.leaseExpiries = make(map[string]time.Time)
-	s.holds.reported = nil
+	s.lateStarts.settledAt = nil
 	s.expiring = make(map[string]time.Time)
 	s.endsProposed = make(map[submission.RunID]bool)
 	s.startsProposedAt = time.Time{}
@@ -249,7 +249,7 @@
 			stalled++
 		}
 		if recordedOn(c.machine.Submissions(), sess.worker.Incarnation, run) != "" {
-			c.sessions.holds.record(now, run, r)
+			c.sessions.lateStarts.record(now, run, r)
 		}
 		if isActive(c.machine.Submissions(), sess.worker.Incarnation, run) {
 			c.recordStarted(run)
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -38,6 +38,16 @@
 	l.workerClock, l.clockReadAt, l.hasClock = workerClock, now, true
 }
 
+// hasSteppedBack reports whether a worker's clock that was read less than _callTimeout ago is
+// behind the known one, so that another incarnation has answered. A clock of 0 is unknown.
+func (l *lease) hasSteppedBack(workerClock time.Duration, now time.Time) bool {
+	if workerClock == 0 || !l.hasClock {
+		return false
+	}
+	passed := now.Sub(l.clockReadAt)
+	return workerClock < l.workerClock+passed-passed/_clockDriftDivisor-_callTimeout
+}
+
 // nextEnd returns the lease end to send to the worker, on the worker's clock. The
 // end is not after the leader's grant even if the worker's clock is slow. ok is
 // false if there is no lease to pass on.
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -171,6 +171,7 @@
 		r.raiseToken() // it has seen the token of the starts that were meant for the current one
 		wake(r.wakePoll)
 		r.lease.assumeHeld(now, r.maxLease)
+		r.reportAll()
 		r.log.Emit(event.WorkerSuperseded, event.Fields{
 			"worker": r.incarnationName(r.incarnation), "started_ms": list.StartTimeMS, "runs": len(list.Active),
 		}, "another incarnation of the worker answers")
@@ -216,14 +217,21 @@
 	r.endRuns(submission.LeaseExpired, func(tr *trackedRun) bool { return !now.Before(tr.heldUntil) })
 }
 
-// mayHold returns how long from now on a start call without an answer may give the run a
-// lease on the worker's next incarnation, which has seen no fencing token and has another
-// clock than the lease end in the call; 0 if no such call is left. r.mu must be held.
-func (r *Runner) mayHold(now time.Time, tr *trackedRun) time.Duration {
-	if tr.unansweredAt.IsZero() {
-		return 0
+// settlesIn returns the time after which no call to start the run that has no answer can be
+// carried out, and no lease that others have sent or that counts on another clock holds it;
+// 0 if that is so already. On the worker's next incarnation such a call would be accepted:
+// it has seen no fencing token, and its clock has another origin. r.mu must be held.
+func (r *Runner) settlesIn(now time.Time, tr *trackedRun) time.Duration {
+	end := r.lease.heldUntil
+	if tr.heldUntil.After(end) {
+		end = tr.heldUntil
+	}
+	if !tr.unansweredAt.IsZero() {
+		if e := tr.unansweredAt.Add(r.callDelay + r.maxLease); e.After(end) {
+			end = e
+		}
 	}
-	return max(tr.unansweredAt.Add(r.callDelay+r.maxLease).Sub(now), 0)
+	return max(end.Sub(now), 0)
 }
 
 // reconcileRuns updates the tracked runs from the worker's listing. r.mu must be
@@ -237,6 +245,9 @@
 		if tr == nil {
 			tr = r.trackFoundRun(ctx, now, a.Run)
 		}
+		if !tr.confirmed {
+			r.unreported[a.Run] = true
+		}
 		tr.confirmed, tr.missingSince = true, time.Time{}
 		r.updateProgress(now, tr, a)
 		if a.Checkpoint != "" && a.Checkpoint != r.checkpoints[a.Run] {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -215,7 +215,7 @@
 		}
 	} else {
 		for run := range r.unreported {
-			if tr := r.runs[run]; tr != nil {
+			if tr := r.runs[run]; tr != nil && tr.confirmed {
 				report.Active = append(report.Active, r.encodeActiveRun(tr))
 			}
 		}
@@ -227,9 +227,10 @@
 
 // encodeActiveRun encodes an active run for a report. r.mu must be held.
 func (r *Runner) encodeActiveRun(tr *trackedRun) *pb.ListedRun {
+	settlesIn := r.settlesIn(clock.Now(), tr)
 	return &pb.ListedRun{
 		Run: wire.EncodeRun(tr.run), Saved: r.checkpoints[tr.run], Share: int64(tr.share), Progress: int64(tr.progress), Stalled: tr.stalled,
-		MayHold: int64(r.mayHold(clock.Now(), tr)),
+		Settled: settlesIn == 0, SettlesIn: int64(settlesIn),
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -324,17 +324,18 @@
 		return
 	}
 	tr := &trackedRun{
-		run: run,
-		// An earlier agent may have had the order.
-		unansweredAt: r.began,
-		estimate:     time.Duration(s.GetEstimate()),
-		needs:        wire.DecodeResources(s.GetNeeds()),
-		orderedAt:    clock.Now(),
-		lateGrants:   r.lateGrants,
-		share:        _fullShare,
-		described:    true,
-		start:        StartOrder{Run: run, Text: s.GetText(), Checkpoint: s.GetSaved(), Ticket: s.GetTicket()},
-		pacing:       pacingTask,
+		run:        run,
+		estimate:   time.Duration(s.GetEstimate()),
+		needs:      wire.DecodeResources(s.GetNeeds()),
+		orderedAt:  clock.Now(),
+		lateGrants: r.lateGrants,
+		share:      _fullShare,
+		described:  true,
+		start:      StartOrder{Run: run, Text: s.GetText(), Checkpoint: s.GetSaved(), Ticket: s.GetTicket()},
+		pacing:     pacingTask,
+	}
+	if s.GetRepeated() {
+		tr.unansweredAt = r.began
 	}
 	r.runs[run] = tr
 	incarnation := r.incarnation
@@ -347,7 +348,7 @@
 		if r.isKnown(run) {
 			return // the run has ended
 		}
-		tr = &trackedRun{run: run}
+		tr = &trackedRun{run: run, unansweredAt: r.began}
 		r.runs[run] = tr
 	}
 	if tr.stopOrdered {
@@ -433,14 +434,42 @@
 	if tr.startedAt.IsZero() && !errors.Is(err, ErrRefused) {
 		tr.startedAt = began
 	}
-	if err == nil || errors.Is(err, ErrRefused) {
+	switch {
+	case err == nil && !r.lease.hasSteppedBack(workerClock, clock.Now()), errors.Is(err, ErrRefused):
 		tr.unansweredAt = unansweredAt
-		r.unreported[tr.run] = true
+	case err == nil:
+		r.handleSteppedClock(tr)
+		workerClock = 0
+	default:
+		tr.unansweredAt = clock.Now()
 	}
 	r.mu.Unlock()
 	return r.handleStartAnswer(ctx, incarnation, tr, answer, workerClock, err)
 }
 
+// handleSteppedClock handles the answer to a start by an incarnation with another clock than
+// the known one: the start has given the run, and all others there, a lease of another
+// length than was meant. r.mu must be held.
+func (r *Runner) handleSteppedClock(tr *trackedRun) {
+	now := clock.Now()
+	tr.heldUntil = now.Add(r.maxLease)
+	r.lease.assumeHeld(now, r.maxLease)
+	if !r.disconnected {
+		r.disconnected = true
+		r.raiseToken()
+	}
+	r.reportAll()
+	wake(r.wakePoll)
+}
+
+// reportAll lets the next report name all active runs. r.mu must be held.
+func (r *Runner) reportAll() {
+	for run := range r.runs {
+		r.unreported[run] = true
+	}
+	wake(r.wakeReport)
+}
+
 // isLeaving reports whether the worker has announced that it leaves, or its departure.
 // r.mu must be held.
 func (r *Runner) isLeaving() bool { return r.announcement.Draining || r.departed }
@@ -500,9 +529,7 @@
 		// A run that the worker has had before is in the next listing, or
 		// counts as lost.
 		tr.confirmed, tr.confirmedAt = true, now
-		if answer == Started {
-			r.unreported[tr.run] = true
-		}
+		r.unreported[tr.run] = true
 		wake(r.wakePoll)
 		return true
 	case TooLate:
--- a/internal/runner/unanswered_test.go
+++ b/internal/runner/unanswered_test.go
@@ -1,44 +1,67 @@
 package runner
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
-// reportedHold returns the time for which the latest report lets a start call without an
-// answer give the run a lease. ok is false if the agent reports no such run as active.
-func (l *stubLeader) reportedHold(run submission.RunID) (d time.Duration, ok bool) {
-	l.attach()
-	report, _ := l.r.nextReport(&l.s)
+// fencingWorker answers the first start with Fenced, and passes on the later ones.
+type fencingWorker struct {
+	*returningWorker
+	starts int
+}
+
+func (w *fencingWorker) Start(ctx context.Context, id string, o StartOrder) (StartAnswer, time.Duration, error) {
+	w.mu.Lock()
+	w.starts++
+	first := w.starts == 1
+	w.mu.Unlock()
+	if first {
+		return Fenced, 0, nil
+	}
+	return w.returningWorker.Start(ctx, id, o)
+}
+
+// activeRun returns the report's entry of a run, or nil if it is not reported as active.
+func activeRun(report *pb.AgentReport, run submission.RunID) *pb.ListedRun {
 	for _, a := range report.GetActive() {
 		if wire.DecodeRun(a.GetRun()) == run {
-			return time.Duration(a.GetMayHold()), true
+			return a
 		}
 	}
-	return 0, false
+	return nil
 }
 
-// TestStartWithoutAnswerIsReportedWithItsHold guards against a leader that ends a run
+// completeReport returns the first report on a new stream.
+func (l *stubLeader) completeReport() *pb.AgentReport {
+	l.attach()
+	report, _ := l.r.nextReport(&l.s)
+	return report
+}
+
+// TestStartWithoutAnswerIsReportedAsUnsettled guards against a leader that ends a run
 // with its agent's lease although a late start may still give the run another lease.
-func TestStartWithoutAnswerIsReportedWithItsHold(t *testing.T) {
+func TestStartWithoutAnswerIsReportedAsUnsettled(t *testing.T) {
 	const callDelay = 10 * time.Second
 	for _, tc := range []struct {
-		name     string
-		lost     bool // the first call gets no answer
-		restart  bool // the agent restarts after the start
-		wantHold bool
+		name    string
+		lost    bool // the first call gets no answer
+		restart bool // the agent restarts after the start
+		settled bool
 	}{
-		{name: "every call answered"},
-		{name: "first call without an answer", lost: true, wantHold: true},
-		{name: "call of an earlier agent", restart: true, wantHold: true},
+		{name: "every call answered", settled: true},
+		{name: "first call without an answer", lost: true},
+		{name: "call of an earlier agent", restart: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r, w, l := newReturningRunner(t)
-			r.callDelay = callDelay
+			r.callDelay, r.began = callDelay, clock.Now()
 			if tc.lost {
 				holdStart(t, w, l)
 				w.set(func() { w.hold = false })
@@ -52,15 +75,117 @@
 				l.r = r
 				r.announceIncarnation(w.incarnation)
 			}
-			var hold time.Duration
-			eventually(t, "the run is reported", func() (ok bool) {
+			var reported *pb.ListedRun
+			eventually(t, "the run is reported", func() bool {
 				l.settle()
-				hold, ok = l.reportedHold(testRun(1))
-				return ok
+				reported = activeRun(l.completeReport(), testRun(1))
+				return reported != nil
 			})
-			if hold > callDelay+r.maxLease || (hold > 0) != tc.wantHold {
-				t.Errorf("the run may hold a lease for another %s; want one: %t", hold, tc.wantHold)
+			settlesIn := time.Duration(reported.GetSettlesIn())
+			if reported.GetSettled() != tc.settled || (settlesIn > 0) == tc.settled || settlesIn > callDelay+r.maxLease {
+				t.Errorf("the run is reported as settled: %t, in %s; want settled: %t", reported.GetSettled(), settlesIn, tc.settled)
+			}
+		})
+	}
+}
+
+// TestRefusedStartIsNotReportedAsActive guards against a run that counts as begun and
+// settled before its next call.
+func TestRefusedStartIsNotReportedAsActive(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	r.worker = &fencingWorker{returningWorker: w}
+	r.callDelay = 10 * time.Second
+	w.set(func() { w.hold = true })
+	l.exchange(1)
+	var reported *pb.ListedRun
+	eventually(t, "a later call is under way", func() bool {
+		report, _ := r.nextReport(&l.s)
+		if a := activeRun(report, testRun(1)); a != nil {
+			reported = a
+		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.held) > 0
+	})
+	if reported != nil {
+		t.Errorf("the run is reported as active, settled: %t; its start was refused, and a call is under way", reported.GetSettled())
+	}
+}
+
+// TestRunKnownFromStopOrderIsReportedAsUnsettled guards against calls of an earlier agent
+// that count as answered.
+func TestRunKnownFromStopOrderIsReportedAsUnsettled(t *testing.T) {
+	_, w, l := newReturningRunner(t)
+	w.set(func() { w.active[testRun(1)], w.refuseStops = true, true })
+	r := newRunnerBeside(t, w)
+	r.callDelay, r.began = 10*time.Second, clock.Now()
+	l.r = r
+	r.announceIncarnation(w.incarnation)
+	l.attach()
+	r.deliverOrder(&pb.AgentOrder{
+		Term: 1, Attachment: l.last, Sent: clock.Now().UnixNano(), Lease: int64(time.Minute), Stops: []*pb.Run{wire.EncodeRun(testRun(1))},
+	})
+	l.poll()
+	if a := activeRun(l.completeReport(), testRun(1)); a == nil || a.GetSettled() {
+		t.Errorf("the run is reported as %v; want it active and not settled", a)
+	}
+}
+
+// TestAnsweredStartOnNextIncarnationIsReportedAsUnsettled guards against the end with the
+// grant of a run that holds the longest lease.
+func TestAnsweredStartOnNextIncarnationIsReportedAsUnsettled(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		polls bool // a poll shows that another incarnation runs
+	}{
+		{name: "the worker's clock stepped back"},
+		{name: "another incarnation answers a poll", polls: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, w, l := newReturningRunner(t)
+			r.callDelay = 10 * time.Second
+			w.set(func() { w.began = w.began.Add(-time.Hour) })
+			l.settle()
+			w.restart()
+			l.exchange(1)
+			eventually(t, "the run starts", func() bool { return w.runs(testRun(1)) })
+			started := clock.Now()
+			if tc.polls {
+				l.poll()
+			}
+			var until time.Time
+			for range 20 {
+				report, _ := r.nextReport(&l.s)
+				if a := activeRun(report, testRun(1)); a != nil {
+					until = clock.Now().Add(time.Duration(a.GetSettlesIn()))
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+			if held := until.Sub(started); held < r.maxLease-time.Second {
+				t.Errorf("the run is settled %s after its start; the worker has given it %s", max(held, 0), r.maxLease)
 			}
 		})
 	}
 }
+
+// TestAnsweredStartOnNextIncarnationOutlivesLease guards against the end of a run that holds
+// the longest lease, while polls have no answer.
+func TestAnsweredStartOnNextIncarnationOutlivesLease(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	w.set(func() { w.began = w.began.Add(-time.Hour) })
+	l.settle()
+	w.restart()
+	l.exchange(1)
+	eventually(t, "the run starts", func() bool { return w.runs(testRun(1)) })
+	eventually(t, "the answer is handled", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		tr := r.runs[testRun(1)]
+		return tr == nil || tr.confirmed
+	})
+	late := clock.Now().Add(_maxWorkerLease + 100*time.Millisecond)
+	r.failPolls(late, context.DeadlineExceeded, context.DeadlineExceeded, context.DeadlineExceeded)
+	if end := r.inferredEnd(testRun(1)); end.Reason != 0 {
+		t.Errorf("the run is %s after %s; its worker has given it %s", end.Reason, _maxWorkerLease, r.maxLease)
+	}
+}
