runner: end no run that the next incarnation lists

A task could run beside its next run: a worker is back under its identifier, has carried out a late start, answers polls, and doesn't announce itself. The agent ended the run when the longest lease was over since the incarnation's first answer, although each further answer listed it. Nobody renews its lease, but late calls can.

Each listing now counts as proof that the run may hold the longest lease from then on.

TestRunListedByNextIncarnationIsNotEnded failed before ("the run is crashed while the next incarnation lists it"). Found by reading; no play shows it.

--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -176,6 +176,11 @@
 			"worker": r.incarnationName(r.incarnation), "started_ms": list.StartTimeMS, "runs": len(list.Active),
 		}, "another incarnation of the worker answers")
 	}
+	for _, a := range list.Active {
+		if tr := r.runs[a.Run]; tr != nil {
+			tr.heldUntil = now.Add(r.maxLease)
+		}
+	}
 	r.superseded = true
 	r.outage.record(now, ErrOtherIncarnation)
 	if !r.unresponsive {
--- a/internal/runner/unanswered_test.go
+++ b/internal/runner/unanswered_test.go
@@ -189,3 +189,23 @@
 		t.Errorf("the run is %s after %s; its worker has given it %s", end.Reason, _maxWorkerLease, r.maxLease)
 	}
 }
+
+// TestRunListedByNextIncarnationIsNotEnded guards against the end of a run that an
+// incarnation lists for longer than the longest lease without announcing itself.
+func TestRunListedByNextIncarnationIsNotEnded(t *testing.T) {
+	r, w, l := newReturningRunner(t)
+	l.exchange(1)
+	eventually(t, "the run starts", func() bool { return w.runs(testRun(1)) })
+	l.settle()
+	next := w.restart()
+	list := Listing{StartTimeMS: next.StartTimeMS, Clock: time.Second, Active: []ListedRun{{Run: testRun(1)}}}
+	for range 2 {
+		r.handlePollResult(t.Context(), r.currentIncarnation(), clock.Now(), list, nil)
+		r.mu.Lock()
+		r.lease.maxSentEnd, r.lease.heldUntil = time.Time{}, time.Time{} // the leases have expired
+		r.mu.Unlock()
+	}
+	if how := r.inferredReason(testRun(1)); how != 0 {
+		t.Errorf("the run is %s while the next incarnation lists it", how)
+	}
+}
