controller: test runs of a former incarnation and strays while late calls are possible

Two more sequences in which a run counted as ended after 4.4 s while its worker may hold it for the longest lease: the next incarnation's agent is there and its worker lists nothing, and a run that the next incarnation has, whose agent has vanished. Both fail without a window for late calls ('the record has the runs [], want run 1 to count as active').

--- a/internal/controller/latestarts_test.go
+++ b/internal/controller/latestarts_test.go
@@ -122,3 +122,38 @@
 		}
 	}
 }
+
+// TestUnsettledIncarnationKeepsRunsOfFormerOne guards against a second run of a task that the
+// next incarnation may have, which has not listed its runs: its agent is there all the time.
+func TestUnsettledIncarnationKeepsRunsOfFormerOne(t *testing.T) {
+	l := newDrivenLeader(t)
+	l.core.sessions.lateStarts.window = 18 * time.Second
+	l.startFirstRun(l.attach(report("m1/w/1")))
+	next := l.attach(&pb.AgentReport{Worker: report("m1/w/2").GetWorker()})
+	for range 14 { // 5.6 s; a worker holds a run of a late order for up to 6 s
+		l.now = l.now.Add(400 * time.Millisecond)
+		l.answerHeartbeat()
+		l.core.handleReport(l.now, next, &pb.AgentReport{Sent: 1})
+		l.core.dispatchTasks(l.now)
+		l.commit()
+	}
+	if runs := l.activeRuns(); len(runs) != 1 {
+		t.Errorf("the record has the runs %v, want run 1 to count as active", runs)
+	}
+}
+
+// TestStrayCountsWhileItMayHoldTheLongestLease guards against a second run of a task that the
+// next incarnation has from a late order, for up to 6 s, when the agent has vanished.
+func TestStrayCountsWhileItMayHoldTheLongestLease(t *testing.T) {
+	l := newDrivenLeader(t)
+	l.core.sessions.lateStarts.window = 18 * time.Second
+	l.startFirstRun(l.attach(report("m1/w/1")))
+	l.core.detach(l.attach(report("m1/w/2", l.run(1))))
+	l.now = l.now.Add(5500 * time.Millisecond)
+	l.answerHeartbeat()
+	l.core.endExpiredRuns(l.now)
+	l.commit()
+	if runs := l.activeRuns(); len(runs) != 1 {
+		t.Errorf("the record has the runs %v, want run 1 to count as active", runs)
+	}
+}
