disk: sync what an earlier process wrote before Open returns it

Callers could lose what was acknowledged: a controller that was killed between a write and its sync read the written record at its restart, counted it as durable and acknowledged it to the leader. The leader committed on that. If the controller then lost power before its next write, while two others lost their disks, the entry was gone.

Open now syncs the last segment and the folder before it returns and before it removes files.

The folder's sync covers the name of the identity file too.

--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -35,8 +35,8 @@
 	buf           []byte
 }
 
-// Open restores the state from the folder. It removes a torn last frame and
-// returns the number of removed bytes.
+// Open restores the state from the folder and makes all of it durable. It removes
+// a torn last frame and returns the number of removed bytes.
 func Open(files Files) (*Store, replica.RestoredState, int, error) {
 	s := &Store{files: files}
 	names, err := files.List()
@@ -63,6 +63,9 @@
 	if err := s.openLastSegment(segments); err != nil {
 		return nil, replica.RestoredState{}, 0, fault.Wrap(fault.DataUnusable, err, "open the log")
 	}
+	if err := s.syncRestored(); err != nil {
+		return nil, replica.RestoredState{}, 0, fault.Wrap(fault.DataUnusable, err, "sync the log")
+	}
 	s.removeObsoleteFiles(names)
 	return s, restored, truncated, nil
 }
@@ -184,6 +187,15 @@
 	return nil
 }
 
+// syncRestored syncs what an earlier process wrote. If it was killed before its
+// sync, this process has read what a loss of power would take away.
+func (s *Store) syncRestored() error {
+	if err := s.openSegment.Sync(); err != nil {
+		return err
+	}
+	return s.files.SyncFolder()
+}
+
 // startSegment creates a segment that starts with the given frames and makes
 // it the open segment.
 func (s *Store) startSegment(number uint64, frames []byte) error {
