disk: take a last frame with a torn header for an interrupted write

A controller did not start any more after a loss of power that tore the last write within the frame's header (12 bytes), if the rest of the frame read as zeros, or if the end of the frame had reached the disk and its beginning had not: Open returned data_damaged. Its disk then counted as lost, besides the disks that were.

A frame whose header cannot be read now counts as damaged only if a complete frame follows it, which shows that it was synced. What was synced and then damaged in the last frame was indistinguishable from a torn write before, too.

The test tears the last frame at each byte in five ways.

--- a/internal/disk/frame.go
+++ b/internal/disk/frame.go
@@ -34,18 +34,18 @@
 // size with its header. It returns errTorn if the frame can result from an
 // interrupted write, and errDamaged if a synced frame was changed.
 //
-// An interrupted write leaves a short file, or a file of full length whose last
-// blocks are zero. Only the last frame can be torn, since each frame is synced
-// before the next one is written.
+// Of an interrupted write any part may be on the disk; where a part is missing,
+// the file ends or holds zeros. Only the last frame can be torn, since each frame
+// is synced before the next one is written.
 func nextFrame(data []byte) (payload []byte, size int, err error) {
 	if len(data) < _headerSize {
 		return nil, 0, errTorn
 	}
 	if binary.LittleEndian.Uint32(data[8:]) != crc32.Checksum(data[:8], _castagnoli) {
-		if allZero(data) {
-			return nil, 0, errTorn
+		if containsFrame(data[1:]) {
+			return nil, 0, errDamaged
 		}
-		return nil, 0, errDamaged
+		return nil, 0, errTorn
 	}
 	n := int(binary.LittleEndian.Uint32(data))
 	if n > _maxPayloadBytes {
@@ -64,11 +64,16 @@
 	return payload, _headerSize + n, nil
 }
 
-func allZero(data []byte) bool {
-	for _, b := range data {
-		if b != 0 {
-			return false
+// containsFrame reports whether data holds a complete frame at any position.
+func containsFrame(data []byte) bool {
+	for ; len(data) >= _headerSize; data = data[1:] {
+		if binary.LittleEndian.Uint32(data[8:]) != crc32.Checksum(data[:8], _castagnoli) {
+			continue
+		}
+		n := int(binary.LittleEndian.Uint32(data))
+		if n <= len(data)-_headerSize && binary.LittleEndian.Uint32(data[4:]) == crc32.Checksum(data[_headerSize:_headerSize+n], _castagnoli) {
+			return true
 		}
 	}
-	return true
+	return false
 }
--- a/internal/disk/power_test.go
+++ b/internal/disk/power_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+
+	"github.com/gentianrail/gentianrail/replica"
 )
 
 // TestPowerLossAfterKillKeepsRestoredState guards against a controller that acknowledges
@@ -37,3 +39,48 @@
 		}
 	}
 }
+
+// TestOpenRemovesTornHeader guards against a controller that does not start after a loss
+// of power: parts of the last frame, also of its header, did not reach the disk.
+func TestOpenRemovesTornHeader(t *testing.T) {
+	m := newMemoryFiles()
+	s, _, _, err := Open(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	record := func(index uint64) replica.LogRecord {
+		return replica.LogRecord{State: &replica.HardState{Term: index}, Entries: []replica.Entry{
+			{Index: index, Term: index, Kind: replica.KindCommand, Data: []byte("command")},
+		}}
+	}
+	if err := s.Save(record(1)); err != nil {
+		t.Fatal(err)
+	}
+	file := m.files[fileName(_segmentPrefix, 1)]
+	synced := len(file.synced)
+	m.remainingOps = 1
+	if err := s.Save(record(2)); err == nil {
+		t.Fatal("the sync did not fail")
+	}
+	for at := synced; at <= len(file.written); at++ {
+		for tear, zeroed := range map[string][2]int{
+			"without its end":        {at, len(file.written)},
+			"without its beginning":  {synced, at},
+			"without one byte":       {at, min(at+1, len(file.written))},
+			"without a few bytes":    {at, min(at+5, len(file.written))},
+			"of which little exists": {min(at+2, len(file.written)), len(file.written)},
+		} {
+			c := m.afterCrash(tearAll, 0)
+			data := c.files[fileName(_segmentPrefix, 1)].written
+			clear(data[zeroed[0]:zeroed[1]])
+			_, r, _, err := Open(c)
+			if err != nil {
+				t.Errorf("a frame torn at byte %d of %d %s: %v", at-synced, len(file.written)-synced, tear, err)
+				continue
+			}
+			if n := len(r.Entries); n == 0 || r.Entries[0].Index != 1 {
+				t.Errorf("a frame torn at byte %d %s: entries %v, want the synced one", at-synced, tear, r.Entries)
+			}
+		}
+	}
+}
