--- a/internal/disk/power_test.go
+++ b/internal/disk/power_test.go
@@ -84,3 +84,34 @@
 		}
 	}
 }
+
+// TestPowerLossDuringInstallKeepsStoreReadable guards against entries after a snapshot
+// that is lost.
+func TestPowerLossDuringInstallKeepsStoreReadable(t *testing.T) {
+	for stop := 0; ; stop++ {
+		for kept := range uint64(1 << 6) {
+			m := newMemoryFiles()
+			s, _, _, err := Open(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			old := replica.Entry{Index: 1, Term: 1, Kind: replica.KindCommand, Data: []byte("c1")}
+			if err := s.Save(replica.LogRecord{State: &replica.HardState{Term: 1}, Entries: []replica.Entry{old}}); err != nil {
+				t.Fatal(err)
+			}
+			m.remainingOps = stop
+			err = s.SaveSnapshot(replica.Snapshot{Index: 5, Term: 2, Data: []byte("state5")}, replica.HardState{Term: 2},
+				[]replica.Entry{{Index: 6, Term: 2, Kind: replica.KindCommand, Data: []byte("c6")}})
+			_, r, _, openErr := Open(m.afterCrash(tearNone, kept))
+			if openErr != nil {
+				t.Fatalf("power lost at operation %d, kept changes %b: %v", stop, kept, openErr)
+			}
+			if err == nil && (r.Snapshot.Index != 5 || len(r.Entries) != 1) {
+				t.Fatalf("the saved snapshot is %d with %d entries, want 5 with 1", r.Snapshot.Index, len(r.Entries))
+			}
+			if err == nil && stop > 20 {
+				return
+			}
+		}
+	}
+}
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -299,9 +299,12 @@
 	if err != nil {
 		return err
 	}
-	// SaveSnapshot syncs the folder with the new segment. Until then the old
-	// files hold the complete state.
-	return s.files.Rename(_temporaryPrefix+file, file)
+	if err := s.files.Rename(_temporaryPrefix+file, file); err != nil {
+		return err
+	}
+	// A snapshot from the leader may be ahead of the old segment. The new
+	// segment must not be kept without it.
+	return s.files.SyncFolder()
 }
 
 // removeObsoleteFiles deletes files that the newest snapshot and segment
