membership: replace a removed voter within the time of its successor

After a machine was replaced at another address, the group could lose its quorum for good, and with it all that was acknowledged, if two other disks were lost when the successor had been there for four seconds: the removed voter was still a member and the successor only a learner, so two of five voters were left. A voter counted as unresponsive after four seconds without an answer. If the removed one had led, these counted from the election of the next leader, a second later, and ended after the successor's four seconds.

A voter now counts as unresponsive after two seconds. This only matters if a learner without a voter at its address is ready, or if there are more voters than needed; a voter that returns later joins as a learner.

The case in membership failed before:

membership_test.go:92: got [], want [{a 1 false} {b 2 false} {c 3 false} {d 4 false} {e 5 false} {f 6 false}]

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -20,7 +20,7 @@
 	_joinRequestTTL  = 2 * time.Second  // after which a join request expires unless repeated
 	_maxAckAge       = time.Second      // maximum age of a learner's latest answer at its promotion
 	_maxPromotionLag = 64               // log entries that a learner may lack at its promotion
-	_voterTimeout    = 4 * time.Second  // without an answer after which a voter counts as unresponsive
+	_voterTimeout    = 2 * time.Second  // without an answer after which a voter counts as unresponsive
 	_learnerTimeout  = 15 * time.Second // without an answer after which a learner is removed
 )
 
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -61,6 +61,15 @@
 			sinceAnswer: map[replica.ID]time.Duration{"b": time.Minute},
 			want:        append(slices.Clone(five), member("f", "6")),
 		},
+		{
+			name: "a spare learner is promoted two seconds after a voter's last answer", members: append(slices.Clone(five), learner("f", "6")),
+			sinceAnswer: map[replica.ID]time.Duration{"b": 2 * time.Second},
+			want:        append(slices.Clone(five), member("f", "6")),
+		},
+		{
+			name: "a spare learner is not promoted when a voter has answered a second ago", members: append(slices.Clone(five), learner("f", "6")),
+			sinceAnswer: map[replica.ID]time.Duration{"b": time.Second},
+		},
 		{
 			name: "an unresponsive voter is removed if there are more voters than needed", members: append(slices.Clone(five), member("f", "6")),
 			sinceAnswer: map[replica.ID]time.Duration{"b": time.Minute},
