--- a/internal/disk/power_test.go
+++ b/internal/disk/power_test.go
@@ -8,8 +8,7 @@
 	"github.com/gentianrail/gentianrail/replica"
 )
 
-// TestPowerLossAfterKillKeepsRestoredState guards against a controller that acknowledges
-// what an earlier process wrote but did not sync.
+// A restarted controller must not acknowledge what an earlier process wrote but did not sync.
 func TestPowerLossAfterKillKeepsRestoredState(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(13, 1))
 	for seed := uint64(1); seed <= 4; seed++ {
@@ -40,8 +39,7 @@
 	}
 }
 
-// TestOpenRemovesTornHeader guards against a controller that does not start after a loss
-// of power: parts of the last frame, also of its header, did not reach the disk.
+// Any part of the last frame may not have reached the disk, also of its header.
 func TestOpenRemovesTornHeader(t *testing.T) {
 	m := newMemoryFiles()
 	s, _, _, err := Open(m)
@@ -85,8 +83,7 @@
 	}
 }
 
-// TestPowerLossDuringInstallKeepsStoreReadable guards against entries after a snapshot
-// that is lost.
+// The entries after a leader's snapshot must not be kept without the snapshot.
 func TestPowerLossDuringInstallKeepsStoreReadable(t *testing.T) {
 	for stop := 0; ; stop++ {
 		for kept := range uint64(1 << 6) {
