--- a/replica/durable_test.go
+++ b/replica/durable_test.go
@@ -111,3 +111,26 @@
 		t.Errorf("delivered %v after the snapshot, want entry 6", got)
 	}
 }
+
+// A snapshot that a follower has not written yet must not be acknowledged by the answer to a heartbeat.
+func TestSnapshotIsAcknowledgedAfterSync(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	r := newFollower(now)
+	appendFrom(r, now, "r1", 1, Append{Entries: []Entry{{Index: 1, Term: 1, Kind: KindBarrier}}})
+	first := r.Ready()
+	r.RecordSynced(first.DurableWrite())
+	r.Step(now, Message{From: "r1", To: "r2", Term: 1, Body: InstallSnapshot{Index: 5, Term: 1, Last: true}})
+	appendFrom(r, now, "r1", 1, Append{PrevIndex: 5, PrevTerm: 1})
+	if got := acknowledgedIndexes(r.ReadyDuringWrite().Immediate); len(got) != 0 {
+		t.Errorf("%v were acknowledged before the snapshot was written", got)
+	}
+	write := r.Ready()
+	if got := acknowledgedIndexes(write.AfterSync); len(got) != 2 || got[1] != 5 {
+		t.Errorf("%v are acknowledged after the sync, want the snapshot twice", got)
+	}
+	r.RecordSynced(write.DurableWrite())
+	appendFrom(r, now, "r1", 1, Append{PrevIndex: 5, PrevTerm: 1})
+	if got := acknowledgedIndexes(r.ReadyDuringWrite().Immediate); len(got) != 1 || got[0] != 5 {
+		t.Errorf("a heartbeat was answered with %v, want the snapshot immediately", got)
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -417,7 +417,7 @@
 // DurableWrite describes what a write has made durable.
 type DurableWrite struct {
 	State *HardState // nil if the write did not include it
-	Index uint64     // last entry of the write; 0 if there was none
+	Index uint64     // last entry of the write or of its snapshot; 0 if there was neither
 	Term  uint64     // term of that entry
 }
 
@@ -425,6 +425,9 @@
 // synced.
 func (r *Ready) DurableWrite() DurableWrite {
 	d := DurableWrite{State: r.State}
+	if s := r.Snapshot; s != nil {
+		d.Index, d.Term = s.Index, s.Term
+	}
 	if n := len(r.Entries); n > 0 {
 		d.Index, d.Term = r.Entries[n-1].Index, r.Entries[n-1].Term
 	}
--- a/replica/step.go
+++ b/replica/step.go
@@ -299,5 +299,5 @@
 	r.unsynced = nil
 	r.commit = in.index
 	r.delivered = in.index
-	r.synced = in.index
+	r.synced = min(r.synced, in.index-1) // until the snapshot is written
 }
