--- a/replica/durable_test.go
+++ b/replica/durable_test.go
@@ -134,3 +134,26 @@
 		t.Errorf("a heartbeat was answered with %v, want the snapshot immediately", got)
 	}
 }
+
+// Snapshots of two leaders may be encoded differently; their parts must not be joined.
+func TestSnapshotPartsOfTwoLeadersAreNotJoined(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	r := newFollower(now)
+	install := func(from ID, term uint64, offset uint64, data string, last bool) {
+		t.Helper()
+		part := InstallSnapshot{Index: 5, Term: 1, Offset: offset, Data: []byte(data), Last: last}
+		if err := r.Step(now, Message{From: from, To: "r2", Term: term, Body: part}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	install("r1", 1, 0, "ab", false)
+	install("r3", 2, 2, "CD", true)
+	if got := r.Ready().Snapshot; got != nil {
+		t.Fatalf("installed %q from parts of two leaders", got.Data)
+	}
+	install("r3", 2, 0, "AB", false)
+	install("r3", 2, 2, "CD", true)
+	if got := r.Ready().Snapshot; got == nil || string(got.Data) != "ABCD" {
+		t.Errorf("installed %v, want the second leader's snapshot", got)
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -80,10 +80,11 @@
 
 // incomingSnapshot is a partly received snapshot.
 type incomingSnapshot struct {
-	index   uint64
-	term    uint64
-	members []Member
-	data    []byte
+	leaderTerm uint64 // of the leader that sends it
+	index      uint64
+	term       uint64
+	members    []Member
+	data       []byte
 }
 
 // Replica is the state of one member. It is not safe for concurrent use.
--- a/replica/step.go
+++ b/replica/step.go
@@ -272,8 +272,8 @@
 		r.queueMessage(m.From, r.state.Term, AppendReply{Match: s.Index, Sent: s.Sent}, true)
 		return
 	}
-	if r.incoming == nil || r.incoming.index != s.Index || r.incoming.term != s.Term {
-		r.incoming = &incomingSnapshot{index: s.Index, term: s.Term, members: s.Members}
+	if r.incoming == nil || r.incoming.leaderTerm != m.Term || r.incoming.index != s.Index || r.incoming.term != s.Term {
+		r.incoming = &incomingSnapshot{leaderTerm: m.Term, index: s.Index, term: s.Term, members: s.Members}
 	}
 	in := r.incoming
 	if s.Offset == uint64(len(in.data)) {
