Record a task as done when the end of its run is listed late

Cause: an end of a run that is not active any more was dropped and acknowledged, whatever it said. A run that was recorded as lapsed or lost may be done all the same; its worker says so, and nothing else does.

Now such an end completes the task, unless the run is recorded as active elsewhere. It is acknowledged when the record has it.

TestDoneAfterRecordedLossCompletesTask failed before: "the submission is running, and the latest run is 2; want run 1 to complete it", for a listed end and for one that a former incarnation has listed.

--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -77,6 +77,31 @@
 	return ""
 }
 
+// completesLate reports whether a run completes its task although its end was recorded
+// without that knowledge.
+func completesLate(store *submission.Store, run submission.RunID) bool {
+	s, ok := store.Submission(run.Task.Submission)
+	return ok && s.CompletesLate(run)
+}
+
+// endedOn returns the worker incarnation for which the reported end of a run is recorded,
+// or "" if it need not be.
+func (s *session) endedOn(store *submission.Store, incarnation string, run submission.RunID, reason submission.EndReason) string {
+	if on := recordedOn(store, incarnation, run); on != "" {
+		return on
+	}
+	if reason != submission.Done || !completesLate(store, run) {
+		return ""
+	}
+	s.lateDone[run] = true
+	return incarnation
+}
+
+// isUnrecorded reports whether a reported end is not recorded yet.
+func (s *session) isUnrecorded(store *submission.Store, incarnation string, run submission.RunID) bool {
+	return isActive(store, incarnation, run) || s.lateDone[run] && completesLate(store, run)
+}
+
 // stopStrayRuns orders the stop of runs that a worker has and that are not recorded on
 // its incarnation, or whose end is proposed. A run that is recorded on an earlier one
 // counts as active until its end is reported.
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -85,7 +85,7 @@
 func (s *session) lastRecordedEnd(store *submission.Store) uint64 {
 	last := s.highestEnd
 	for n, r := range s.unrecordedEnds {
-		if !isActive(store, r.worker, r.run) {
+		if !s.isUnrecorded(store, r.worker, r.run) {
 			delete(s.unrecordedEnds, n)
 			continue
 		}
@@ -113,7 +113,7 @@
 func (s *session) popRecordedInferredEnds(store *submission.Store) []*pb.Run {
 	var out []*pb.Run
 	for run, incarnation := range s.unrecordedInferredEnds {
-		if !isActive(store, incarnation, run) {
+		if !s.isUnrecorded(store, incarnation, run) {
 			delete(s.unrecordedInferredEnds, run)
 			out = append(out, wire.EncodeRun(run))
 		}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -84,6 +84,7 @@
 	unrecordedEnds         map[uint64]recordedRun      // by number; reported, not recorded yet
 	highestEnd             uint64                      // number of the latest reported end
 	unrecordedInferredEnds map[submission.RunID]string // worker incarnations of runs that the worker does not have; reported, not recorded yet
+	lateDone               map[submission.RunID]bool   // runs that are done, as reported after another end of theirs was recorded
 	orderedStops           map[submission.RunID]bool   // stop orders that were sent
 	checkpoints            map[submission.RunID]string // latest reported checkpoints
 	sentCoefficients       map[interference.Pair]int   // interference coefficients sent to the agent, in percent
@@ -180,6 +181,7 @@
 		unrecordedEnds:         make(map[uint64]recordedRun),
 		unrecordedInferredEnds: make(map[submission.RunID]string),
 		strays:                 make(map[submission.RunID]bool),
+		lateDone:               make(map[submission.RunID]bool),
 		orderedStops:           make(map[submission.RunID]bool),
 		checkpoints:            make(map[submission.RunID]string),
 		sentCoefficients:       make(map[interference.Pair]int),
@@ -322,7 +324,7 @@
 		sess.highestEnd = e.GetNumber()
 		delete(sess.strays, run)
 		c.recordStarted(run)
-		worker := recordedOn(store, sess.worker.Incarnation, run)
+		worker := sess.endedOn(store, sess.worker.Incarnation, run, submission.EndReason(e.GetHow()))
 		if worker == "" {
 			continue
 		}
@@ -335,7 +337,7 @@
 		if _, ok := sess.unrecordedInferredEnds[end.Run]; ok {
 			continue
 		}
-		worker := recordedOn(store, end.Worker, end.Run)
+		worker := sess.endedOn(store, end.Worker, end.Run, end.Reason)
 		sess.unrecordedInferredEnds[end.Run] = worker
 		if worker != "" {
 			end.Worker = worker
--- a/internal/controller/stray_test.go
+++ b/internal/controller/stray_test.go
@@ -85,6 +85,57 @@
 	}
 }
 
+// TestDoneAfterRecordedLossCompletesTask guards against a second run of a task that is done:
+// the lease of the run had expired for the leader, and the worker lists its end later.
+func TestDoneAfterRecordedLossCompletesTask(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		done func(*pb.AgentReport, submission.RunID)
+	}{
+		{"listed", func(r *pb.AgentReport, run submission.RunID) {
+			r.Ends = []*pb.ListedEnd{{Number: 1, Run: wire.EncodeRun(run), How: uint32(submission.Done)}}
+		}},
+		{"listed by a former incarnation", func(r *pb.AgentReport, run submission.RunID) {
+			r.Refused = []*pb.RunEnd{wire.EncodeRunEnd(submission.End{Run: run, Worker: "m1/w/1", Reason: submission.Done})}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newLeaderWithTask(t)
+			l.setLease(300 * time.Millisecond)
+			former, stop := l.attach("m1/w/1")
+			l.run = l.waitForStart(former)
+			stop()
+			for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+				if _, active := l.lastRun(); active == 0 {
+					break
+				}
+				if time.Now().After(end) {
+					t.Fatal("the run does not end with its lease")
+				}
+			}
+			done := report("m1/w/2")
+			tc.done(done, l.run)
+			next, _ := l.attachWith(done)
+			l.keepReporting(next)
+			for end := time.Now().Add(10 * time.Second); l.state() != submission.Completed; time.Sleep(10 * time.Millisecond) {
+				if number, _ := l.lastRun(); number != 1 || time.Now().After(end) {
+					t.Fatalf("the submission is %s, and the latest run is %d; want run 1 to complete it", l.state(), number)
+				}
+			}
+			for timeout := time.After(3 * time.Second); ; {
+				select {
+				case o := <-next.orders:
+					if o.GetTaken() >= 1 || len(o.GetSettled()) > 0 {
+						return
+					}
+				case <-timeout:
+					t.Fatal("the end was not acknowledged")
+				}
+			}
+		})
+	}
+}
+
 // TestUnrecordedRunIsStopped guards against a run that goes on because the worker
 // listed it only after the agent had sent its complete list.
 func TestUnrecordedRunIsStopped(t *testing.T) {
--- a/submission/store.go
+++ b/submission/store.go
@@ -429,7 +429,8 @@
 	}
 }
 
-// End records the end of a run. It returns false if the run is not active.
+// End records the end of a run. It returns false if the run is not active, unless it
+// completes its task late.
 func (store *Store) End(e End, now time.Time) bool {
 	return store.end(e, store.latestStartsOfCrashes([]End{e})[e.Worker], now)
 }
@@ -446,7 +447,12 @@
 	}
 	r, ok := store.removeRun(s, t, e)
 	if !ok {
-		return false
+		if e.Reason != Done || !s.CompletesLate(e.Run) {
+			return false
+		}
+		store.markDone(s, e, now)
+		store.updateWaiting(s)
+		return true
 	}
 	if e.Checkpoint != "" {
 		s.saveCheckpoint(e)
@@ -596,6 +602,14 @@
 	return ""
 }
 
+// CompletesLate reports whether a run that is not active any more completes its task if it
+// has ended as done: its end was recorded without that knowledge.
+func (s *Submission) CompletesLate(run RunID) bool {
+	t := s.Task(run.Task)
+	return t != nil && !t.Done && !s.State.Ended() && !s.Steps[run.Task.Step].LongRunning &&
+		run.Number > 0 && run.Number <= t.LastRun && s.ActiveOn(run) == ""
+}
+
 // IsSurplus reports whether an active run is no longer needed: its submission has
 // ended, or another run has completed the task.
 func (s *Submission) IsSurplus(run RunID) bool {
