--- a/internal/controller/modelworker_test.go
+++ b/internal/controller/modelworker_test.go
@@ -15,11 +15,12 @@
 )
 
 const (
-	_modelMaxLease    = 6 * time.Second        // longest lease, on the worker's clock
-	_modelStopTimeout = 900 * time.Millisecond // in which a stopped run ends
-	_modelMaxEnds     = 500                    // ends in one listing
-	_modelTaskCPU     = 1000
-	_modelLongText    = "long" // text of submissions whose tasks run until they are stopped
+	_modelMaxLease     = 6 * time.Second        // longest lease, on the worker's clock
+	_modelMaxCallDelay = 12 * time.Second       // after which a late call is carried out at the latest
+	_modelStopTimeout  = 900 * time.Millisecond // in which a stopped run ends
+	_modelMaxEnds      = 500                    // ends in one listing
+	_modelTaskCPU      = 1000
+	_modelLongText     = "long" // text of submissions whose tasks run until they are stopped
 )
 
 var errReset = errors.New("connection reset")
--- a/internal/controller/soakgroup_test.go
+++ b/internal/controller/soakgroup_test.go
@@ -181,7 +181,7 @@
 			Rand: rand.New(rand.NewPCG(s.seed, uint64(id[0]))),
 		},
 		Files: files, Log: s.logOf("controller " + string(id)), Send: func(m []replica.Message) { s.send(ctx, id, m) },
-		SnapshotEntries: 1000, WorkerLease: time.Second, RunLease: 4 * time.Second,
+		SnapshotEntries: 1000, WorkerLease: time.Second, RunLease: 4 * time.Second, LateStartWindow: _modelMaxCallDelay + _modelMaxLease,
 	}, clock.Now())
 	if err != nil {
 		panic(err)
@@ -375,7 +375,7 @@
 	}
 	gone := make(chan struct{})
 	r := runner.Start(a.logOf(a.worker.machine), a.worker.machine, a.worker.machine, agentCalls{soakAgent: a, gone: gone},
-		_modelMaxLease, control.NewClient(addresses), metrics.NewRegistry())
+		_modelMaxLease, _modelMaxCallDelay, control.NewClient(addresses), metrics.NewRegistry())
 	a.mu.Lock()
 	a.runner, a.gone = r, gone
 	a.mu.Unlock()
