runner: end no run on a lease that was sent before the agent stood still

A task could run twice: an agent with a start that has no answer is frozen, the worker starts again under its identifier and carries out the start, and the agent thaws. Its polls from before the freeze fail, and the lease that it had sent is over, so it reported the run as lapsed, and the leader, which had kept the run, placed the task elsewhere.

An agent that stands still for 1.5 s or longer now counts as away: a run that a start call without an answer may have started ends with a listing, or when no such call can be carried out any more. So does a run that the agent knows only from an order that an earlier agent may have had.

TestThawedAgentEndsNoRunThatALateCallMayHaveStarted failed before ("the run is lapsed; the agent was frozen: true").

--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -27,6 +27,10 @@
 	_stallEstimateDivisor = 10                     // the timeout grows by 1/10 of the run's estimate
 )
 
+// _minStandstill is the time without a call or result of a poll after which the agent has
+// stood still. A poll takes up to 450 ms.
+const _minStandstill = 1500 * time.Millisecond
+
 // stallTimeout returns how long the run's progress may stay unchanged.
 func (tr *trackedRun) stallTimeout() time.Duration {
 	if tr.estimate <= 0 || tr.share <= 0 {
@@ -73,6 +77,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := clock.Now()
+	r.detectStandstill(now)
 	if r.incarnation == (Incarnation{}) {
 		return Incarnation{}, PollRequest{}, false
 	}
@@ -124,6 +129,7 @@
 		return false
 	}
 	now := clock.Now()
+	r.detectStandstill(now)
 	if err != nil {
 		r.recordPollFailure(now, err)
 		return false
@@ -222,6 +228,30 @@
 	r.endRuns(submission.LeaseExpired, func(tr *trackedRun) bool { return !now.Before(tr.heldUntil) })
 }
 
+// detectStandstill detects that the agent has stood still, for instance while its machine
+// was frozen. The worker may have started again meanwhile and have carried out a start call
+// that has no answer, so the lease that this agent has sent proves nothing of such a run.
+// r.mu must be held.
+func (r *Runner) detectStandstill(now time.Time) {
+	if !r.polledAt.IsZero() && now.Sub(r.polledAt) >= _minStandstill {
+		for _, tr := range r.runs {
+			r.holdUntilSettled(tr)
+		}
+	}
+	r.polledAt = now
+}
+
+// holdUntilSettled lets the run's lease end only when no start call without an answer can be
+// carried out any more. r.mu must be held.
+func (r *Runner) holdUntilSettled(tr *trackedRun) {
+	if tr.unansweredAt.IsZero() {
+		return
+	}
+	if end := tr.unansweredAt.Add(r.callDelay + r.maxLease); end.After(tr.heldUntil) {
+		tr.heldUntil = end
+	}
+}
+
 // settlesIn returns the time after which no call to start the run that has no answer can be
 // carried out, and no lease that others have sent or that counts on another clock holds it;
 // 0 if that is so already. On the worker's next incarnation such a call would be accepted:
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -127,6 +127,7 @@
 	listedEnds      int                              // ends in the latest listing
 	failedPolls     int                              // consecutive, without an answer
 	outage          outage                           // the consecutive failed polls
+	polledAt        time.Time                        // latest time at which the agent has looked after its worker
 	unresponsive    bool
 	pacer           pacing.Pacer
 	coefficients    interference.Coefficients // of images on the worker, from the leader
@@ -336,6 +337,7 @@
 	}
 	if s.GetRepeated() {
 		tr.unansweredAt = r.began
+		r.holdUntilSettled(tr)
 	}
 	r.runs[run] = tr
 	incarnation := r.incarnation
@@ -349,6 +351,7 @@
 			return // the run has ended
 		}
 		tr = &trackedRun{run: run, unansweredAt: r.began}
+		r.holdUntilSettled(tr)
 		r.runs[run] = tr
 	}
 	if tr.stopOrdered {
--- a/internal/runner/unanswered_test.go
+++ b/internal/runner/unanswered_test.go
@@ -209,3 +209,27 @@
 		t.Errorf("the run is %s while the next incarnation lists it", how)
 	}
 }
+
+// TestThawedAgentEndsNoRunThatALateCallMayHaveStarted guards against the end of a run with
+// the lease that the agent sent before it stood still.
+func TestThawedAgentEndsNoRunThatALateCallMayHaveStarted(t *testing.T) {
+	for _, frozen := range []bool{true, false} {
+		r, w, l := newReturningRunner(t)
+		r.callDelay = 10 * time.Second
+		holdStart(t, w, l)
+		w.set(func() { w.hold, w.down = false, true })
+		l.poll()
+		r.mu.Lock()
+		r.lease.maxSentEnd, r.lease.heldUntil = time.Time{}, time.Time{} // the lease has expired
+		if frozen {
+			r.polledAt = r.polledAt.Add(-5 * time.Second)
+		}
+		r.mu.Unlock()
+		for range _maxFailedPolls {
+			l.poll()
+		}
+		if how := r.inferredReason(testRun(1)); (how == 0) != frozen {
+			t.Errorf("the run is %s; the agent was frozen: %t", how, frozen)
+		}
+	}
+}
