controller: start no run of a task beside a stray run of it

Run 2 had been stopped, and its end recorded. A copy of its start reached the worker's next incarnation before the agent did. The agent listed run 2, the leader logged stray_run and ordered the stop; 15 ms later it recorded that run 3, on the former incarnation, was lost, and 131 ms after that it placed run 4 on another worker, while run 2 went on for up to the stop timeout.

Cause: the leader kept strays out of the room on their worker, and out of the runs that it ends, but not out of the way of their own task. A run that is recorded nowhere counted as no run.

Now strayHolders has all strays, and no run of their task is proposed until the end is reported, the machine's next incarnation has listed its runs without it, or the lease of its holder is over. Steps with speculative copies are exempt.

TestTaskWaitsForItsStrayRun failed before: "run 3 was started while the worker has run 1".

--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/gentianrail/gentianrail/dispatch"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
@@ -114,9 +115,7 @@
 		}
 		sess.strays[run] = true
 		recorded := recordedOn(store, sess.worker.Incarnation, run)
-		if recorded != "" && recorded != sess.worker.Incarnation {
-			c.sessions.strayHolders[run] = sess.worker.Incarnation
-		}
+		c.sessions.strayHolders[run] = sess.worker.Incarnation
 		if sess.orderedStops[run] {
 			continue
 		}
@@ -134,6 +133,31 @@
 	}
 }
 
+// withoutStrays returns the starts of tasks of which no worker has a stray run. Such a run
+// is being stopped, or ends with the lease of its worker. The members of a gang start
+// together or not at all.
+func (c *Core) withoutStrays(now time.Time, starts []submission.Start) []submission.Start {
+	if len(c.sessions.strayHolders) == 0 {
+		return starts
+	}
+	store := c.machine.Submissions()
+	tasks, gangs := make(map[submission.TaskID]bool), make(map[dispatch.StepID]bool)
+	for run, on := range c.sessions.strayHolders {
+		s, ok := store.Submission(run.Task.Submission)
+		if !ok || s.Task(run.Task) == nil || s.Steps[run.Task.Step].Speculative || !now.Before(c.sessions.leaseExpiry(on)) {
+			continue
+		}
+		tasks[run.Task] = true
+		if s.Steps[run.Task.Step].Gang {
+			gangs[dispatch.StepID{Submission: s.ID, Occurrence: run.Task.Occurrence, Step: run.Task.Step}] = true
+		}
+	}
+	return slices.DeleteFunc(starts, func(st submission.Start) bool {
+		t := st.Run.Task
+		return tasks[t] || gangs[dispatch.StepID{Submission: t.Submission, Occurrence: t.Occurrence, Step: t.Step}]
+	})
+}
+
 // endOtherIncarnations ends the runs of other incarnations on a session's machine, but
 // for those that the session's incarnation has. A worker is the only one on its machine,
 // so the others have ended. Which of their runs it has is known when it has listed its
@@ -159,6 +183,9 @@
 	for _, other := range others {
 		c.proposeEnds(now, c.endsOfActiveRuns(other, submission.Lost, func(run submission.RunID) bool { return sess.strays[run] }))
 	}
+	maps.DeleteFunc(c.sessions.strayHolders, func(run submission.RunID, on string) bool {
+		return on != incarnation && machineOf(on) == machineOf(incarnation) && !sess.strays[run]
+	})
 	m.former = slices.DeleteFunc(m.former, func(f string) bool {
 		return c.sessions.byIncarnation[f] == nil && c.machine.Submissions().Usage(f) == nil
 	})
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -28,7 +28,7 @@
 	c.logPoolState(at)
 	c.stopRuns(at)
 	c.requestAdvice(at)
-	starts := c.sessions.scheduler.Starts(at, c.machine.Submissions())
+	starts := c.withoutStrays(now, c.sessions.scheduler.Starts(at, c.machine.Submissions()))
 	if len(starts) == 0 {
 		return
 	}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -103,7 +103,7 @@
 	leaderSince      time.Time
 	byIncarnation    map[string]*session
 	machines         map[string]*machineHistory
-	strayHolders     map[submission.RunID]string // worker incarnations that have a run which is recorded on an earlier one
+	strayHolders     map[submission.RunID]string // worker incarnations that have a run which is not recorded on them
 	leaseExpiries    map[string]time.Time        // when the latest lease of a worker incarnation has expired for certain
 	lateStarts       lateStarts
 	leaseOrder       recency                   // worker incarnations by renewal of their lease
@@ -326,6 +326,7 @@
 		c.recordStarted(run)
 		worker := sess.endedOn(store, sess.worker.Incarnation, run, submission.EndReason(e.GetHow()))
 		if worker == "" {
+			delete(c.sessions.strayHolders, run)
 			continue
 		}
 		sess.unrecordedEnds[e.GetNumber()] = recordedRun{run: run, worker: worker}
@@ -339,10 +340,12 @@
 		}
 		worker := sess.endedOn(store, end.Worker, end.Run, end.Reason)
 		sess.unrecordedInferredEnds[end.Run] = worker
-		if worker != "" {
-			end.Worker = worker
-			ends = append(ends, end)
+		if worker == "" {
+			delete(c.sessions.strayHolders, end.Run)
+			continue
 		}
+		end.Worker = worker
+		ends = append(ends, end)
 	}
 	c.proposeEnds(now, ends)
 }
--- a/internal/controller/stray_test.go
+++ b/internal/controller/stray_test.go
@@ -136,6 +136,45 @@
 	}
 }
 
+// The worker's next incarnation has started a run late whose end was recorded.
+func TestTaskWaitsForItsStrayRun(t *testing.T) {
+	l := newLeaderWithTask(t)
+	l.setLease(10 * time.Second)
+	former, stop := l.attach("m1/w/1")
+	stray := l.waitForStart(former)
+	former.reports <- &pb.AgentReport{Ends: []*pb.ListedEnd{{Number: 1, Run: wire.EncodeRun(stray), How: uint32(submission.Stopped)}}}
+	for l.run = l.waitForStart(former); l.run.Number != 2; l.run = l.waitForStart(former) {
+	}
+	stop()
+	other, _ := l.attach("m2/w/1")
+	l.keepReporting(other)
+	next, _ := l.attach("m1/w/2", stray)
+	l.keepReporting(next)
+	l.waitForStop(next, stray)
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if _, active := l.lastRun(); active == 0 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the run on the former incarnation does not end")
+		}
+	}
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if number, _ := l.lastRun(); number != 2 {
+			t.Fatalf("run %d was started while the worker has run %d", number, stray.Number)
+		}
+	}
+	next.reports <- &pb.AgentReport{Ends: []*pb.ListedEnd{{Number: 1, Run: wire.EncodeRun(stray), How: uint32(submission.Stopped)}}}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if number, _ := l.lastRun(); number == 3 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the task does not start again")
+		}
+	}
+}
+
 // TestUnrecordedRunIsStopped guards against a run that goes on because the worker
 // listed it only after the agent had sent its complete list.
 func TestUnrecordedRunIsStopped(t *testing.T) {
