controller: keep a stray run in mind after its proposed end is recorded

A task could run twice: the end of a run with its lease is proposed, its agent returns and reports the run as active, and the end is recorded. The run is being stopped, but the task was started elsewhere at once.

A run that an attached agent reports as stray now keeps its task from starting until its end is reported, whatever is recorded of it.

TestTaskWaitsForRunWhoseEndWasProposed failed before ("[{{s1.0.0.0 2} m2/w/1}] were started while the worker has run 1").

--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -133,6 +133,13 @@
 	}
 }
 
+// reportsStray reports whether the agent of a worker incarnation is there and has a stray
+// run on its worker.
+func (s *sessions) reportsStray(incarnation string, run submission.RunID) bool {
+	sess := s.byIncarnation[incarnation]
+	return sess != nil && sess.strays[run]
+}
+
 // withoutStrays returns the starts of tasks of which no worker has a stray run. Such a run
 // is being stopped, or ends with the lease of its worker. The members of a gang start
 // together or not at all.
@@ -144,7 +151,8 @@
 	tasks, gangs := make(map[submission.TaskID]bool), make(map[dispatch.StepID]bool)
 	for run, on := range c.sessions.strayHolders {
 		s, ok := store.Submission(run.Task.Submission)
-		if !ok || s.Task(run.Task) == nil || s.Steps[run.Task.Step].Speculative || !now.Before(c.sessions.leaseExpiry(on)) {
+		if !ok || s.Task(run.Task) == nil || s.Steps[run.Task.Step].Speculative ||
+			!c.sessions.reportsStray(on, run) && !now.Before(c.sessions.leaseExpiry(on)) {
 			continue
 		}
 		tasks[run.Task] = true
--- a/internal/controller/inflight_test.go
+++ b/internal/controller/inflight_test.go
@@ -128,3 +128,32 @@
 		}
 	}
 }
+
+// TestTaskWaitsForRunWhoseEndWasProposed guards against a run beside one that goes on: its
+// agent reports it as active while the end with its lease is on its way into the log.
+func TestTaskWaitsForRunWhoseEndWasProposed(t *testing.T) {
+	l := newDrivenLeader(t)
+	sess := l.attach(report("m1/w/1"))
+	l.startFirstRun(sess)
+	l.core.detach(sess)
+	l.now = l.now.Add(time.Minute)
+	l.answerHeartbeat()
+	l.core.endExpiredRuns(l.now)
+	back := l.attach(report("m1/w/1", l.run(1)))
+	l.commit()
+	l.attach(report("m2/w/1"))
+	l.core.dispatchTasks(l.now)
+	l.commit()
+	if runs := l.activeRuns(); len(runs) > 0 {
+		t.Fatalf("%v were started while the worker has run 1", runs)
+	}
+	l.core.handleReport(l.now, back, &pb.AgentReport{Ends: []*pb.ListedEnd{{Number: 1, Run: wire.EncodeRun(l.run(1)), How: uint32(submission.Stopped)}}})
+	l.now = l.now.Add(time.Second)
+	l.answerHeartbeat()
+	l.core.handleReport(l.now, back, &pb.AgentReport{Sent: 1})
+	l.core.dispatchTasks(l.now)
+	l.commit()
+	if runs := l.activeRuns(); len(runs) != 1 {
+		t.Errorf("the record has the runs %v, want one after the end of run 1", runs)
+	}
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -259,7 +259,9 @@
 			c.logTaskGivenUp(s, e)
 		}
 		c.logRunEnded(e)
-		delete(c.sessions.strayHolders, e.Run)
+		if !c.sessions.reportsStray(c.sessions.strayHolders[e.Run], e.Run) {
+			delete(c.sessions.strayHolders, e.Run)
+		}
 		if sess := c.sessions.byIncarnation[e.Worker]; sess != nil && e.Reason == submission.LeaseExpired && !sess.hasReportedEnd(e.Run) {
 			c.orderStop(e.Worker, e.Run)
 		}
