controller: let a task wait for a stray run whose agent has vanished

A task could run twice at the same time: the next incarnation of a worker had started a run late whose end was recorded, its agent reported the run, and vanished before the run was stopped. The next run of the task started 4.4 s after the agent's latest grant, while the stray run holds the longest lease that the worker accepts, and late calls may prolong it.

A stray run that is still recorded as active was kept until no late call could prolong its lease; one whose end is recorded counted as ended with the grant. The test failed before:

straylease_test.go:44: [{{s1.0.0.0 2} m2/w/1}] were started while the worker may have run 1

Both now end by the same condition. If the worker is gone for good as well, the task waits longer, for as long as the runs that are kept.

--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -140,8 +140,14 @@
 	return sess != nil && sess.strays[run]
 }
 
-// withoutStrays returns the starts of tasks of which no worker has a stray run. Such a run
-// is being stopped, or ends with the lease of its worker. The members of a gang start
+// mayHaveStray reports whether a worker incarnation may have a stray run that it has had.
+// If its agent is away, late calls may prolong the run's lease.
+func (s *sessions) mayHaveStray(now time.Time, incarnation string, run submission.RunID) bool {
+	return s.reportsStray(incarnation, run) || !s.lateStarts.hasEnded(now, s.leaseExpiry(incarnation), run)
+}
+
+// withoutStrays returns the starts of tasks of which no worker may have a stray run. Such a
+// run is being stopped, or ends with the lease of its worker. The members of a gang start
 // together or not at all.
 func (c *Core) withoutStrays(now time.Time, starts []submission.Start) []submission.Start {
 	if len(c.sessions.strayHolders) == 0 {
@@ -151,8 +157,7 @@
 	tasks, gangs := make(map[submission.TaskID]bool), make(map[dispatch.StepID]bool)
 	for run, on := range c.sessions.strayHolders {
 		s, ok := store.Submission(run.Task.Submission)
-		if !ok || s.Task(run.Task) == nil || s.Steps[run.Task.Step].Speculative ||
-			!c.sessions.reportsStray(on, run) && !now.Before(c.sessions.leaseExpiry(on)) {
+		if !ok || s.Task(run.Task) == nil || s.Steps[run.Task.Step].Speculative || !c.sessions.mayHaveStray(now, on, run) {
 			continue
 		}
 		tasks[run.Task] = true
