controller: keep a stray run in mind when the end of its lease is recorded

A task could run twice at the same time: an agent reported a run as active while the end of the run, by the lease of a former stream, was on its way into the log, and the agent's stream broke before that was recorded. The record of the end then let the next run start at once, since only a run that an attached agent reports counted.

An end now ends a stray run only if its worker has told so, or if no late call can prolong its lease. Ends that agents report are taken off at the report, and only if they are of the incarnation that has the run. The test failed before:

straylease_test.go:68: [{{s1.0.0.0 2} m2/w/1}] were started while the worker has run 1

--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -140,6 +140,13 @@
 	return sess != nil && sess.strays[run]
 }
 
+// recordStrayEnd records that a run has ended on a worker incarnation.
+func (s *sessions) recordStrayEnd(run submission.RunID, incarnation string) {
+	if s.strayHolders[run] == incarnation {
+		delete(s.strayHolders, run)
+	}
+}
+
 // mayHaveStray reports whether a worker incarnation may have a stray run that it has had.
 // If its agent is away, late calls may prolong the run's lease.
 func (s *sessions) mayHaveStray(now time.Time, incarnation string, run submission.RunID) bool {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -259,7 +259,7 @@
 			c.logTaskGivenUp(s, e)
 		}
 		c.logRunEnded(e)
-		if !c.sessions.reportsStray(c.sessions.strayHolders[e.Run], e.Run) {
+		if on, isStray := c.sessions.strayHolders[e.Run]; isStray && !c.sessions.mayHaveStray(now, on, e.Run) {
 			delete(c.sessions.strayHolders, e.Run)
 		}
 		if sess := c.sessions.byIncarnation[e.Worker]; sess != nil && e.Reason == submission.LeaseExpired && !sess.hasReportedEnd(e.Run) {
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -323,10 +323,10 @@
 		}
 		sess.highestEnd = e.GetNumber()
 		delete(sess.strays, run)
+		c.sessions.recordStrayEnd(run, sess.worker.Incarnation)
 		c.recordStarted(run)
 		worker := sess.endedOn(store, sess.worker.Incarnation, run, submission.EndReason(e.GetHow()))
 		if worker == "" {
-			delete(c.sessions.strayHolders, run)
 			continue
 		}
 		sess.unrecordedEnds[e.GetNumber()] = recordedRun{run: run, worker: worker}
@@ -335,13 +335,14 @@
 	for _, e := range in.GetRefused() {
 		end := wire.DecodeRunEnd(e)
 		delete(sess.strays, end.Run)
+		c.sessions.recordStrayEnd(end.Run, sess.worker.Incarnation)
+		c.sessions.recordStrayEnd(end.Run, end.Worker)
 		if _, ok := sess.unrecordedInferredEnds[end.Run]; ok {
 			continue
 		}
 		worker := sess.endedOn(store, end.Worker, end.Run, end.Reason)
 		sess.unrecordedInferredEnds[end.Run] = worker
 		if worker == "" {
-			delete(c.sessions.strayHolders, end.Run)
 			continue
 		}
 		end.Worker = worker
--- a/internal/controller/straylease_test.go
+++ b/internal/controller/straylease_test.go
@@ -48,3 +48,27 @@
 		t.Errorf("the record has the runs %v, want one after the longest lease", runs)
 	}
 }
+
+// TestTaskWaitsForStrayWhenItsProposedEndIsRecorded guards against a second run beside one
+// whose agent has reported it as active, and vanished, while its end was on its way.
+func TestTaskWaitsForStrayWhenItsProposedEndIsRecorded(t *testing.T) {
+	l := newDrivenLeader(t)
+	l.core.sessions.lateStarts.window = 18 * time.Second
+	sess := l.attach(report("m1/w/1"))
+	l.startFirstRun(sess)
+	l.core.handleReport(l.now, sess, &pb.AgentReport{Active: []*pb.ListedRun{{Run: wire.EncodeRun(l.run(1)), Settled: true}}})
+	l.core.detach(sess)
+	l.now = l.now.Add(5 * time.Second)
+	l.answerHeartbeat()
+	l.core.endExpiredRuns(l.now)
+	l.core.detach(l.attach(report("m1/w/2", l.run(1))))
+	l.commit()
+	l.dispatchBeside(100 * time.Millisecond)
+	if runs := l.activeRuns(); len(runs) > 0 {
+		t.Errorf("%v were started while the worker has run 1", runs)
+	}
+	l.dispatchBeside(25 * time.Second)
+	if runs := l.activeRuns(); len(runs) != 1 {
+		t.Errorf("the record has the runs %v, want one after the longest lease", runs)
+	}
+}
