controller: order no start beside a stray run reported since its proposal

A task could run twice at the same time: the start of its next run was on its way into the log when an agent reported a stray run of the task. The check for such runs was made before the proposal only, so the start was ordered as soon as it was recorded. With a slow disk this takes seconds.

The leader now checks again before it sends the orders, and ends the recorded starts that must wait as rejected; no agent has heard of them. The test failed before:

straylease_test.go:86: the starts [{s1.0.0.0 2}] were ordered while another worker has run 1 straylease_test.go:92: the record has the runs [{{s1.0.0.0 2} m2/w/1}], want run 3 after the end of run 1

--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -178,6 +178,20 @@
 	})
 }
 
+// rejectBesideStrays returns the recorded starts that may be ordered. It proposes the ends of
+// the others: an agent has reported a stray run of the task since they were proposed.
+func (c *Core) rejectBesideStrays(now time.Time, starts []submission.Start) []submission.Start {
+	allowed := c.withoutStrays(now, slices.Clone(starts))
+	var ends []submission.End
+	for _, st := range starts {
+		if !slices.Contains(allowed, st) {
+			ends = append(ends, submission.End{Run: st.Run, Worker: st.Worker, Reason: submission.Rejected})
+		}
+	}
+	c.proposeEnds(now, ends)
+	return allowed
+}
+
 // endOtherIncarnations ends the runs of other incarnations on a session's machine, but
 // for those that the session's incarnation has. A worker is the only one on its machine,
 // so the others have ended. Which of their runs it has is known when it has listed its
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -190,7 +190,7 @@
 func (c *Core) orderStarts(starts []submission.Start) {
 	orders := make(map[*session]*pb.AgentOrder)
 	now := clock.Now()
-	for _, st := range starts {
+	for _, st := range c.rejectBesideStrays(now, starts) {
 		c.sessions.startOrderedAt[st.Run] = now
 		c.sessions.scheduler.RecordStart(now, c.machine.Submissions(), st)
 		c.recordFirstStart(now, st)
--- a/internal/controller/straylease_test.go
+++ b/internal/controller/straylease_test.go
@@ -72,3 +72,23 @@
 		t.Errorf("the record has the runs %v, want one after the longest lease", runs)
 	}
 }
+
+// TestProposedStartWaitsForStray guards against an order beside a run that an agent reports
+// while the start of the next one is on its way into the log.
+func TestProposedStartWaitsForStray(t *testing.T) {
+	l := newDrivenLeader(t)
+	l.endFirstRun()
+	other := l.attach(report("m2/w/1"))
+	l.core.dispatchTasks(l.now)
+	stray := l.attach(report("m1/w/2", l.run(1)))
+	l.commit()
+	if starts, _ := orderedRuns(other); len(starts) > 0 {
+		t.Errorf("the starts %v were ordered while another worker has run 1", starts)
+	}
+	l.core.handleReport(l.now, stray, &pb.AgentReport{Ends: []*pb.ListedEnd{{Number: 1, Run: wire.EncodeRun(l.run(1)), How: uint32(submission.Stopped)}}})
+	l.commit()
+	l.dispatchBeside(100 * time.Millisecond)
+	if runs := l.activeRuns(); len(runs) != 1 || runs[0].Run != l.run(3) {
+		t.Errorf("the record has the runs %v, want run 3 after the end of run 1", runs)
+	}
+}
