membership: promote one spare learner for one unresponsive voter

A controller that was frozen or slow for two seconds made all spare learners voters, one after the other, and the group stayed that large: with nine controllers, eight voters, so that each change waited for five disks instead of three, and no spare was left. The removal of the unresponsive voter was considered only when no learner was left to promote.

A learner is now promoted if fewer voters respond than the group should have. The case failed before:

membership_test.go:98: got [{a 1 false} {b 2 false} {c 3 false} {d 4 false} {e 5 false} {f 6 false} {g 7 false}], want [{a 1 false} {c 3 false} {d 4 false} {e 5 false} {f 6 false} {g 7 true}]

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -65,15 +65,15 @@
 }
 
 // promoteLearner makes a learner that has caught up a voter if the learner
-// replaces the voter that was at its address, if the group has too few voters,
-// or if a voter is unresponsive.
+// replaces the voter that was at its address, or if the group has too few voters
+// that respond.
 func (g *Group) promoteLearner(now time.Time) []replica.Member {
 	for _, s := range g.Progress {
 		if !s.Learner || s.Match+_maxPromotionLag < g.LastIndex || now.Sub(s.Acked) > _maxAckAge {
 			continue
 		}
 		old := g.previousVoterAt(s.Address, s.ID)
-		if old == "" && g.countVoters() >= g.DesiredVoters && !g.hasUnresponsiveVoter(now) {
+		if old == "" && g.countVoters()-g.countUnresponsiveVoters(now) >= g.DesiredVoters {
 			continue
 		}
 		var next []replica.Member
@@ -101,10 +101,14 @@
 	return ""
 }
 
-func (g *Group) hasUnresponsiveVoter(now time.Time) bool {
-	return slices.ContainsFunc(g.Progress, func(s replica.MemberProgress) bool {
-		return !s.Learner && now.Sub(s.Acked) >= _voterTimeout
-	})
+func (g *Group) countUnresponsiveVoters(now time.Time) int {
+	n := 0
+	for _, s := range g.Progress {
+		if !s.Learner && now.Sub(s.Acked) >= _voterTimeout {
+			n++
+		}
+	}
+	return n
 }
 
 // removeUnresponsiveMember removes an unresponsive learner, or an unresponsive
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -70,6 +70,12 @@
 			name: "a spare learner is not promoted when a voter has answered a second ago", members: append(slices.Clone(five), learner("f", "6")),
 			sinceAnswer: map[replica.ID]time.Duration{"b": time.Second},
 		},
+		{
+			name:        "only one spare learner is promoted for one unresponsive voter",
+			members:     append(slices.Clone(five), member("f", "6"), learner("g", "7")),
+			sinceAnswer: map[replica.ID]time.Duration{"b": time.Minute},
+			want:        []replica.Member{member("a", "1"), member("c", "3"), member("d", "4"), member("e", "5"), member("f", "6"), learner("g", "7")},
+		},
 		{
 			name: "an unresponsive voter is removed if there are more voters than needed", members: append(slices.Clone(five), member("f", "6")),
 			sinceAnswer: map[replica.ID]time.Duration{"b": time.Minute},
