controller: tell a restarted agent which of its runs are settled

The leader's worker_lost counted 2 to 7 runs as kept for each machine, from 13 s to 32 s.

An agent that finds runs as it starts doesn't know whether the start calls of the earlier agent were answered. It reports the runs as unsettled for the longest delay of a call and the longest lease, and the leader, which had them reported as settled before, forgot that. So all runs of the machine counted as ones that a late call may start, and were kept for 18 s after the grant.

The leader now remembers that a run was settled at some time since its latest start order, and says so as it describes the run to the next agent. A run that is active gets no other start call unless the leader orders it again, which makes the leader forget. The agent then leaves out the calls of earlier agents, if it has made none itself; the longest lease, counted from when it found the run, still applies.

Before: TestNextAgentLearnsWhichRunsAreSettled "the next agent got [run:{...}]; want the run, settled: true" for "every call answered", "call too old" and "two restarts"; TestRestartedAgentReportsRunsAsSettled "the run is reported as <nil>; want it to be settled after the longest lease of 6s: true". Telling every agent that its runs are settled, not forgetting at a repeated start, or passing over the agent's own call turns the tests red.

--- a/internal/controller/latestarts.go
+++ b/internal/controller/latestarts.go
@@ -19,34 +19,52 @@
 // The zero value knows of no run. It is part of the leader's state and is not in the log.
 type lateStarts struct {
 	window time.Duration // from an agent's latest call until its worker can hold no lease from it; 0 if no call is carried out late
-	// When the runs that agents have reported as active are settled: from then on no call
-	// can start them. The zero time if they were settled when they were reported.
-	settledAt map[submission.RunID]time.Time
+	runs   map[submission.RunID]reportedRun
 }
 
+// reportedRun is what agents have reported on an active run since its latest start order.
+type reportedRun struct {
+	// When the run is settled, as reported last: from then on no call can start it. The zero
+	// time if it was settled when it was reported.
+	settledAt  time.Time
+	wasSettled bool // as reported before, perhaps by an earlier agent
+}
+
+func (r reportedRun) isSettled(now time.Time) bool { return !r.settledAt.After(now) }
+
 // record records an agent's report of an active run.
 func (l *lateStarts) record(now time.Time, run submission.RunID, r *pb.ListedRun) {
-	if l.settledAt == nil {
-		l.settledAt = make(map[submission.RunID]time.Time)
+	if l.runs == nil {
+		l.runs = make(map[submission.RunID]reportedRun)
 	}
+	reported := reportedRun{wasSettled: l.wasSettled(now, run)}
 	d := time.Duration(r.GetSettlesIn())
 	switch {
 	case r.GetSettled():
-		l.settledAt[run] = time.Time{}
 	case d > 0:
-		l.settledAt[run] = now.Add(d + d/_runLeaseDriftDivisor)
-	default:
-		delete(l.settledAt, run) // an agent that doesn't say
+		reported.settledAt = now.Add(d + d/_runLeaseDriftDivisor)
+	default: // an agent that doesn't say
+		l.remove(run)
+		return
 	}
+	l.runs[run] = reported
+}
+
+// wasSettled reports whether a run was settled at some time since its latest start order. A
+// run that is active gets no other start call, so none is left that has no answer. An agent
+// that has started since then doesn't know that.
+func (l *lateStarts) wasSettled(now time.Time, run submission.RunID) bool {
+	r, ok := l.runs[run]
+	return ok && (r.wasSettled || r.isSettled(now))
 }
 
-func (l *lateStarts) remove(run submission.RunID) { delete(l.settledAt, run) }
+func (l *lateStarts) remove(run submission.RunID) { delete(l.runs, run) }
 
 // hasEnded reports whether a run has ended for certain, if nothing more is heard of its
 // agent. leaseExpiry is when the latest lease that the agent was granted has expired; until
 // then the agent may have called the worker.
 func (l *lateStarts) hasEnded(now, leaseExpiry time.Time, run submission.RunID) bool {
-	if at, ok := l.settledAt[run]; ok && !at.After(leaseExpiry) {
+	if r, ok := l.runs[run]; ok && r.isSettled(leaseExpiry) {
 		return !now.Before(leaseExpiry)
 	}
 	// The calls for other runs, which are as late, prolong the lease of this one.
--- a/internal/controller/latestarts_test.go
+++ b/internal/controller/latestarts_test.go
@@ -157,3 +157,57 @@
 		t.Errorf("the record has the runs %v, want run 1 to count as active", runs)
 	}
 }
+
+// TestNextAgentLearnsWhichRunsAreSettled guards against tasks that wait for late calls of an
+// earlier agent, all of whose calls were answered, when the machine is lost.
+func TestNextAgentLearnsWhichRunsAreSettled(t *testing.T) {
+	const window = 18 * time.Second
+	restarted := func(l *drivenLeader) *pb.AgentReport {
+		r := report("m1/w/1", l.run(1))
+		r.Active[0].SettlesIn = int64(window)
+		return r
+	}
+	for _, tc := range []struct {
+		name     string
+		reported *pb.ListedRun // by the first agent
+		wait     time.Duration
+		between  func(l *drivenLeader)
+		want     bool
+	}{
+		{name: "every call answered", reported: &pb.ListedRun{Settled: true}, want: true},
+		{name: "call without an answer", reported: &pb.ListedRun{SettlesIn: int64(window)}, wait: window - time.Second},
+		{name: "call too old", reported: &pb.ListedRun{SettlesIn: int64(window)}, wait: window + time.Second, want: true},
+		{name: "agent that doesn't say", reported: &pb.ListedRun{}},
+		{name: "two restarts", reported: &pb.ListedRun{Settled: true}, want: true, between: func(l *drivenLeader) {
+			l.core.detach(l.attach(restarted(l)))
+		}},
+		{name: "start repeated", reported: &pb.ListedRun{Settled: true}, between: func(l *drivenLeader) {
+			l.core.detach(l.attach(report("m1/w/1")))
+		}},
+		{name: "start not carried out", reported: &pb.ListedRun{Settled: true}, between: func(l *drivenLeader) {
+			r := report("m1/w/1")
+			r.Ordered = append(r.Ordered, wire.EncodeRun(l.run(1)))
+			l.core.detach(l.attach(r))
+		}},
+		{name: "another leader", reported: &pb.ListedRun{Settled: true}, between: (*drivenLeader).restart},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newDrivenLeader(t)
+			first := l.attach(report("m1/w/1"))
+			l.startFirstRun(first)
+			tc.reported.Run = wire.EncodeRun(l.run(1))
+			l.core.handleReport(l.now, first, &pb.AgentReport{Active: []*pb.ListedRun{tc.reported}})
+			l.now = l.now.Add(tc.wait)
+			l.answerHeartbeat()
+			l.core.detach(first)
+			if tc.between != nil {
+				tc.between(l)
+			}
+			orders, _ := l.attach(restarted(l)).outbox.popAll()
+			starts := orders[0].GetStarts()
+			if len(starts) != 1 || starts[0].GetSettled() != tc.want {
+				t.Errorf("the next agent got %v; want the run, settled: %t", starts, tc.want)
+			}
+		})
+	}
+}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -57,6 +57,7 @@
 			// A restarted agent needs the description of each run that it found.
 			description := c.startOrder(now, s, run, sess.worker.Incarnation)
 			description.Text, description.Saved = "", ""
+			description.Settled = c.sessions.lateStarts.wasSettled(now, run)
 			order.Starts = append(order.Starts, description)
 		}
 	}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -136,7 +136,7 @@
 	s.machines = make(map[string]*machineHistory)
 	s.strayHolders = make(map[submission.RunID]string)
 	s.leaseExpiries = make(map[string]time.Time)
-	s.lateStarts.settledAt = nil
+	s.lateStarts.runs = nil
 	s.expiring = make(map[string]time.Time)
 	s.endsProposed = make(map[submission.RunID]bool)
 	s.startsProposedAt = time.Time{}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -321,6 +321,11 @@
 		tr.pacing, tr.estimate, tr.described = pacingTask, time.Duration(s.GetEstimate()), true
 		tr.needs = wire.DecodeResources(s.GetNeeds())
 	}
+	if tr := r.runs[run]; tr != nil && s.GetSettled() && tr.unansweredAt.Equal(r.began) {
+		tr.unansweredAt = time.Time{} // only earlier agents have called, and their calls have answers
+		r.unreported[run] = true
+		wake(r.wakeReport)
+	}
 	if r.isKnown(run) {
 		return
 	}
--- a/internal/runner/unanswered_test.go
+++ b/internal/runner/unanswered_test.go
@@ -233,3 +233,49 @@
 		}
 	}
 }
+
+// TestRestartedAgentReportsRunsAsSettled guards against tasks that wait for late calls of an
+// earlier agent, all of which were answered, when the machine is lost.
+func TestRestartedAgentReportsRunsAsSettled(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		told     bool // by the leader: every call of the earlier agent was answered
+		repeated bool // and then the agent's own call gets no answer
+		want     bool
+	}{
+		{name: "told by the leader", told: true, want: true},
+		{name: "not told"},
+		{name: "own call without an answer", told: true, repeated: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, w, l := newReturningRunner(t)
+			if !tc.repeated {
+				l.exchange(1)
+				eventually(t, "the run is active", func() bool { return w.runs(testRun(1)) })
+			}
+			r := newRunnerBeside(t, w)
+			r.callDelay, r.began = 10*time.Second, clock.Now()
+			l.r = r
+			r.announceIncarnation(w.incarnation)
+			l.settle()
+			if tc.repeated {
+				holdStart(t, w, l)
+				w.set(func() { w.hold = false })
+				eventually(t, "the run is active", func() bool { return w.runs(testRun(1)) })
+				l.settle()
+			}
+			description := startOrder(1)
+			description.Attachment = l.last
+			description.Starts[0].Text, description.Starts[0].Settled = "", tc.told
+			r.deliverOrder(description)
+			report, _ := r.nextReport(&l.s)
+			a := activeRun(report, testRun(1))
+			if !tc.want {
+				a = activeRun(l.completeReport(), testRun(1))
+			}
+			if a == nil || (a.GetSettlesIn() <= int64(r.maxLease)) != tc.want {
+				t.Errorf("the run is reported as %v; want it to be settled after the longest lease of %s: %t", a, r.maxLease, tc.want)
+			}
+		})
+	}
+}
