runner: let a start look at no other runs

Callers saw thousands of starts on one worker take seconds of processor time. Before each call the agent went through all its runs twice: for what they reserve, and for a run that is being stopped and whose resources are unknown. It also did so every 50 ms for each start that has to wait for a lease.

The agent now keeps both sums, and adjusts them when the state of a run changes. TestUsageFollowsRuns and the cleanup of all tests of the agent compare them with a look at all runs.

--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -282,8 +282,10 @@
 		}
 		if !tr.confirmed {
 			r.unreported[a.Run] = true
+			tr.confirmed = true
+			r.recount(tr)
 		}
-		tr.confirmed, tr.missingSince = true, time.Time{}
+		tr.missingSince = time.Time{}
 		r.updateProgress(now, tr, a)
 		if a.Checkpoint != "" && a.Checkpoint != r.checkpoints[a.Run] {
 			r.checkpoints[a.Run] = a.Checkpoint
@@ -313,7 +315,7 @@
 // carried out by a later incarnation, or after its end was inferred. r.mu must be held.
 func (r *Runner) trackFoundRun(ctx context.Context, now time.Time, run submission.RunID) *trackedRun {
 	tr := &trackedRun{run: run, confirmedAt: now, share: _unknownShare, heldUntil: now.Add(r.maxLease), unansweredAt: r.began}
-	r.runs[run] = tr
+	r.track(tr)
 	r.unreported[run] = true
 	wake(r.wakeReport)
 	end, hasInferredEnd := r.inferredEnds[run]
@@ -326,6 +328,7 @@
 		"worker": r.incarnationName(r.incarnation), "task": run.Task.String(), "run": run.Number, "how": end.Reason.String(), "ended_on": end.Worker,
 	}, "worker lists a run whose end was inferred; stopping the run")
 	tr.stopOrdered = true
+	r.recount(tr)
 	incarnation := r.incarnation
 	r.goroutines.Go(func() { r.stopRun(ctx, incarnation, tr) })
 	return tr
@@ -347,7 +350,7 @@
 }
 
 func (r *Runner) removeRun(run submission.RunID) {
-	delete(r.runs, run)
+	r.untrack(run)
 	delete(r.checkpoints, run)
 	delete(r.unreported, run)
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -77,6 +77,7 @@
 	stalled         bool                 // progress has not changed for stallTimeout, although the run is not paused
 	missingSince    time.Time            // when a listing first lacked the run; zero if the latest one has it
 	heldUntil       time.Time            // until when the run may hold a lease that this agent did not send; zero for none
+	counted         usage                // the run's part of Runner.usage
 }
 
 // inferredEnd is the end of a run that the worker has not listed.
@@ -115,6 +116,7 @@
 	lease           lease
 	lateGrants      int // grants that arrived after the previous grant had expired
 	runs            map[submission.RunID]*trackedRun
+	usage           usage                            // of all runs; a start must not look at each of them
 	ends            []ListedEnd                      // not recorded by the leader yet, in ascending order
 	lastListedEnd   uint64                           // number of the latest listed end
 	lastRecordedEnd uint64                           // number of the latest end that the leader has recorded
@@ -179,7 +181,7 @@
 
 // reset clears the state of an incarnation. r.mu must be held.
 func (r *Runner) reset() {
-	r.runs = make(map[submission.RunID]*trackedRun)
+	r.runs, r.usage = make(map[submission.RunID]*trackedRun), usage{}
 	r.inferredEnds = make(map[submission.RunID]inferredEnd)
 	r.checkpoints = make(map[submission.RunID]string)
 	r.unreported = make(map[submission.RunID]bool)
@@ -320,6 +322,7 @@
 	if tr := r.runs[run]; tr != nil && !tr.described {
 		tr.pacing, tr.estimate, tr.described = pacingTask, time.Duration(s.GetEstimate()), true
 		tr.needs = wire.DecodeResources(s.GetNeeds())
+		r.recount(tr)
 	}
 	if tr := r.runs[run]; tr != nil && s.GetSettled() && tr.unansweredAt.Equal(r.began) {
 		tr.unansweredAt = time.Time{} // only earlier agents have called, and their calls have answers
@@ -344,7 +347,7 @@
 		tr.unansweredAt = r.began
 		r.holdUntilSettled(tr)
 	}
-	r.runs[run] = tr
+	r.track(tr)
 	incarnation := r.incarnation
 	r.goroutines.Go(func() { r.startRun(ctx, incarnation, tr) })
 }
@@ -357,12 +360,13 @@
 		}
 		tr = &trackedRun{run: run, unansweredAt: r.began}
 		r.holdUntilSettled(tr)
-		r.runs[run] = tr
+		r.track(tr)
 	}
 	if tr.stopOrdered {
 		return
 	}
 	tr.stopOrdered = true
+	r.recount(tr)
 	incarnation := r.incarnation
 	r.goroutines.Go(func() { r.stopRun(ctx, incarnation, tr) })
 }
@@ -370,7 +374,7 @@
 // inferEnd records the end of a run that the worker does not have. r.mu must be
 // held.
 func (r *Runner) inferEnd(tr *trackedRun, reason submission.EndReason) {
-	delete(r.runs, tr.run)
+	r.untrack(tr.run)
 	r.inferredEnds[tr.run] = inferredEnd{
 		End: submission.End{Run: tr.run, Worker: r.incarnationName(r.incarnation), Reason: reason, Checkpoint: r.checkpoints[tr.run]},
 	}
@@ -418,12 +422,13 @@
 	}
 	var leaseEnd time.Duration
 	ok := false
-	if !inDoubt && !r.hasStrayRun() {
+	if !inDoubt && r.usage.strays == 0 {
 		leaseEnd, ok = r.lease.nextEnd(clock.Now())
 	}
 	tr.start.LeaseEnd, tr.start.Token = leaseEnd, r.fence()
 	start := tr.start
 	tr.startCalled = tr.startCalled || ok
+	r.recount(tr)
 	began, unansweredAt := clock.Now(), tr.unansweredAt
 	if ok {
 		tr.unansweredAt = began
@@ -487,28 +492,12 @@
 // runs. r.mu must be held.
 func (r *Runner) isInDoubt() bool { return r.disconnected || r.superseded || r.unresponsive }
 
-// hasStrayRun reports whether a run is being stopped whose resources are unknown. r.mu
-// must be held.
-func (r *Runner) hasStrayRun() bool {
-	for _, tr := range r.runs {
-		if tr.confirmed && tr.stopOrdered && !tr.described {
-			return true
-		}
-	}
-	return false
-}
-
 // holds reports whether the worker's capacity, which may have shrunk since the
 // leader placed the run, holds the run beside those that the worker has or that are
 // being started or stopped. r.mu must be held.
 func (r *Runner) holds(tr *trackedRun) bool {
-	free := r.announcement.Capacity
-	for _, other := range r.runs {
-		if other != tr && (other.confirmed || other.startCalled) {
-			free = free.Sub(other.needs)
-		}
-	}
-	return tr.needs.Fits(free)
+	others := r.usage.sub(tr.counted)
+	return tr.needs.Fits(r.announcement.Capacity.Sub(others.needs))
 }
 
 // handleStartAnswer handles the answer to a start and reports whether the start
@@ -537,6 +526,7 @@
 		// A run that the worker has had before is in the next listing, or
 		// counts as lost.
 		tr.confirmed, tr.confirmedAt = true, now
+		r.recount(tr)
 		r.unreported[tr.run] = true
 		wake(r.wakePoll)
 		return true
@@ -562,6 +552,7 @@
 		return
 	}
 	tr.stopOrdered = true
+	r.recount(tr)
 	r.goroutines.Go(func() { r.stopRun(ctx, incarnation, tr) })
 }
 
@@ -599,6 +590,7 @@
 	}
 	r.mu.Lock()
 	tr.confirmed, tr.confirmedAt = true, clock.Now()
+	r.recount(tr)
 	r.mu.Unlock()
 	wake(r.wakePoll)
 	return true
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -87,6 +87,7 @@
 	r.lease.applyGrant(clock.Now(), time.Minute)
 	t.Cleanup(func() {
 		r.mu.Lock()
+		r.checkUsage(t)
 		r.reset()
 		r.incarnation = Incarnation{}
 		r.mu.Unlock()
