controller: forget a stray run of a lost agent after the longest lease

The leader's memory grew by an entry for each stray run whose agent did not return, and each scheduling round went through all of them, until the next change of leader: only a report or the record of the run's end removed an entry, and the end of such a run may be recorded already. An entry is now removed when the run can hold no lease any more and is not recorded as active. The test failed before:

straylease_test.go:125: 1 stray runs are kept in mind after the longest lease

--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -154,8 +154,8 @@
 }
 
 // withoutStrays returns the starts of tasks of which no worker may have a stray run. Such a
-// run is being stopped, or ends with the lease of its worker. The members of a gang start
-// together or not at all.
+// run is being stopped, or ends with the lease of its worker, and is forgotten then. The
+// members of a gang start together or not at all.
 func (c *Core) withoutStrays(now time.Time, starts []submission.Start) []submission.Start {
 	if len(c.sessions.strayHolders) == 0 {
 		return starts
@@ -163,8 +163,14 @@
 	store := c.machine.Submissions()
 	tasks, gangs := make(map[submission.TaskID]bool), make(map[dispatch.StepID]bool)
 	for run, on := range c.sessions.strayHolders {
+		if !c.sessions.mayHaveStray(now, on, run) {
+			if recordedOn(store, on, run) == "" {
+				delete(c.sessions.strayHolders, run)
+			}
+			continue
+		}
 		s, ok := store.Submission(run.Task.Submission)
-		if !ok || s.Task(run.Task) == nil || s.Steps[run.Task.Step].Speculative || !c.sessions.mayHaveStray(now, on, run) {
+		if !ok || s.Task(run.Task) == nil || s.Steps[run.Task.Step].Speculative {
 			continue
 		}
 		tasks[run.Task] = true
--- a/internal/controller/straylease_test.go
+++ b/internal/controller/straylease_test.go
@@ -92,3 +92,16 @@
 		t.Errorf("the record has the runs %v, want run 3 after the end of run 1", runs)
 	}
 }
+
+// TestStrayOfLostAgentIsForgotten guards against memory that grows with each stray run whose
+// agent does not return.
+func TestStrayOfLostAgentIsForgotten(t *testing.T) {
+	l := newDrivenLeader(t)
+	l.core.sessions.lateStarts.window = 18 * time.Second
+	l.endFirstRun()
+	l.core.detach(l.attach(report("m1/w/2", l.run(1))))
+	l.dispatchBeside(30 * time.Second)
+	if n := len(l.core.sessions.strayHolders); n > 0 {
+		t.Errorf("%d stray runs are kept in mind after the longest lease", n)
+	}
+}
