controller: let runs of a restarted agent end with its grant

A restarted agent assumes that the runs that it finds hold the longest lease. It reports them as unsettled for that long, and the leader kept them as if a start call could still be late. But the leader knows what lease the earlier agent could pass on: none beyond its grant. A run that was settled since its latest start order now ends with the grant, whatever a later agent assumes. A report by another incarnation clears that, since then a late call has started the run.

Without the change TestRunOfRestartedAgentEndsWithItsGrant fails ("the run counts as ended with the grant: false, want true"); if a report by another incarnation does not clear what was reported, TestSettledRunOnNextIncarnationOutlivesGrant does ("the record has the runs [], want run 1 to count as active").

--- a/internal/controller/latestarts.go
+++ b/internal/controller/latestarts.go
@@ -26,8 +26,10 @@
 type reportedRun struct {
 	// When the run is settled, as reported last: from then on no call can start it. The zero
 	// time if it was settled when it was reported.
-	settledAt  time.Time
-	wasSettled bool // as reported before, perhaps by an earlier agent
+	settledAt time.Time
+	// As reported before, perhaps by an earlier agent. What a later agent reports instead is the
+	// longest lease that it assumes; the earlier one has passed on no lease beyond its grant.
+	wasSettled bool
 }
 
 func (r reportedRun) isSettled(now time.Time) bool { return !r.settledAt.After(now) }
@@ -64,7 +66,7 @@
 // agent. leaseExpiry is when the latest lease that the agent was granted has expired; until
 // then the agent may have called the worker.
 func (l *lateStarts) hasEnded(now, leaseExpiry time.Time, run submission.RunID) bool {
-	if r, ok := l.runs[run]; ok && r.isSettled(leaseExpiry) {
+	if r, ok := l.runs[run]; ok && (r.wasSettled || r.isSettled(leaseExpiry)) {
 		return !now.Before(leaseExpiry)
 	}
 	// The calls for other runs, which are as late, prolong the lease of this one.
--- a/internal/controller/latestarts_test.go
+++ b/internal/controller/latestarts_test.go
@@ -211,3 +211,56 @@
 		})
 	}
 }
+
+// TestRunOfRestartedAgentEndsWithItsGrant guards against tasks that wait for late calls because
+// the agent of a lost machine was restarted shortly before, and assumes the longest lease.
+func TestRunOfRestartedAgentEndsWithItsGrant(t *testing.T) {
+	const maxLease, grant = 6 * time.Second, 4400 * time.Millisecond
+	for _, tc := range []struct {
+		name    string
+		between func(late *lateStarts, run submission.RunID)
+		want    bool
+	}{
+		{name: "restart only", want: true},
+		{name: "start repeated", between: (*lateStarts).remove},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			late := lateStarts{window: 12*time.Second + maxLease}
+			run := submission.RunID{Task: submission.TaskID{Submission: "s1"}, Number: 1}
+			now := time.Unix(1000, 0)
+			late.record(now, run, &pb.ListedRun{Settled: true})
+			if tc.between != nil {
+				tc.between(&late, run)
+			}
+			now = now.Add(time.Second)
+			late.record(now, run, &pb.ListedRun{SettlesIn: int64(maxLease)})
+			expiry := now.Add(grant)
+			if late.hasEnded(expiry.Add(-time.Millisecond), expiry, run) {
+				t.Error("the run counts as ended before the grant is over")
+			}
+			if got := late.hasEnded(expiry, expiry, run); got != tc.want {
+				t.Errorf("the run counts as ended with the grant: %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestSettledRunOnNextIncarnationOutlivesGrant guards against a second run beside one that the
+// next incarnation has from a late call, although the former one's agent had all its answers.
+func TestSettledRunOnNextIncarnationOutlivesGrant(t *testing.T) {
+	l := newDrivenLeader(t)
+	l.core.sessions.lateStarts.window = 18 * time.Second
+	first := l.attach(report("m1/w/1"))
+	l.startFirstRun(first)
+	l.core.handleReport(l.now, first, &pb.AgentReport{Active: []*pb.ListedRun{{Run: wire.EncodeRun(l.run(1)), Settled: true}}})
+	stray := report("m1/w/2", l.run(1))
+	stray.Active[0].SettlesIn = int64(6 * time.Second)
+	l.core.detach(l.attach(stray))
+	l.now = l.now.Add(5500 * time.Millisecond)
+	l.answerHeartbeat()
+	l.core.endExpiredRuns(l.now)
+	l.commit()
+	if runs := l.activeRuns(); len(runs) != 1 {
+		t.Errorf("the record has the runs %v, want run 1 to count as active", runs)
+	}
+}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -250,7 +250,10 @@
 		if r.GetStalled() && !c.sessions.scheduler.IsStalled(run) {
 			stalled++
 		}
-		if recordedOn(c.machine.Submissions(), sess.worker.Incarnation, run) != "" {
+		if on := recordedOn(c.machine.Submissions(), sess.worker.Incarnation, run); on != "" {
+			if on != sess.worker.Incarnation {
+				c.sessions.lateStarts.remove(run) // a late call has started it, whatever was reported
+			}
 			c.sessions.lateStarts.record(now, run, r)
 		}
 		if isActive(c.machine.Submissions(), sess.worker.Incarnation, run) {
