controller: let an end look at no other tasks of its submission

Callers with thousands of tasks in one submission waited for a leader that went through all tasks of all occurrences, also finished ones, at each run that was done: it looked for runs that the end makes surplus.

While a submission is not ended, a run that is done makes only the other runs of its task surplus, and those of its gang. The leader looks at these now. Runs that were surplus before had their stop ordered then, or get it with the agent's next complete report. Of an ended submission it still looks at all.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -146,7 +146,7 @@
 		if s, ok := c.machine.Submissions().Submission(cmd.ID); ok {
 			delete(c.sessions.started, s.ID)
 			c.logSubmissionEnded(s)
-			c.stopSurplusRuns(s)
+			c.stopSurplusRuns(s, s.Runs())
 		}
 	}
 }
@@ -248,8 +248,8 @@
 		c.sessions.scheduler.RecordEnd(now, store, e, took)
 		delete(c.sessions.startOrderedAt, e.Run)
 		c.sessions.lateStarts.remove(e.Run)
-		if ok && (s.State.Ended() || e.Reason == submission.Done) {
-			c.stopSurplusRuns(s)
+		if ok {
+			c.stopSurplusRuns(s, surplusRuns(s, e))
 		}
 		if ok && s.State.Ended() && s.EndedAt.Equal(c.machine.Now()) && !ended[s.ID] {
 			ended[s.ID] = true
@@ -295,12 +295,23 @@
 	c.log.Emit(event.RunEnded, fields, "run ended")
 }
 
-// stopSurplusRuns orders the stop of a submission's surplus runs.
-func (c *Core) stopSurplusRuns(s *submission.Submission) {
-	if c.replica.Role() != replica.Leader || s.ActiveRuns() == 0 {
+// surplusRuns returns the runs that the recorded end of a run may have made surplus.
+func surplusRuns(s *submission.Submission, e submission.End) []submission.Start {
+	switch {
+	case s.State.Ended():
+		return s.Runs()
+	case e.Reason == submission.Done:
+		return s.RunsDoneWith(e.Run.Task)
+	}
+	return nil
+}
+
+// stopSurplusRuns orders the stop of those of a submission's runs that are surplus.
+func (c *Core) stopSurplusRuns(s *submission.Submission, runs []submission.Start) {
+	if c.replica.Role() != replica.Leader {
 		return
 	}
-	for _, r := range s.Runs() {
+	for _, r := range runs {
 		if s.IsSurplus(r.Run) {
 			c.orderStop(r.Worker, r.Run)
 		}
--- a/submission/store.go
+++ b/submission/store.go
@@ -576,6 +576,9 @@
 
 // Runs returns the active runs with their workers.
 func (s *Submission) Runs() []Start {
+	if s.activeRuns == 0 {
+		return nil
+	}
 	out := make([]Start, 0, s.activeRuns)
 	for k, steps := range s.StepRecords {
 		for i := range steps {
@@ -590,6 +593,25 @@
 	return out
 }
 
+// RunsDoneWith returns the active runs that a task's completion makes surplus: those of the
+// task, or of all members of its gang.
+func (s *Submission) RunsDoneWith(id TaskID) []Start {
+	if s.Task(id) == nil {
+		return nil
+	}
+	first, last := id.Index, id.Index
+	if s.Steps[id.Step].Gang {
+		first, last = 0, s.Steps[id.Step].Count-1
+	}
+	var out []Start
+	for id.Index = first; id.Index <= last; id.Index++ {
+		for _, r := range s.task(id).Runs {
+			out = append(out, Start{Run: RunID{Task: id, Number: r.Number}, Worker: r.Worker})
+		}
+	}
+	return out
+}
+
 // ActiveOn returns the worker on which a run is recorded as active, or "".
 func (s *Submission) ActiveOn(run RunID) string {
 	if t := s.Task(run.Task); t != nil {
