runner: let a thawed agent's start meet its refusal

TestThawedAgentStartsNothingOnNextIncarnation passed with a token that lacks the number of the stream: the raise at the confirmation of the next incarnation hid it. The thawed agent has now raised its own token more often. Both tests wait for the worker to refuse the start, rather than for three retries.

--- a/internal/runner/agents_test.go
+++ b/internal/runner/agents_test.go
@@ -16,6 +16,7 @@
 	earlier, w, l = newReturningRunner(t)
 	earlier.mu.Lock()
 	earlier.disconnected = true // keeps it from calling
+	earlier.raised = 3          // more often than the next agent
 	earlier.mu.Unlock()
 	l.exchange(1)
 	next = newRunnerBeside(t, w)
@@ -32,15 +33,26 @@
 	r.disconnected = false
 }
 
+// checkStartIsFenced waits until the worker has refused a start, and fails the test if run 1
+// was started.
+func (w *returningWorker) checkStartIsFenced(t *testing.T) {
+	t.Helper()
+	eventually(t, "a start is refused", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.fenced > 0 || w.active[testRun(1)]
+	})
+	if w.runs(testRun(1)) {
+		t.Error("the run was started")
+	}
+}
+
 // TestThawedAgentStartsNothing guards against an agent that was frozen with an order, and
 // that carries it out beside its successor.
 func TestThawedAgentStartsNothing(t *testing.T) {
 	earlier, _, w, _ := thawedAgent(t)
 	earlier.thaw()
-	time.Sleep(3 * _retryInterval)
-	if w.runs(testRun(1)) {
-		t.Error("the run was started")
-	}
+	w.checkStartIsFenced(t)
 }
 
 // TestThawedAgentStartsNothingOnNextIncarnation guards against the same on an incarnation
@@ -50,10 +62,7 @@
 	next.announceIncarnation(w.restart())
 	l.settle()
 	earlier.thaw()
-	time.Sleep(3 * _retryInterval)
-	if w.runs(testRun(1)) {
-		t.Error("the run was started")
-	}
+	w.checkStartIsFenced(t)
 }
 
 // TestThawedAgentRenewsNoLease guards against an agent that keeps runs beyond the lease that
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -27,6 +27,7 @@
 	lastEnd     uint64
 	down        bool // answers nothing
 	refuseStops bool
+	fenced      int          // starts that were refused
 	hold        bool         // keeps orders to start unanswered
 	held        []StartOrder // orders that are carried out later
 	maxEnds     int          // ends in one listing; 0 for all
@@ -90,6 +91,7 @@
 func (w *returningWorker) start(o StartOrder) StartAnswer {
 	switch {
 	case !w.fence(o.Token):
+		w.fenced++
 		return Fenced
 	case o.LeaseEnd <= clock.Now().Sub(w.began):
 		return TooLate
