runner: expect a fenced poll from a thawed agent

TestThawedAgentRenewsNoLease accepted any error for the refusal.

With a token without the number of the stream: agents_test.go:79: the worker has answered the poll of the earlier agent with {StartTimeMS:1000 ...}, <nil>, want the worker has seen a higher fencing token

--- a/internal/runner/agents_test.go
+++ b/internal/runner/agents_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -74,8 +75,8 @@
 	if !ok || req.LeaseEnd == 0 {
 		t.Fatalf("got a poll with the lease end %s, want one that renews", req.LeaseEnd)
 	}
-	if list, err := w.Poll(t.Context(), incarnation.ID, req); err == nil {
-		t.Errorf("the worker has answered the poll of the earlier agent: %+v", list)
+	if list, err := w.Poll(t.Context(), incarnation.ID, req); !errors.Is(err, ErrFenced) {
+		t.Errorf("the worker has answered the poll of the earlier agent with %+v, %v, want %v", list, err, ErrFenced)
 	}
 }
 
