runner: stop an agent during its call in a test

TestStoppedAgentSendsNothing counted the starts after all goroutines had ended, so starts that were repeated after the stop passed it. The agent is now stopped during its first start, after which there must be no other.

With a loop in startRun that ignores its context: agents_test.go:142: 299 starts were sent after the stop

--- a/internal/runner/agents_test.go
+++ b/internal/runner/agents_test.go
@@ -106,6 +106,17 @@
 	}
 }
 
+// stoppingWorker stops its agent during each start, and leaves the start unanswered.
+type stoppingWorker struct {
+	*returningWorker
+	stop context.CancelFunc
+}
+
+func (w *stoppingWorker) Start(ctx context.Context, id string, o StartOrder) (StartAnswer, time.Duration, error) {
+	w.stop()
+	return w.returningWorker.Start(ctx, id, o)
+}
+
 // TestStoppedAgentSendsNothing guards against calls of an agent that has stopped: its
 // successor may run.
 func TestStoppedAgentSendsNothing(t *testing.T) {
@@ -115,6 +126,7 @@
 	order := startOrder(1)
 	order.Attachment = l.last
 	r.mu.Lock()
+	r.worker = &stoppingWorker{returningWorker: w, stop: cancel}
 	r.applyOrder(ctx, order)
 	r.mu.Unlock()
 	eventually(t, "the start is sent", func() bool {
@@ -122,16 +134,12 @@
 		defer w.mu.Unlock()
 		return len(w.held) > 0
 	})
-	cancel()
 	r.goroutines.Wait()
-	w.mu.Lock()
-	sent := len(w.held)
-	w.mu.Unlock()
-	time.Sleep(3 * _retryInterval)
+	time.Sleep(3 * _retryInterval) // goroutines that nothing waits for
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.held) != sent {
-		t.Errorf("%d starts were sent after the stop", len(w.held)-sent)
+	if len(w.held) != 1 {
+		t.Errorf("%d starts were sent after the stop", len(w.held)-1)
 	}
 	if how := r.inferredReason(testRun(1)); how != 0 {
 		t.Errorf("the run is %s since the agent has stopped", how)
