runner: await the rejection of an overtaken start in a test

TestStartThatWasUnderWayDuringFreezeIsNotCarriedOut waited for three retries, and passed if the order was not looked at in that time. The start must now be rejected.

With late grants that are not counted: lease_test.go:61: calls [start], want none

--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/submission"
 )
 
 // TestFreezeExtendsNoLease guards against a lease end that moves on while the agent stands
@@ -53,7 +54,9 @@
 	r.deliverOrder(startOrder(1))
 	time.Sleep(2 * _retryInterval)
 	r.deliverOrder(&pb.AgentOrder{Term: 1, Sent: thawed.UnixNano(), Lease: int64(4 * time.Second)})
-	time.Sleep(3 * _retryInterval)
+	eventually(t, "the start is rejected", func() bool {
+		return r.inferredReason(testRun(1)) == submission.Rejected || len(w.recordedCalls()) > 0
+	})
 	if calls := w.recordedCalls(); len(calls) != 0 {
 		t.Errorf("calls %v, want none", calls)
 	}
