runner: test tokens of streams beyond the numbers of a term

TestFenceOrdersStreams tried one such number, whose bit the term has anyway, and passed without the bound.

--- a/internal/runner/token_test.go
+++ b/internal/runner/token_test.go
@@ -32,8 +32,10 @@
 			t.Errorf("%+v raised beyond its bits gives %d, want %d", tok, got, last)
 		}
 	}
-	if a, b := (token{term: 1, attachment: 1 << _attachmentBits}), (token{term: 2}); a.fence(0) >= b.fence(0) {
-		t.Errorf("a stream beyond the numbers of term 1 has the token %d, term 2 begins with %d", a.fence(0), b.fence(0))
+	for bits := _attachmentBits; bits < 64; bits++ {
+		if a, b := (token{term: 1, attachment: 1 << bits}), (token{term: 2}); a.fence(0) >= b.fence(0) {
+			t.Errorf("stream %d, which is beyond the numbers of term 1, has the token %d, term 2 begins with %d", a.attachment, a.fence(0), b.fence(0))
+		}
 	}
 }
 
