runner: report all runs in the test of a refused start

TestRefusedStartIsNotReportedAsActive passed with reports of unconfirmed runs, since none was due. Now all runs are due, as when another incarnation answers.

With unconfirmed runs in reports: unanswered_test.go:118: the run is reported as active, settled: false; its start was refused, and a call is under way

--- a/internal/runner/unanswered_test.go
+++ b/internal/runner/unanswered_test.go
@@ -103,6 +103,9 @@
 	l.exchange(1)
 	var reported *pb.ListedRun
 	eventually(t, "a later call is under way", func() bool {
+		r.mu.Lock()
+		r.reportAll() // as when another incarnation answers
+		r.mu.Unlock()
 		report, _ := r.nextReport(&l.s)
 		if a := activeRun(report, testRun(1)); a != nil {
 			reported = a
