runner: test that all runs of a next incarnation are unsettled

TestAnsweredStartOnNextIncarnationIsReportedAsUnsettled had one run, whose own answer made it due for a report, and in both cases the clock had stepped back. It passed without the repeated report and the assumed lease of all runs. There is now another run that was settled before, and in the second case only the poll shows the next incarnation. The test awaits the answer, rather than 100 ms.

Without the repeated report, or without the assumed lease (a poll answers): unanswered_test.go:186: {s.0.0.0 1} is reported as <nil>, so settled after 87.04µs unanswered_test.go:186: {s.0.0.0 2} is reported as run:{...} ... so settled after ... Without them, when the clock has stepped back, the same for run 2.

--- a/internal/runner/unanswered_test.go
+++ b/internal/runner/unanswered_test.go
@@ -138,8 +138,19 @@
 	}
 }
 
+// waitForAnswer waits until the answer to a run's start is handled.
+func (r *Runner) waitForAnswer(t *testing.T, run submission.RunID) {
+	t.Helper()
+	eventually(t, "the answer is handled", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		tr := r.runs[run]
+		return tr == nil || tr.confirmed
+	})
+}
+
 // TestAnsweredStartOnNextIncarnationIsReportedAsUnsettled guards against the end with the
-// grant of a run that holds the longest lease.
+// grant of a run that holds the longest lease: the one that was started, or another one.
 func TestAnsweredStartOnNextIncarnationIsReportedAsUnsettled(t *testing.T) {
 	for _, tc := range []struct {
 		name  string
@@ -151,25 +162,29 @@
 		t.Run(tc.name, func(t *testing.T) {
 			r, w, l := newReturningRunner(t)
 			r.callDelay = 10 * time.Second
-			w.set(func() { w.began = w.began.Add(-time.Hour) })
+			if !tc.polls {
+				w.set(func() { w.began = w.began.Add(-time.Hour) })
+				l.settle()
+			}
+			l.exchange(2)
+			w.waitForStarts(t, 2)
 			l.settle()
 			w.restart()
 			l.exchange(1)
 			eventually(t, "the run starts", func() bool { return w.runs(testRun(1)) })
 			started := clock.Now()
+			r.waitForAnswer(t, testRun(1))
 			if tc.polls {
+				r.nextReport(&l.s)
 				l.poll()
 			}
-			var until time.Time
-			for range 20 {
-				report, _ := r.nextReport(&l.s)
-				if a := activeRun(report, testRun(1)); a != nil {
-					until = clock.Now().Add(time.Duration(a.GetSettlesIn()))
+			report, _ := r.nextReport(&l.s)
+			for _, run := range []submission.RunID{testRun(1), testRun(2)} {
+				a := activeRun(report, run)
+				until := clock.Now().Add(time.Duration(a.GetSettlesIn()))
+				if held := until.Sub(started); a == nil || held < r.maxLease-time.Second {
+					t.Errorf("%v is reported as %v, so settled after %s; the worker may have given it %s", run, a, held, r.maxLease)
 				}
-				time.Sleep(5 * time.Millisecond)
-			}
-			if held := until.Sub(started); held < r.maxLease-time.Second {
-				t.Errorf("the run is settled %s after its start; the worker has given it %s", max(held, 0), r.maxLease)
 			}
 		})
 	}
@@ -184,12 +199,7 @@
 	w.restart()
 	l.exchange(1)
 	eventually(t, "the run starts", func() bool { return w.runs(testRun(1)) })
-	eventually(t, "the answer is handled", func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		tr := r.runs[testRun(1)]
-		return tr == nil || tr.confirmed
-	})
+	r.waitForAnswer(t, testRun(1))
 	late := clock.Now().Add(_maxWorkerLease + 100*time.Millisecond)
 	r.failPolls(late, context.DeadlineExceeded, context.DeadlineExceeded, context.DeadlineExceeded)
 	if end := r.inferredEnd(testRun(1)); end.Reason != 0 {
