runner: test each place where a standstill is detected

TestThawedAgentEndsNoRunThatALateCallMayHaveStarted passed if a standstill was detected only before polls, or only after them. It now has a case for each: between polls, during a poll, and after the worker's departure.

--- a/internal/runner/unanswered_test.go
+++ b/internal/runner/unanswered_test.go
@@ -230,23 +230,47 @@
 // TestThawedAgentEndsNoRunThatALateCallMayHaveStarted guards against the end of a run with
 // the lease that the agent sent before it stood still.
 func TestThawedAgentEndsNoRunThatALateCallMayHaveStarted(t *testing.T) {
-	for _, frozen := range []bool{true, false} {
-		r, w, l := newReturningRunner(t)
-		r.callDelay = 10 * time.Second
-		holdStart(t, w, l)
-		w.set(func() { w.hold, w.down = false, true })
-		l.poll()
-		r.mu.Lock()
-		r.lease.maxSentEnd, r.lease.heldUntil = time.Time{}, time.Time{} // the lease has expired
-		if frozen {
-			r.polledAt = r.polledAt.Add(-5 * time.Second)
-		}
-		r.mu.Unlock()
-		for range _maxFailedPolls {
-			l.poll()
-		}
-		if how := r.inferredReason(testRun(1)); (how == 0) != frozen {
-			t.Errorf("the run is %s; the agent was frozen: %t", how, frozen)
+	for _, tc := range []struct {
+		name  string
+		looks func(r *Runner, standStill func()) // what the agent does when the lease has expired
+	}{
+		{"between polls", func(r *Runner, standStill func()) {
+			standStill()
+			incarnation, _, _ := r.nextPoll()
+			r.handlePollResult(context.Background(), incarnation, clock.Now(), Listing{}, errNoAnswer)
+		}},
+		{"during a poll", func(r *Runner, standStill func()) {
+			incarnation, _, _ := r.nextPoll()
+			standStill()
+			r.handlePollResult(context.Background(), incarnation, clock.Now(), Listing{}, errNoAnswer)
+		}},
+		{"after the worker's departure", func(r *Runner, standStill func()) {
+			r.HandleDeparture(r.currentIncarnation())
+			standStill()
+			r.nextPoll()
+		}},
+	} {
+		for _, frozen := range []bool{true, false} {
+			r, w, l := newReturningRunner(t)
+			r.callDelay = 10 * time.Second
+			holdStart(t, w, l)
+			w.set(func() { w.hold, w.down = false, true })
+			for range _maxFailedPolls - 1 {
+				l.poll()
+			}
+			r.mu.Lock()
+			r.lease.maxSentEnd, r.lease.heldUntil = time.Time{}, time.Time{} // the lease has expired
+			r.mu.Unlock()
+			tc.looks(r, func() {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				if frozen {
+					r.polledAt = r.polledAt.Add(-5 * time.Second)
+				}
+			})
+			if how := r.inferredReason(testRun(1)); (how == 0) != frozen {
+				t.Errorf("%s: the run is %s; the agent was frozen: %t", tc.name, how, frozen)
+			}
 		}
 	}
 }
