controller: expect the stop while the end of a run is proposed

TestActiveRunWhoseEndIsProposedIsStopped also counted the stop that is ordered when the end is recorded, and passed without the one before. The stop must now be ordered while the end is on its way.

With an active run that is no stray run, and with an ordered run that is not stopped: inflight_test.go:55: the stops [] were ordered while the end is proposed, want one of run 1

--- a/internal/controller/inflight_test.go
+++ b/internal/controller/inflight_test.go
@@ -51,12 +51,10 @@
 			l.answerHeartbeat()
 			l.core.endExpiredRuns(l.now)
 			next := l.attach(tc.report(l.run(1)))
-			_, stops := orderedRuns(next)
-			l.commit()
-			_, later := orderedRuns(next)
-			if stops = append(stops, later...); !slices.Contains(stops, l.run(1)) {
-				t.Error("the run was not stopped")
+			if _, stops := orderedRuns(next); !slices.Equal(stops, []submission.RunID{l.run(1)}) {
+				t.Errorf("the stops %v were ordered while the end is proposed, want one of run 1", stops)
 			}
+			l.commit()
 			if runs := l.activeRuns(); len(runs) > 0 {
 				t.Errorf("the record has the runs %v, want none", runs)
 			}
