controller: merge repeated code of the new tests

Waiting for an order, waiting for the end of a run, letting time go by and letting leases expire were written several times. An end must be acknowledged in the way that it was reported: by its number if it was listed, and by its run if it was inferred; either was enough.

--- a/internal/controller/authority_test.go
+++ b/internal/controller/authority_test.go
@@ -104,8 +104,7 @@
 		}
 	}
 	place("m1/w/1")
-	l.now = l.now.Add(_proposalRetryDelay + time.Second)
-	l.answerHeartbeat()
+	l.pass(_proposalRetryDelay + time.Second)
 	l.core.sessions.dropSilentWorkers(l.now)
 	place("m2/w/1")
 	l.commit()
--- a/internal/controller/driven_test.go
+++ b/internal/controller/driven_test.go
@@ -124,6 +124,20 @@
 // answerHeartbeat answers a heartbeat, which renews the leader's own lease.
 func (l *drivenLeader) answerHeartbeat() { l.answer(replica.AppendReply{Sent: l.now}) }
 
+// pass lets time go by. The leader keeps its own lease.
+func (l *drivenLeader) pass(d time.Duration) {
+	l.Helper()
+	l.now = l.now.Add(d)
+	l.answerHeartbeat()
+}
+
+// expireLeases lets the leases of all runs expire, and the leader propose their ends.
+func (l *drivenLeader) expireLeases() {
+	l.Helper()
+	l.pass(time.Minute)
+	l.core.endExpiredRuns(l.now)
+}
+
 // commit commits and applies all entries.
 func (l *drivenLeader) commit() { l.commitUpTo(l.core.replica.LastIndex()) }
 
--- a/internal/controller/incarnation_test.go
+++ b/internal/controller/incarnation_test.go
@@ -135,15 +135,21 @@
 // waitForStart waits until a run of the task is ordered on the stream.
 func (l *leader) waitForStart(stream *agentStream) submission.RunID {
 	l.Helper()
-	timeout := time.After(10 * time.Second)
-	for {
+	o := l.waitForOrder(stream, 10*time.Second, "start order", func(o *pb.AgentOrder) bool { return len(o.GetStarts()) > 0 })
+	return wire.DecodeRun(o.GetStarts()[0].GetRun())
+}
+
+// waitForOrder returns the next order on a stream that is wanted. what names it.
+func (l *leader) waitForOrder(stream *agentStream, limit time.Duration, what string, isWanted func(*pb.AgentOrder) bool) *pb.AgentOrder {
+	l.Helper()
+	for timeout := time.After(limit); ; {
 		select {
 		case o := <-stream.orders:
-			for _, s := range o.GetStarts() {
-				return wire.DecodeRun(s.GetRun())
+			if isWanted(o) {
+				return o
 			}
 		case <-timeout:
-			l.Fatal("no start was ordered")
+			l.Fatalf("no %s within %s", what, limit)
 		}
 	}
 }
--- a/internal/controller/latestarts_test.go
+++ b/internal/controller/latestarts_test.go
@@ -131,8 +131,7 @@
 	l.startFirstRun(l.attach(report("m1/w/1")))
 	next := l.attach(&pb.AgentReport{Worker: report("m1/w/2").GetWorker()})
 	for range 14 { // 5.6 s; a worker holds a run of a late order for up to 6 s
-		l.now = l.now.Add(400 * time.Millisecond)
-		l.answerHeartbeat()
+		l.pass(400 * time.Millisecond)
 		l.core.handleReport(l.now, next, &pb.AgentReport{Sent: 1})
 		l.core.dispatchTasks(l.now)
 		l.commit()
@@ -149,8 +148,7 @@
 	l.core.sessions.lateStarts.window = 18 * time.Second
 	l.startFirstRun(l.attach(report("m1/w/1")))
 	l.core.detach(l.attach(report("m1/w/2", l.run(1))))
-	l.now = l.now.Add(5500 * time.Millisecond)
-	l.answerHeartbeat()
+	l.pass(5500 * time.Millisecond)
 	l.core.endExpiredRuns(l.now)
 	l.commit()
 	if runs := l.activeRuns(); len(runs) != 1 {
--- a/internal/controller/stray_test.go
+++ b/internal/controller/stray_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -13,17 +14,20 @@
 // waitForStop waits until the stop of a run is ordered on the stream.
 func (l *leader) waitForStop(stream *agentStream, run submission.RunID) {
 	l.Helper()
-	timeout := time.After(10 * time.Second)
-	for {
-		select {
-		case o := <-stream.orders:
-			for _, s := range o.GetStops() {
-				if wire.DecodeRun(s) == run {
-					return
-				}
-			}
-		case <-timeout:
-			l.Fatal("no stop was ordered")
+	l.waitForOrder(stream, 10*time.Second, "stop order", func(o *pb.AgentOrder) bool {
+		return slices.ContainsFunc(o.GetStops(), func(r *pb.Run) bool { return wire.DecodeRun(r) == run })
+	})
+}
+
+// waitForEnd waits until the task has no active run.
+func (l *leader) waitForEnd() {
+	l.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if _, active := l.lastRun(); active == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			l.Fatal("the run does not end")
 		}
 	}
 }
@@ -89,15 +93,16 @@
 // the lease of the run had expired for the leader, and the worker lists its end later.
 func TestDoneAfterRecordedLossCompletesTask(t *testing.T) {
 	for _, tc := range []struct {
-		name string
-		done func(*pb.AgentReport, submission.RunID)
+		name         string
+		done         func(*pb.AgentReport, submission.RunID)
+		acknowledges func(*pb.AgentOrder) bool
 	}{
 		{"listed", func(r *pb.AgentReport, run submission.RunID) {
 			r.Ends = []*pb.ListedEnd{{Number: 1, Run: wire.EncodeRun(run), How: uint32(submission.Done)}}
-		}},
+		}, func(o *pb.AgentOrder) bool { return o.GetTaken() >= 1 }},
 		{"listed by a former incarnation", func(r *pb.AgentReport, run submission.RunID) {
 			r.Refused = []*pb.RunEnd{wire.EncodeRunEnd(submission.End{Run: run, Worker: "m1/w/1", Reason: submission.Done})}
-		}},
+		}, func(o *pb.AgentOrder) bool { return len(o.GetSettled()) > 0 }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			l := newLeaderWithTask(t)
@@ -105,14 +110,7 @@
 			former, stop := l.attach("m1/w/1")
 			l.run = l.waitForStart(former)
 			stop()
-			for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-				if _, active := l.lastRun(); active == 0 {
-					break
-				}
-				if time.Now().After(end) {
-					t.Fatal("the run does not end with its lease")
-				}
-			}
+			l.waitForEnd() // with its lease
 			done := report("m1/w/2")
 			tc.done(done, l.run)
 			next, _ := l.attachWith(done)
@@ -122,16 +120,7 @@
 					t.Fatalf("the submission is %s, and the latest run is %d; want run 1 to complete it", l.state(), number)
 				}
 			}
-			for timeout := time.After(3 * time.Second); ; {
-				select {
-				case o := <-next.orders:
-					if o.GetTaken() >= 1 || len(o.GetSettled()) > 0 {
-						return
-					}
-				case <-timeout:
-					t.Fatal("the end was not acknowledged")
-				}
-			}
+			l.waitForOrder(next, 3*time.Second, "acknowledgement of the end", tc.acknowledges)
 		})
 	}
 }
@@ -151,14 +140,7 @@
 	next, _ := l.attach("m1/w/2", stray)
 	l.keepReporting(next)
 	l.waitForStop(next, stray)
-	for end := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		if _, active := l.lastRun(); active == 0 {
-			break
-		}
-		if time.Now().After(end) {
-			t.Fatal("the run on the former incarnation does not end")
-		}
-	}
+	l.waitForEnd() // on the former incarnation
 	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if number, _ := l.lastRun(); number != 2 {
 			t.Fatalf("run %d was started while the worker has run %d", number, stray.Number)
@@ -309,17 +291,7 @@
 	l.attach("m1/w/1")
 	next.reports <- &pb.AgentReport{Ends: []*pb.ListedEnd{{Number: 1, Run: wire.EncodeRun(l.run), How: uint32(submission.Stopped)}}}
 	l.keepReporting(next)
-	timeout := time.After(3 * time.Second)
-	for {
-		select {
-		case o := <-next.orders:
-			if o.GetTaken() >= 1 {
-				return
-			}
-		case <-timeout:
-			t.Fatal("the end was not acknowledged")
-		}
-	}
+	l.waitForOrder(next, 3*time.Second, "acknowledgement of the end", func(o *pb.AgentOrder) bool { return o.GetTaken() >= 1 })
 }
 
 // TestRunsRecordedByEarlierLeaderRestartSoon guards against runs on an ended incarnation
