controller: test when a late end is acknowledged

TestDoneAfterRecordedLossCompletesTask passed if the end was acknowledged before it was recorded: a leader that is lost in between would have forgotten it.

With ends that count as recorded if their run is not active: stray_test.go:150: the end was acknowledged before it was recorded

--- a/internal/controller/stray_test.go
+++ b/internal/controller/stray_test.go
@@ -89,6 +89,32 @@
 	}
 }
 
+// checkLateDoneIsAcknowledged checks that an end which completes a task late is acknowledged
+// when it is recorded, and not before.
+func checkLateDoneIsAcknowledged(t *testing.T, done func(*pb.AgentReport, submission.RunID), acknowledges func(*pb.AgentOrder) bool) {
+	t.Helper()
+	l := newDrivenLeader(t)
+	former := l.attach(report("m1/w/1"))
+	l.startFirstRun(former)
+	l.core.detach(former)
+	l.expireLeases()
+	l.commit()
+	in := report("m1/w/2")
+	done(in, l.run(1))
+	next := l.attach(in)
+	isAcknowledged := func() bool {
+		orders, _ := next.outbox.popAll()
+		return slices.ContainsFunc(orders, acknowledges)
+	}
+	if isAcknowledged() {
+		t.Error("the end was acknowledged before it was recorded")
+	}
+	l.commit()
+	if !isAcknowledged() {
+		t.Error("the end was not acknowledged after it was recorded")
+	}
+}
+
 // TestDoneAfterRecordedLossCompletesTask guards against a second run of a task that is done:
 // the lease of the run had expired for the leader, and the worker lists its end later.
 func TestDoneAfterRecordedLossCompletesTask(t *testing.T) {
@@ -121,6 +147,7 @@
 				}
 			}
 			l.waitForOrder(next, 3*time.Second, "acknowledgement of the end", tc.acknowledges)
+			checkLateDoneIsAcknowledged(t, tc.done, tc.acknowledges)
 		})
 	}
 }
