--- a/internal/controller/runs_soak_test.go
+++ b/internal/controller/runs_soak_test.go
@@ -41,6 +41,9 @@
 			s := newSoak(seed, dir)
 			s.play(*_soakTime)
 			t.Logf("seed %d: %d starts of %d tasks, %d ends acknowledged as done", seed, s.startCount(), len(s.starts), len(s.doneEnds))
+			if s.startCount() == 0 {
+				t.Errorf("seed %d: no task was started", seed)
+			}
 			for _, v := range s.violations[:min(len(s.violations), 3)] {
 				t.Errorf("seed %d: %s: %s", seed, v.cause, v.text)
 			}
