controller: look at no stray runs when there is none

The leader compared each recorded start with all others of its command before it ordered them, also without any stray run: 1.2 ms for 500 starts, 16 ms for 2,000 and 258 ms for 8,000, in one trial on a busy machine. It now returns at once then, and walks both lists together otherwise; their order is the same. TestProposedStartWaitsForStray passes as before.

--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -187,10 +187,16 @@
 // rejectBesideStrays returns the recorded starts that may be ordered. It proposes the ends of
 // the others: an agent has reported a stray run of the task since they were proposed.
 func (c *Core) rejectBesideStrays(now time.Time, starts []submission.Start) []submission.Start {
+	if len(c.sessions.strayHolders) == 0 {
+		return starts
+	}
 	allowed := c.withoutStrays(now, slices.Clone(starts))
 	var ends []submission.End
+	kept := 0 // of starts, in the same order
 	for _, st := range starts {
-		if !slices.Contains(allowed, st) {
+		if kept < len(allowed) && allowed[kept] == st {
+			kept++
+		} else {
 			ends = append(ends, submission.End{Run: st.Run, Worker: st.Worker, Reason: submission.Rejected})
 		}
 	}
