controller: take no run status from an overtaken stream

A report that a later stream of the machine has overtaken could record a run as settled while the next incarnation had it from a late call. No way to such a report is known. The test failed before: "run 1 is recorded as settled while the next incarnation has it".

--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -246,6 +246,8 @@
 // updateRunStatuses records an agent's report on active runs.
 func (c *Core) updateRunStatuses(now time.Time, sess *session, in *pb.AgentReport) {
 	stalled := 0
+	m := c.sessions.machines[machineOf(sess.worker.Incarnation)]
+	isLatest := m != nil && m.attachments == sess.attachment // a later stream says more
 	var unsettled []submission.RunID
 	for _, r := range in.GetActive() {
 		run := wire.DecodeRun(r.GetRun())
@@ -255,7 +257,7 @@
 		if r.GetStalled() && !c.sessions.scheduler.IsStalled(run) {
 			stalled++
 		}
-		if on := recordedOn(c.machine.Submissions(), sess.worker.Incarnation, run); on != "" && !c.recordReportedRun(now, sess.worker.Incarnation, on, run, r) {
+		if on := recordedOn(c.machine.Submissions(), sess.worker.Incarnation, run); on != "" && isLatest && !c.recordReportedRun(now, sess.worker.Incarnation, on, run, r) {
 			unsettled = append(unsettled, run)
 		}
 		if isActive(c.machine.Submissions(), sess.worker.Incarnation, run) {
