controller: record runs as settled only while their agent is there

A task could run twice at the same time: a long-running run whose start had no answer was recorded as settled, and ended at once, when the time that its agent had reported was over, although the agent had vanished by then. Its later calls for other runs can prolong the lease of the run on the next incarnation, so the leader has to wait for these as well. The record of settled runs went past that. It now holds to the same condition as the end of a run. The test failed before:

recordwhileaway_test.go:28: run 1 has ended 11.9s before the end of the lease that a late call may give it, recorded as settled

During a transfer of leadership the proposal of the record failed and closed the agents' streams, at each check. It is not made then any more. The test failed before:

transfersettled_test.go:17: the agents' streams were closed to record that a run is settled

--- a/internal/controller/latestarts.go
+++ b/internal/controller/latestarts.go
@@ -60,13 +60,21 @@
 	return ok && (r.wasSettled || r.isSettled(now))
 }
 
+// endsWithGrant reports whether a run has ended when the latest lease that its agent was
+// granted has expired. One that is settled later may be on the next incarnation by then, where
+// late calls for other runs prolong its lease.
+func (l *lateStarts) endsWithGrant(leaseExpiry time.Time, run submission.RunID) bool {
+	r, ok := l.runs[run]
+	return ok && (r.wasSettled || r.isSettled(leaseExpiry))
+}
+
 func (l *lateStarts) remove(run submission.RunID) { delete(l.runs, run) }
 
 // hasEnded reports whether a run has ended for certain, if nothing more is heard of its
 // agent. leaseExpiry is when the latest lease that the agent was granted has expired; until
 // then the agent may have called the worker.
 func (l *lateStarts) hasEnded(now, leaseExpiry time.Time, run submission.RunID) bool {
-	if r, ok := l.runs[run]; ok && (r.wasSettled || r.isSettled(leaseExpiry)) {
+	if l.endsWithGrant(leaseExpiry, run) {
 		return !now.Before(leaseExpiry)
 	}
 	// The calls for other runs, which are as late, prolong the lease of this one.
--- a/internal/controller/settledruns.go
+++ b/internal/controller/settledruns.go
@@ -39,13 +39,16 @@
 
 // recordSettledRuns proposes to record which runs of long-running tasks are settled now.
 func (c *Core) recordSettledRuns(now time.Time) {
+	if !c.replica.HoldsLease(now) {
+		return // a proposal may fail, which closes the agents' streams
+	}
 	var settled []submission.RunID
 	for run := range c.sessions.settlements.candidates {
 		s, ok := c.machine.Submissions().Submission(run.Task.Submission)
 		switch {
 		case !ok || s.ActiveOn(run) == "" || c.isRecordedSettled(s, run):
 			delete(c.sessions.settlements.candidates, run)
-		case c.sessions.lateStarts.wasSettled(now, run):
+		case c.sessions.lateStarts.wasSettled(now, run) && c.sessions.lateStarts.endsWithGrant(c.sessions.leaseExpiry(s.ActiveOn(run)), run):
 			settled = append(settled, run)
 		}
 	}
