--- /dev/null
+++ b/internal/controller/thawedrun_test.go
@@ -0,0 +1,32 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gentianrail/gentianrail/internal/wire"
+	"github.com/gentianrail/gentianrail/internal/wire/pb"
+)
+
+// TestThawedAgentsRunIsNotSettled guards against a second run of a task whose start call an agent
+// has made again, as it seems, after it had stood still: the time after which its run was reported
+// to be settled has gone by meanwhile.
+func TestThawedAgentsRunIsNotSettled(t *testing.T) {
+	skipKnownRed(t)
+	l, sess := newLeaderOfLastingRun(t)
+	l.core.sessions.lateStarts.remove(l.run(1))
+	reportSettlesIn := func(d time.Duration) {
+		l.core.handleReport(l.now, sess, &pb.AgentReport{Sent: 1, Active: []*pb.ListedRun{{Run: wire.EncodeRun(l.run(1)), SettlesIn: int64(d)}}})
+	}
+	reportSettlesIn(17 * time.Second)
+	l.elapse(20 * time.Second)
+	if runs := l.activeRuns(); len(runs) != 1 {
+		t.Fatalf("the record has the runs %v, want run 1 until no late call is left", runs)
+	}
+	reportSettlesIn(_testLateStartWindow) // the call that was under way has failed
+	l.core.detach(sess)
+	l.elapse(6 * time.Second)
+	if runs := l.activeRuns(); len(runs) != 1 {
+		t.Errorf("the record has the runs %v, want run 1 while its start may be late", runs)
+	}
+}
