--- /dev/null
+++ b/review/stand-2/avail.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Plan of the case.
+const (
+	_watchTasks     = 2
+	_watchTolerance = 1                       // max-unavailable of the step
+	_notice         = 4500 * time.Millisecond // notice-ms of the deployment
+	_secondWorker   = 3 * time.Second         // from the first task's start to the second worker's
+	_watched        = 25 * time.Second
+	_sampleInterval = 20 * time.Millisecond
+)
+
+// availability follows the tasks of a step that lasts.
+type availability struct {
+	step       string
+	lastAtWork map[string]time.Time // by task
+	stopped    map[string]bool      // tasks whose latest run a stop order has ended, until they are at work again
+	violations []string
+}
+
+// sample records which tasks are at work. f.mu must be held.
+func (a *availability) sample(f *fleet, now time.Time) {
+	for _, w := range f.workers {
+		for _, t := range w.tasks {
+			if !w.down && t.step() == a.step && t.percent(now) == 100 {
+				a.lastAtWork[t.name] = now
+				if t.stopping.IsZero() {
+					delete(a.stopped, t.name)
+				}
+			}
+		}
+	}
+}
+
+// handleStop checks a stop of a run. f.mu must be held.
+func (a *availability) handleStop(f *fleet, w *worker, t *task) {
+	now := time.Now()
+	if t.step() != a.step {
+		return
+	}
+	a.sample(f, now)
+	away := 0
+	for i := range _watchTasks {
+		name := fmt.Sprintf("%s.%d", a.step, i)
+		if name != t.name && (a.stopped[name] || now.Sub(a.lastAtWork[name]) >= _notice) {
+			away++
+		}
+	}
+	atWork := t.percent(now) == 100
+	f.r.logf("stop of %s on %s: at work %t, others away %d", t.name, w.m.name, atWork, away)
+	if atWork && away >= _watchTolerance {
+		a.violations = append(a.violations, fmt.Sprintf("%s was stopped at work on %s, a sound worker, while %d of the %d tasks of its step was away", t.name, w.m.name, away, _watchTasks))
+	}
+	if atWork {
+		a.stopped[t.name] = true
+	}
+}
+
+// availabilityOfWatch lets one of two workers of a standing watch be lost for good. The rule
+// AVAIL: no stop ends a task that is at work while max-unavailable others are away.
+func availabilityOfWatch(r *record, trouble bool) ([]string, error) {
+	d, err := newDeployment(r, 3, 1, 2)
+	if err != nil {
+		return nil, err
+	}
+	defer d.remove()
+	f := newFleet(r, _service)
+	if err := d.startAll(); err != nil {
+		return nil, err
+	}
+	if _, err := f.startWorker(d.sides[0], "r1-0", 64000); err != nil {
+		return nil, err
+	}
+	q := newRoute("watches")
+	q.TargetMS = 2500
+	if err := d.replaceConfig(d.configBody([]route{q})); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	id := newID()
+	a := &availability{step: id + ".0.0", lastAtWork: make(map[string]time.Time), stopped: make(map[string]bool)}
+	f.mu.Lock()
+	f.behaviours[a.step] = behaviour{cpu: 500}
+	f.onStop = func(w *worker, t *task) { a.handleStop(f, w, t) }
+	f.mu.Unlock()
+	status, answer := newCaller(3*time.Second).call(d.edges[0], http.MethodPost, q, id, spec{Spec: id, Steps: []step{{
+		Count: _watchTasks, CPU: 1000, MemMB: 100, EstimatedMS: 320, AntiAffinity: 1, LongRunning: true, MaxUnavailable: _watchTolerance,
+	}}})
+	r.logf("POST %s%s: %d %s", q.Prefix, id, status, answer)
+	if status != http.StatusOK {
+		return nil, fmt.Errorf("the submission was answered with %d", status)
+	}
+	f.mu.Lock()
+	for i := range _watchTasks {
+		a.lastAtWork[fmt.Sprintf("%s.%d", a.step, i)] = time.Now() // none is away for long yet
+	}
+	f.mu.Unlock()
+	if err := waitFor(15*time.Second, "the first task", func() bool { return f.running(a.step) == 1 }); err != nil {
+		return nil, err
+	}
+	time.Sleep(_secondWorker)
+	second, err := f.startWorker(d.sides[1], "r1-1", 64000)
+	if err != nil {
+		return nil, err
+	}
+	if err := waitFor(15*time.Second, "the second task", func() bool { return f.running(a.step) == _watchTasks }); err != nil {
+		return nil, err
+	}
+	for end := time.Now().Add(_watched); time.Now().Before(end); time.Sleep(_sampleInterval) {
+		f.mu.Lock()
+		a.sample(f, time.Now())
+		f.mu.Unlock()
+		if trouble && time.Until(end) < _watched-2*time.Second {
+			trouble = false
+			second.crash()
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return a.violations, nil
+}
