--- a/review/stand-2/advice.go
+++ b/review/stand-2/advice.go
@@ -146,7 +146,7 @@
 		w := f.holder(name)
 		w.crash()
 	}
-	return f.observeAbsence(name, _adviceTasks), nil
+	return f.observeAbsence(name, _adviceTasks, _observed), nil
 }
 
 // holder returns a worker that runs a task of the step.
@@ -164,11 +164,11 @@
 }
 
 // observeAbsence watches for tasks of a step that are away for too long.
-func (f *fleet) observeAbsence(step string, want int) (violations []string) {
+func (f *fleet) observeAbsence(step string, want int, observed time.Duration) (violations []string) {
 	began := time.Now()
 	var since time.Time // of the present absence that counts
 	longest := time.Duration(0)
-	for now := began; now.Sub(began) < _observed; now = time.Now() {
+	for now := began; now.Sub(began) < observed; now = time.Now() {
 		time.Sleep(50 * time.Millisecond)
 		if now.Sub(began) < _excused || f.running(step) >= want {
 			since = time.Time{}
@@ -181,7 +181,7 @@
 	}
 	f.r.logf("%d of %d tasks at work at the end; longest absence that counts: %s", f.running(step), want, longest.Round(time.Millisecond))
 	if longest >= _maxAbsence {
-		violations = append(violations, fmt.Sprintf("a task of %s was away for %s on end, while two allowed workers had nothing to do", step, longest.Round(time.Millisecond)))
+		violations = append(violations, fmt.Sprintf("a task of %s was away for %s on end, while there was capacity for it twice over", step, longest.Round(time.Millisecond)))
 	}
 	return violations
 }
--- a/review/stand-2/avail.go
+++ b/review/stand-2/avail.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"time"
 )
 
@@ -12,7 +11,8 @@
 	_watchTolerance = 1                       // max-unavailable of the step
 	_notice         = 4500 * time.Millisecond // notice-ms of the deployment
 	_secondWorker   = 3 * time.Second         // from the first task's start to the second worker's
-	_watched        = 25 * time.Second
+	_watched        = 27 * time.Second
+	_crashAfter     = 4 * time.Second // from the start of the second task
 	_sampleInterval = 20 * time.Millisecond
 )
 
@@ -62,19 +62,14 @@
 	}
 }
 
-// availabilityOfWatch lets one of two workers of a standing watch be lost for good. The rule
+// availabilityOfWatch lets one of the two workers of a standing watch be lost for good. The rule
 // AVAIL: no stop ends a task that is at work while max-unavailable others are away.
 func availabilityOfWatch(r *record, trouble bool) ([]string, error) {
-	d, err := newDeployment(r, 3, 1, 2)
-	if err != nil {
-		return nil, err
-	}
-	defer d.remove()
-	f := newFleet(r, _service)
-	if err := d.startAll(); err != nil {
-		return nil, err
+	d, f, err := startSmall(r, 1)
+	if d != nil {
+		defer d.remove()
 	}
-	if _, err := f.startWorker(d.sides[0], "r1-0", 64000); err != nil {
+	if err != nil {
 		return nil, err
 	}
 	q := newRoute("watches")
@@ -82,21 +77,20 @@
 	if err := d.replaceConfig(d.configBody([]route{q})); err != nil {
 		return nil, err
 	}
-	time.Sleep(2 * time.Second)
-	id := newID()
-	a := &availability{step: id + ".0.0", lastAtWork: make(map[string]time.Time), stopped: make(map[string]bool)}
+	a := &availability{lastAtWork: make(map[string]time.Time), stopped: make(map[string]bool)}
 	f.mu.Lock()
-	f.behaviours[a.step] = behaviour{cpu: 500}
 	f.onStop = func(w *worker, t *task) { a.handleStop(f, w, t) }
 	f.mu.Unlock()
-	status, answer := newCaller(3*time.Second).call(d.edges[0], http.MethodPost, q, id, spec{Spec: id, Steps: []step{{
-		Count: _watchTasks, CPU: 1000, MemMB: 100, EstimatedMS: 320, AntiAffinity: 1, LongRunning: true, MaxUnavailable: _watchTolerance,
-	}}})
-	r.logf("POST %s%s: %d %s", q.Prefix, id, status, answer)
-	if status != http.StatusOK {
-		return nil, fmt.Errorf("the submission was answered with %d", status)
+	// Only the two workers of the last rack may run the step, and one of them isn't up yet.
+	last := len(d.sides) - 1
+	name, err := d.submit(f, q, step{
+		Count: _watchTasks, CPU: 1000, MemMB: 100, EstimatedMS: 320, AntiAffinity: 1, LongRunning: true, MaxUnavailable: _watchTolerance, Requirements: rackOf(last),
+	}, behaviour{cpu: 500})
+	if err != nil {
+		return nil, err
 	}
 	f.mu.Lock()
+	a.step = name
 	for i := range _watchTasks {
 		a.lastAtWork[fmt.Sprintf("%s.%d", a.step, i)] = time.Now() // none is away for long yet
 	}
@@ -105,7 +99,7 @@
 		return nil, err
 	}
 	time.Sleep(_secondWorker)
-	second, err := f.startWorker(d.sides[1], "r1-1", 64000)
+	second, err := f.startWorker(d.sides[last], rackOf(last), _workerCPU)
 	if err != nil {
 		return nil, err
 	}
@@ -116,7 +110,7 @@
 		f.mu.Lock()
 		a.sample(f, time.Now())
 		f.mu.Unlock()
-		if trouble && time.Until(end) < _watched-2*time.Second {
+		if trouble && time.Until(end) < _watched-_crashAfter {
 			trouble = false
 			second.crash()
 		}
--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -22,6 +22,8 @@
 	Image          string `json:"image,omitempty"`
 	MaxUnavailable int    `json:"max-unavailable,omitempty"`
 	TargetMS       int    `json:"target-ms,omitempty"`
+	Utilization    bool   `json:"utilization,omitempty"`
+	Requirements   string `json:"requirements,omitempty"`
 }
 
 type spec struct {
--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -37,6 +37,11 @@
 	_portCount = portInternal + 2
 )
 
+const (
+	_seeds      = 3 // machines that the settings name
+	_successors = 2 // core machines that may be added
+)
+
 // machine is one machine of the deployment: a loopback address with one process.
 type machine struct {
 	name, class, ip, zone string
@@ -57,6 +62,8 @@
 	port                int
 	prefix              string // of the machines' addresses
 	core, edges, sides  []*machine
+	seeds               []*machine // that settings name
+	successors          []*machine // core machines that are not started with the others
 	configVersion       int
 	operatorHTTP        *http.Client
 	bounds              map[string]string
@@ -100,7 +107,7 @@
 	if d.commands, d.templates, err = readDeployFile("deploy/system.toml"); err != nil {
 		return nil, err
 	}
-	if err := d.choosePorts(core + edge + side + 1); err != nil {
+	if err := d.choosePorts(core + edge + side + _successors + 1); err != nil {
 		return nil, err
 	}
 	for _, c := range []struct {
@@ -114,6 +121,10 @@
 			*c.list = append(*c.list, m)
 		}
 	}
+	for i := range _successors {
+		d.successors = append(d.successors, &machine{name: fmt.Sprintf("core-a-%02d", core+i+1), class: classCore, ip: d.newIP(), zone: "zone-a", port: d.port})
+	}
+	d.seeds = d.core[:min(_seeds, len(d.core))]
 	return d, nil
 }
 
@@ -181,7 +192,7 @@
 
 // adviceIP returns the address of the advice service, after those of the machines.
 func (d *deployment) adviceIP() string {
-	return d.prefix + strconv.Itoa(len(d.core)+len(d.edges)+len(d.sides)+1)
+	return d.prefix + strconv.Itoa(len(d.core)+len(d.edges)+len(d.sides)+_successors+1)
 }
 
 var (
@@ -194,10 +205,9 @@
 	text := _listSection.ReplaceAllStringFunc(template, func(section string) string {
 		item := _listSection.FindStringSubmatch(section)[1]
 		var out []string
-		seeds := d.core[:min(3, len(d.core))]
-		for i, m := range seeds {
+		for i, m := range d.seeds {
 			comma := ","
-			if i == len(seeds)-1 {
+			if i == len(d.seeds)-1 {
 				comma = ""
 			}
 			out = append(out, strings.NewReplacer("{{.}}", m.address(portControlPlane), "{{,}}", comma).Replace(item))
@@ -207,18 +217,23 @@
 	return _placeholder.ReplaceAllStringFunc(text, func(p string) string { return fields[_placeholder.FindStringSubmatch(p)[1]] })
 }
 
+// writeSettings writes a machine's settings file.
+func (d *deployment) writeSettings(m *machine, bootstrap bool) error {
+	template, err := os.ReadFile(d.templates[m.class])
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(m.settings, []byte(d.render(string(template), d.fields(m, bootstrap))), 0o600)
+}
+
 // start starts a machine's process. Only the first start of a deployment bootstraps it.
 func (d *deployment) start(m *machine, bootstrap bool) error {
 	folder := filepath.Join(d.folder, m.name)
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return err
 	}
-	template, err := os.ReadFile(d.templates[m.class])
-	if err != nil {
-		return err
-	}
 	m.settings = filepath.Join(folder, "settings.conf")
-	if err := os.WriteFile(m.settings, []byte(d.render(string(template), d.fields(m, bootstrap))), 0o600); err != nil {
+	if err := d.writeSettings(m, bootstrap); err != nil {
 		return err
 	}
 	command := strings.Fields(d.commands[m.class])
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -25,9 +25,12 @@
 type scenario func(r *record, trouble bool) (violations []string, err error)
 
 var scenarios = map[string]scenario{
+	"joins":   joins,
 	"refused": refused,
+	"twice":   twice,
 	"advice":  adviceStarvation,
 	"avail":   availabilityOfWatch,
+	"idle":    idleStarvation,
 }
 
 // _timeLimit ends a case that hangs.
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -34,6 +34,7 @@
 	task   string
 	run    uint32
 	worker *worker
+	others []string // other runs of the task on workers that are up
 }
 
 // ended is one end of a run.
@@ -57,8 +58,11 @@
 	workers    []*worker
 	lives      int
 	onStop     func(w *worker, t *task) // called with mu held when a stop order arrives for an active run
-	advice     *adviceService           // nil if no queue has one
-	gangs      map[string]int           // members present, by step and run
+	// delays returns after how long an order to start a run is carried out, without an answer; 0
+	// for an order that is carried out and answered at once. It is called with mu held.
+	delays func(w *worker, in orderBody) time.Duration
+	advice *adviceService // nil if no queue has one
+	gangs  map[string]int // members present, by step and run
 }
 
 func newFleet(r *record, service string) *fleet {
@@ -127,8 +131,16 @@
 func (f *fleet) startWorker(m *machine, rack string, capacity int64) (*worker, error) {
 	f.mu.Lock()
 	f.lives++
+	id := fmt.Sprintf("i-%08x", 0x1000+f.lives)
+	f.mu.Unlock()
+	return f.startLife(m, id, rack, capacity)
+}
+
+// startLife starts a life of a worker under an identifier that it may have had before.
+func (f *fleet) startLife(m *machine, id, rack string, capacity int64) (*worker, error) {
+	f.mu.Lock()
 	w := &worker{
-		f: f, m: m, id: fmt.Sprintf("i-%08x", 0x1000+f.lives), born: time.Now(), labels: []string{"a", rack}, capacity: capacity,
+		f: f, m: m, id: id, born: time.Now(), labels: []string{"a", rack}, capacity: capacity,
 		quit: make(chan struct{}), tasks: make(map[string]*task), over: make(map[string]uint32), woken: make(chan struct{}),
 	}
 	f.workers = append(f.workers, w)
@@ -258,6 +270,11 @@
 	}
 	switch req.URL.Path {
 	case "/gentianrail/run-start":
+		if w.f.delays != nil {
+			if delay := w.f.delays(w, in); delay > 0 {
+				w.startLate(req, in, delay)
+			}
+		}
 		w.respond(rw, w.startRun(in))
 	case "/gentianrail/run-stop":
 		w.respond(rw, w.stopRun(in))
@@ -272,6 +289,26 @@
 	}
 }
 
+// startLate leaves an order without an answer and carries it out late, on the life that the
+// worker then has under its identifier. f.mu must be held; it is released meanwhile.
+func (w *worker) startLate(req *http.Request, in orderBody, delay time.Duration) {
+	w.f.r.logf("%s %s: the order to start run %d of %s gets no answer", w.m.name, w.id, in.Run, in.Task)
+	time.AfterFunc(delay, func() {
+		w.f.mu.Lock()
+		defer w.f.mu.Unlock()
+		for _, o := range w.f.workers {
+			if o.m == w.m && o.id == w.id && !o.down {
+				reason := o.startRun(in)
+				w.f.r.logf("%s %s: the order to start run %d of %s is carried out late: %q", o.m.name, o.id, in.Run, in.Task, reason)
+			}
+		}
+	})
+	w.f.mu.Unlock()
+	<-req.Context().Done()
+	w.f.mu.Lock()
+	panic(http.ErrAbortHandler)
+}
+
 // respond sends the response to an order. reason is empty if it was accepted.
 func (w *worker) respond(rw http.ResponseWriter, reason string) {
 	out := map[string]any{"timestamp-ms": w.clock(time.Now()), "born": w.born.UnixMilli()}
@@ -333,7 +370,7 @@
 	}
 	t.b = b
 	w.tasks[runKey(in.Task, in.Run)] = t
-	w.f.starts = append(w.f.starts, started{at: now, task: in.Task, run: in.Run, worker: w})
+	w.f.starts = append(w.f.starts, started{at: now, task: in.Task, run: in.Run, worker: w, others: w.f.runsOf(in.Task, t)})
 	w.f.r.logf("%s %s: run %d of %s started", w.m.name, w.id, in.Run, in.Task)
 	if b.gang > 0 {
 		t.work = time.Time{}
@@ -342,6 +379,18 @@
 	return ""
 }
 
+// runsOf returns the runs of a task, but for one, on workers that are up. f.mu must be held.
+func (f *fleet) runsOf(name string, except *task) (out []string) {
+	for _, w := range f.workers {
+		for _, t := range w.tasks {
+			if t.name == name && t != except && !w.down {
+				out = append(out, fmt.Sprintf("run %d was on %s", t.run, w.m.name))
+			}
+		}
+	}
+	return out
+}
+
 // joinGang lets a gang's work begin when all its members are present. f.mu must be held.
 func (f *fleet) joinGang(now time.Time, t *task) {
 	key := runKey(t.step(), t.run)
