--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -9,7 +9,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -28,9 +30,11 @@
 	"joins":   joins,
 	"refused": refused,
 	"twice":   twice,
+	"unheard": unheard,
 	"advice":  adviceStarvation,
 	"avail":   availabilityOfWatch,
 	"idle":    idleStarvation,
+	"kept":    keptRuns,
 }
 
 // _timeLimit ends a case that hangs.
@@ -48,6 +52,13 @@
 		os.Exit(exitFailed)
 	}
 	r.logf("case %s, trouble %t", os.Args[1], trouble)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		endAll()
+		os.Exit(exitFailed)
+	}()
 	watchdog := time.AfterFunc(_timeLimit, func() {
 		r.logf("the case has not ended in time")
 		endAll()
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -117,6 +117,8 @@
 	quit     chan struct{}
 	sequence int
 	down     bool
+	dark     bool // its machine has no power: nothing answers
+	holds    int  // calls to hold that were answered
 	grey     bool // fails all that it starts
 	fence    uint64
 	lease    time.Time
@@ -168,6 +170,16 @@
 	w.f.r.logf("worker %s of %s has crashed", w.id, w.m.name)
 }
 
+// lose ends a worker's life for good, as a loss of power of its machine does: calls to it hang.
+func (w *worker) lose() {
+	w.f.mu.Lock()
+	w.dark = true
+	w.tasks = make(map[string]*task)
+	w.f.mu.Unlock()
+	close(w.quit)
+	w.f.r.logf("worker %s of %s is lost for good", w.id, w.m.name)
+}
+
 // clock returns the worker's steady clock in ms.
 func (w *worker) clock(now time.Time) int64 { return 100_000 + now.Sub(w.born).Milliseconds() }
 
@@ -265,7 +277,12 @@
 	}
 	w.f.mu.Lock()
 	defer w.f.mu.Unlock()
-	if w.down {
+	if w.dark {
+		w.f.mu.Unlock()
+		<-req.Context().Done()
+		w.f.mu.Lock()
+	}
+	if w.down || w.dark {
 		panic(http.ErrAbortHandler)
 	}
 	switch req.URL.Path {
@@ -431,12 +448,14 @@
 func (w *worker) hold(rw http.ResponseWriter, req *http.Request, in orderBody) {
 	now := time.Now()
 	if reason := w.checkFence(in); reason != "" {
+		w.holds++
 		w.respond(rw, reason)
 		return
 	}
 	if in.ExpiresMS > 0 {
 		w.extend(now, in.ExpiresMS)
 	}
+	w.holds++
 	w.ends = slices.DeleteFunc(w.ends, func(e listedEnd) bool { return e.number <= in.LastSeen })
 	if wait := min(time.Duration(in.WaitMS)*time.Millisecond, _maxWait); wait > 0 && len(w.ends) == 0 {
 		woken := w.woken
