--- a/review/stand-2/avail.go
+++ b/review/stand-2/avail.go
@@ -95,17 +95,10 @@
 		a.lastAtWork[fmt.Sprintf("%s.%d", a.step, i)] = time.Now() // none is away for long yet
 	}
 	f.mu.Unlock()
-	if err := waitFor(15*time.Second, "the first task", func() bool { return f.running(a.step) == 1 }); err != nil {
-		return nil, err
-	}
-	time.Sleep(_secondWorker)
-	second, err := f.startWorker(d.sides[last], rackOf(last), _workerCPU)
+	second, err := f.startSecond(a.step, d.sides[last], last)
 	if err != nil {
 		return nil, err
 	}
-	if err := waitFor(15*time.Second, "the second task", func() bool { return f.running(a.step) == _watchTasks }); err != nil {
-		return nil, err
-	}
 	for end := time.Now().Add(_watched); time.Now().Before(end); time.Sleep(_sampleInterval) {
 		f.mu.Lock()
 		a.sample(f, time.Now())
@@ -119,3 +112,17 @@
 	defer f.mu.Unlock()
 	return a.violations, nil
 }
+
+// startSecond starts the worker for the second task of a step after the first one, and waits
+// until both run.
+func (f *fleet) startSecond(step string, m *machine, number int) (*worker, error) {
+	if err := waitFor(15*time.Second, "the first task", func() bool { return f.running(step) == 1 }); err != nil {
+		return nil, err
+	}
+	time.Sleep(_secondWorker)
+	w, err := f.startWorker(m, rackOf(number), _workerCPU)
+	if err != nil {
+		return nil, err
+	}
+	return w, waitFor(15*time.Second, "the second task", func() bool { return f.running(step) == _watchTasks })
+}
--- a/review/stand-2/joins.go
+++ b/review/stand-2/joins.go
@@ -60,13 +60,7 @@
 	time.Sleep(_syncTime)
 	r.logf("voters that the leader names: %d, members that answer as such: %v", d.voters(), d.memberNames())
 	if trouble {
-		// The first two losses don't count any more: their successors had three times sync-timeout-s.
-		lost := d.core[4]
-		if d.leader() == lost {
-			lost = d.core[3]
-		}
-		lost.signal(syscall.SIGSTOP)
-		r.logf("%s is lost", lost.name)
+		d.loseFollower()
 	}
 	time.Sleep(_recovery)
 	for end := time.Now().Add(_answerWait); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
@@ -81,6 +75,17 @@
 	return []string{fmt.Sprintf("the state of the accepted submission %s got no answer %s after one of five controllers was lost", id, _recovery+_answerWait)}, nil
 }
 
+// loseFollower loses one more controller. The first two losses don't count any more: their
+// successors had three times sync-timeout-s.
+func (d *deployment) loseFollower() {
+	lost := d.core[4]
+	if d.leader() == lost {
+		lost = d.core[3]
+	}
+	lost.signal(syscall.SIGSTOP)
+	d.r.logf("%s is lost", lost.name)
+}
+
 // replaceSeeds loses the second and the third seed for good: they fall silent, as machines
 // without power do. Their successors start with settings that name the seeds of before, since
 // the list of controllers lags, and get settings with other seeds later.
--- a/review/stand-2/twice.go
+++ b/review/stand-2/twice.go
@@ -66,19 +66,7 @@
 			return nil, err
 		}
 		ordered := time.Now()
-		time.Sleep(_firstCrash)
-		second, err := f.restart(late)
-		if err != nil {
-			return nil, err
-		}
-		time.Sleep(time.Until(ordered.Add(_secondCrash)))
-		d.r.logf("the agent on %s is frozen", late.m.name)
-		late.m.signal(syscall.SIGSTOP)
-		time.AfterFunc(_agentFreeze, func() {
-			late.m.signal(syscall.SIGCONT)
-			d.r.logf("the agent on %s runs again", late.m.name)
-		})
-		if _, err := f.restart(second); err != nil {
+		if err := f.restartTwice(late, ordered); err != nil {
 			return nil, err
 		}
 		time.Sleep(time.Until(ordered.Add(_twiceObserved)))
@@ -88,6 +76,25 @@
 	return f.overlaps(name + ".0"), nil
 }
 
+// restartTwice crashes a worker that has left an order unanswered, and starts it again, twice. Its
+// agent is frozen from the second crash on.
+func (f *fleet) restartTwice(w *worker, ordered time.Time) error {
+	time.Sleep(_firstCrash)
+	second, err := f.restart(w)
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Until(ordered.Add(_secondCrash)))
+	f.r.logf("the agent on %s is frozen", w.m.name)
+	w.m.signal(syscall.SIGSTOP)
+	time.AfterFunc(_agentFreeze, func() {
+		w.m.signal(syscall.SIGCONT)
+		f.r.logf("the agent on %s runs again", w.m.name)
+	})
+	_, err = f.restart(second)
+	return err
+}
+
 // restart crashes a worker and starts it again under its identifier.
 func (f *fleet) restart(w *worker) (*worker, error) {
 	w.crash()
