--- a/review/stand-2/advice.go
+++ b/review/stand-2/advice.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Plan of the case, and the advice service's times, which its queue names in the
@@ -65,7 +67,7 @@
 	for _, id := range in.Workers {
 		if a.approves(id) {
 			ticket := newID()
-			a.tickets[in.Step+"/"+id+"/"+ticket] = time.Now().Add(_ticketValidity)
+			a.tickets[in.Step+"/"+id+"/"+ticket] = clock.Now().Add(_ticketValidity)
 			approved, names = append(approved, []string{id, ticket}), append(names, id)
 		}
 	}
@@ -82,7 +84,7 @@
 	step := in.Task[:strings.LastIndex(in.Task, ".")]
 	f.advice.mu.Lock()
 	defer f.advice.mu.Unlock()
-	if until, ok := f.advice.tickets[step+"/"+w.id+"/"+in.Ticket]; !ok || time.Now().After(until) {
+	if until, ok := f.advice.tickets[step+"/"+w.id+"/"+in.Ticket]; !ok || clock.Now().After(until) {
 		return "ticket"
 	}
 	return ""
@@ -165,10 +167,10 @@
 
 // observeAbsence watches for tasks of a step that are away for too long.
 func (f *fleet) observeAbsence(step string, want int, observed time.Duration) (violations []string) {
-	began := time.Now()
+	began := clock.Now()
 	var since time.Time // of the present absence that counts
 	longest := time.Duration(0)
-	for now := began; now.Sub(began) < observed; now = time.Now() {
+	for now := began; now.Sub(began) < observed; now = clock.Now() {
 		time.Sleep(50 * time.Millisecond)
 		if now.Sub(began) < _excused || f.running(step) >= want {
 			since = time.Time{}
--- a/review/stand-2/avail.go
+++ b/review/stand-2/avail.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Plan of the case.
@@ -40,7 +42,7 @@
 
 // handleStop checks a stop of a run. f.mu must be held.
 func (a *availability) handleStop(f *fleet, w *worker, t *task) {
-	now := time.Now()
+	now := clock.Now()
 	if t.step() != a.step {
 		return
 	}
@@ -92,18 +94,18 @@
 	f.mu.Lock()
 	a.step = name
 	for i := range _watchTasks {
-		a.lastAtWork[fmt.Sprintf("%s.%d", a.step, i)] = time.Now() // none is away for long yet
+		a.lastAtWork[fmt.Sprintf("%s.%d", a.step, i)] = clock.Now() // none is away for long yet
 	}
 	f.mu.Unlock()
 	second, err := f.startSecond(a.step, d.sides[last], last)
 	if err != nil {
 		return nil, err
 	}
-	for end := time.Now().Add(_watched); time.Now().Before(end); time.Sleep(_sampleInterval) {
+	for end := clock.Now().Add(_watched); clock.Now().Before(end); time.Sleep(_sampleInterval) {
 		f.mu.Lock()
-		a.sample(f, time.Now())
+		a.sample(f, clock.Now())
 		f.mu.Unlock()
-		if trouble && time.Until(end) < _watched-_crashAfter {
+		if trouble && until(end) < _watched-_crashAfter {
 			trouble = false
 			second.crash()
 		}
--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -76,7 +76,7 @@
 
 // sendConfig sends a configuration to one controller, once.
 func (d *deployment) sendConfig(m *machine, body []byte) (status int, err error) {
-	resp, err := d.operatorHTTP.Post("http://"+m.address(portControlPlane)+"/gentianrail/Config.Replace", "application/json", bytes.NewReader(body))
+	resp, err := d.operatorHTTP.Post("http://"+m.address(portControlPlane)+_wire.ReplaceConfig, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return 0, err
 	}
--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -17,6 +17,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Classes of machines.
@@ -332,7 +334,7 @@
 }
 
 func waitFor(limit time.Duration, what string, ok func() bool) error {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := clock.Now().Add(limit); clock.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		if ok() {
 			return nil
 		}
--- a/review/stand-2/joins.go
+++ b/review/stand-2/joins.go
@@ -6,6 +6,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Plan of the case.
@@ -63,7 +65,7 @@
 		d.loseFollower()
 	}
 	time.Sleep(_recovery)
-	for end := time.Now().Add(_answerWait); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+	for end := clock.Now().Add(_answerWait); clock.Now().Before(end); time.Sleep(500 * time.Millisecond) {
 		for _, m := range d.edges {
 			status, answer := c.call(m, http.MethodGet, q, id, nil)
 			r.logf("%s: GET %s%s: %d %s", m.name, q.Prefix, id, status, answer)
--- a/review/stand-2/kept.go
+++ b/review/stand-2/kept.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"syscall"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Plan of the case.
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	traffic := time.Now() // its end
+	traffic := clock.Now() // its end
 	if err := waitFor(5*time.Second, "the task", func() bool { return f.running(name) == 1 }); err != nil {
 		return nil, err
 	}
--- a/review/stand-2/record.go
+++ b/review/stand-2/record.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // record is the record of a run: what was sent, answered and run, each with the time since
@@ -23,13 +25,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{began: time.Now(), file: f, buf: bufio.NewWriter(f)}, nil
+	return &record{began: clock.Now(), file: f, buf: bufio.NewWriter(f)}, nil
 }
 
 func (r *record) logf(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.buf, "%7.3f %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(r.buf, "%7.3f %s\n", since(r.began).Seconds(), fmt.Sprintf(format, args...))
 	r.buf.Flush()
 }
 
--- a/review/stand-2/refused.go
+++ b/review/stand-2/refused.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Plan of the case.
@@ -148,11 +150,11 @@
 
 // handIn hands a submission in, with one attempt.
 func (d *deployment) handIn(entry *machine, q route, a *attempt) {
-	sent := time.Now()
+	sent := clock.Now()
 	status, answer := newCaller(_callerTimeout).call(entry, http.MethodPost, q, a.id,
 		spec{Spec: a.id, Steps: []step{{Count: 1, CPU: 100, MemMB: 10, EstimatedMS: 100}}})
 	a.status = status
-	d.r.logf("%s: POST %s%s: %d %s after %d ms", entry.name, q.Prefix, a.id, a.status, answer, time.Since(sent).Milliseconds())
+	d.r.logf("%s: POST %s%s: %d %s after %d ms", entry.name, q.Prefix, a.id, a.status, answer, since(sent).Milliseconds())
 }
 
 // refusedStarts returns the starts of submissions whose only attempt was rejected.
--- a/review/stand-2/twice.go
+++ b/review/stand-2/twice.go
@@ -5,6 +5,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Plan of the case.
@@ -65,11 +67,11 @@
 		if err := waitFor(5*time.Second, "the order", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return late != nil }); err != nil {
 			return nil, err
 		}
-		ordered := time.Now()
+		ordered := clock.Now()
 		if err := f.restartTwice(late, ordered); err != nil {
 			return nil, err
 		}
-		time.Sleep(time.Until(ordered.Add(_twiceObserved)))
+		time.Sleep(until(ordered.Add(_twiceObserved)))
 	} else {
 		time.Sleep(_twiceObserved)
 	}
@@ -84,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(time.Until(ordered.Add(_secondCrash)))
+	time.Sleep(until(ordered.Add(_secondCrash)))
 	f.r.logf("the agent on %s is frozen", w.m.name)
 	w.m.signal(syscall.SIGSTOP)
 	time.AfterFunc(_agentFreeze, func() {
--- a/review/stand-2/unheard.go
+++ b/review/stand-2/unheard.go
@@ -5,6 +5,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Plan of the case.
@@ -36,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	traffic := time.Now() // its end
+	traffic := clock.Now() // its end
 	if err := waitFor(5*time.Second, "the task", func() bool { return f.running(name) == 1 }); err != nil {
 		return nil, err
 	}
@@ -96,7 +98,7 @@
 // from finish_s after the end of the traffic on.
 func (f *fleet) nothingRuns(step string, traffic time.Time, observed time.Duration) (longest time.Duration) {
 	var since time.Time
-	for now := time.Now(); now.Sub(traffic) < observed; now = time.Now() {
+	for now := clock.Now(); now.Sub(traffic) < observed; now = clock.Now() {
 		time.Sleep(50 * time.Millisecond)
 		if now.Sub(traffic) < _finish || f.running(step) > 0 {
 			since = time.Time{}
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Times of the stand-in worker, in the platform's settings or below its bounds.
@@ -142,7 +144,7 @@
 func (f *fleet) startLife(m *machine, id, rack string, capacity int64) (*worker, error) {
 	f.mu.Lock()
 	w := &worker{
-		f: f, m: m, id: id, born: time.Now(), labels: []string{"a", rack}, capacity: capacity,
+		f: f, m: m, id: id, born: clock.Now(), labels: []string{"a", rack}, capacity: capacity,
 		quit: make(chan struct{}), tasks: make(map[string]*task), over: make(map[string]uint32), woken: make(chan struct{}),
 	}
 	f.workers = append(f.workers, w)
@@ -187,14 +189,14 @@
 	client := &http.Client{Timeout: time.Second}
 	for {
 		w.sequence++
-		now := time.Now()
+		now := clock.Now()
 		body, _ := json.Marshal(map[string]any{
 			"service": w.f.service, "address": w.m.address(portWorker), "zone": w.m.zone, "version": "v1", "slots": 8, "state": "ready",
 			"warmup-left-ms": 0, "capacity": map[string]int64{"cpu": w.capacity, "mem-mb": 64000, "gpu": 0}, "labels": w.labels,
 			"machine": "m-" + w.m.name, "timestamp-ms": w.clock(now), "sequence": w.sequence, "born": w.born.UnixMilli(),
 		})
 		wait := _heartbeatInterval
-		resp, err := client.Post("http://"+w.m.address(portControlPlane)+"/gentianrail/Instances.Heartbeat/"+w.id, "application/json", strings.NewReader(string(body)))
+		resp, err := client.Post("http://"+w.m.address(portControlPlane)+_wire.Heartbeat+w.id, "application/json", strings.NewReader(string(body)))
 		if err == nil {
 			resp.Body.Close()
 		}
@@ -220,7 +222,7 @@
 		case <-t.C:
 		}
 		w.f.mu.Lock()
-		now := time.Now()
+		now := clock.Now()
 		for _, run := range w.tasks {
 			switch {
 			case !w.lease.After(now):
@@ -251,19 +253,6 @@
 
 func runKey(name string, run uint32) string { return fmt.Sprintf("%s/%d", name, run) }
 
-type orderBody struct {
-	Task       string `json:"task"`
-	Run        uint32 `json:"run-id"`
-	Spec       string `json:"spec"`
-	ExpiresMS  int64  `json:"expires-at-ms"`
-	Fence      uint64 `json:"fencing-token"`
-	Ticket     string `json:"ticket"`
-	Checkpoint string `json:"checkpoint"`
-	LastSeen   uint64 `json:"last-seen"`
-	WaitMS     int64  `json:"wait-ms"`
-	Percent    int    `json:"percent"`
-}
-
 func (w *worker) serve(rw http.ResponseWriter, req *http.Request) {
 	data, err := io.ReadAll(req.Body)
 	var in orderBody
@@ -286,18 +275,18 @@
 		panic(http.ErrAbortHandler)
 	}
 	switch req.URL.Path {
-	case "/gentianrail/run-start":
+	case _wire.Start:
 		if w.f.delays != nil {
 			if delay := w.f.delays(w, in); delay > 0 {
 				w.startLate(req, in, delay)
 			}
 		}
 		w.respond(rw, w.startRun(in))
-	case "/gentianrail/run-stop":
+	case _wire.Stop:
 		w.respond(rw, w.stopRun(in))
-	case "/gentianrail/hold":
+	case _wire.List:
 		w.hold(rw, req, in)
-	case "/gentianrail/pace":
+	case _wire.Pace:
 		w.respond(rw, w.checkFence(in))
 	case "/healthz":
 		rw.WriteHeader(http.StatusOK)
@@ -328,7 +317,7 @@
 
 // respond sends the response to an order. reason is empty if it was accepted.
 func (w *worker) respond(rw http.ResponseWriter, reason string) {
-	out := map[string]any{"timestamp-ms": w.clock(time.Now()), "born": w.born.UnixMilli()}
+	out := map[string]any{"timestamp-ms": w.clock(clock.Now()), "born": w.born.UnixMilli()}
 	status := http.StatusOK
 	if reason != "" {
 		status, out["reason"] = http.StatusConflict, reason
@@ -362,7 +351,7 @@
 }
 
 func (w *worker) startRun(in orderBody) string {
-	now := time.Now()
+	now := clock.Now()
 	if reason := w.checkFence(in); reason != "" {
 		return reason
 	}
@@ -438,7 +427,7 @@
 		if w.f.onStop != nil {
 			w.f.onStop(w, t)
 		}
-		t.stopping = time.Now().Add(_stopTime)
+		t.stopping = clock.Now().Add(_stopTime)
 	}
 	return ""
 }
@@ -446,7 +435,7 @@
 // hold renews the lease and lists the runs. f.mu must be held; it is released while the
 // response waits for an end.
 func (w *worker) hold(rw http.ResponseWriter, req *http.Request, in orderBody) {
-	now := time.Now()
+	now := clock.Now()
 	if reason := w.checkFence(in); reason != "" {
 		w.holds++
 		w.respond(rw, reason)
@@ -470,7 +459,7 @@
 	if w.down {
 		panic(http.ErrAbortHandler)
 	}
-	now = time.Now()
+	now = clock.Now()
 	active, finished := make([][]any, 0, len(w.tasks)), make([][]any, 0, len(w.ends))
 	for _, t := range w.tasks {
 		active = append(active, []any{t.name, t.run, "", t.percent(now), t.b.cpu})
