control: give each controller's address its turn, whichever are silent

Cause: a join request has 1 s and an attempt 600 ms. A request tried two addresses and took three steps of the rotation, so with three seeds each one began at the same place and never came to the seed between. Calls of 150 ms, which an entry instance makes while it knows no leader, took two steps for one attempt. The join requests kept the seeds of the start when the settings changed.

Change: a rotation gives the turn to the address whose latest one was longest ago, and takes a turn only for an attempt. A call tries each address once in a pass, and waits for a silent one once, whatever leader the others name. Each loop has its own rotation, a failed attempt forgets no other leader, new seeds forget no members, and all clients of a process get new seeds. An entry instance asks the next controller at once when one did not answer a refresh.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -77,7 +77,7 @@
 var _ pb.DRPCAgentServer = (*Agent)(nil)
 
 // Start starts the agent's goroutines.
-func Start(s *settings.Settings, log event.Log, now time.Time) (*Agent, error) {
+func Start(s *settings.Settings, log event.Log, controllers *control.Client, now time.Time) (*Agent, error) {
 	cfg := *s.Agent
 	a := &Agent{
 		cfg:           cfg,
@@ -85,7 +85,7 @@
 		gate:          newGate(cfg.Slots, cfg.Connections),
 		target:        newTargetClient(cfg.TargetAddress),
 		worker:        workerapi.NewClient(cfg.TargetAddress),
-		controllers:   control.NewClient(s.Controllers),
+		controllers:   controllers,
 		leaving:       make(chan struct{}),
 		syncRequested: make(chan struct{}, 1),
 	}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -35,11 +35,13 @@
 // Client calls the leader of the controllers.
 type Client struct {
 	seeds      atomic.Pointer[[]string] // from the configuration
-	addresses  atomic.Pointer[[]string] // of the latest known members, and the seeds
+	members    atomic.Pointer[[]string] // latest known members; nil if there are none
 	pool       link.Pool
 	leader     atomic.Pointer[string] // address that answered the last call as the leader
-	nextIndex  atomic.Uint32
-	leaderHint func() string // returns the leader's address, "" if unknown; nil for no hint
+	rotation   Rotation               // of the calls of the leader
+	watches    Rotation               // of FollowView
+	refreshes  Rotation               // of RefreshMembers
+	leaderHint func() string          // returns the leader's address, "" if unknown; nil for no hint
 }
 
 // SetLeaderHint makes the client ask leaderHint for the leader's address first.
@@ -53,12 +55,9 @@
 	return c
 }
 
-// SetSeeds replaces the configured addresses. The client calls them until one
-// answers with the members' addresses.
-func (c *Client) SetSeeds(addresses []string) {
-	c.seeds.Store(&addresses)
-	c.addresses.Store(&addresses)
-}
+// SetSeeds replaces the configured addresses. The known members stay in use, since the
+// seeds may be the ones that do not answer.
+func (c *Client) SetSeeds(addresses []string) { c.seeds.Store(&addresses) }
 
 // SetMembers sets the addresses of the group's members. The seeds stay in use,
 // since all members may be replaced while this client has no contact.
@@ -66,13 +65,22 @@
 	if len(members) == 0 {
 		return
 	}
-	all := slices.Clone(members)
+	members = slices.Clone(members)
+	c.members.Store(&members)
+}
+
+// addresses returns the addresses of the known members and the seeds.
+func (c *Client) addresses() []string {
+	var all []string
+	if m := c.members.Load(); m != nil {
+		all = slices.Clone(*m)
+	}
 	for _, s := range *c.seeds.Load() {
 		if !slices.Contains(all, s) {
 			all = append(all, s)
 		}
 	}
-	c.addresses.Store(&all)
+	return all
 }
 
 // Close closes the idle connections.
@@ -81,15 +89,23 @@
 // CloseExpired closes connections that have been idle for too long.
 func (c *Client) CloseExpired(now time.Time) { c.pool.CloseExpired(now) }
 
-// NextAddress returns the controllers' addresses in rotation, one with each call.
-func (c *Client) NextAddress() string {
-	all := *c.addresses.Load()
-	return all[int(c.nextIndex.Add(1))%len(all)]
+// NextAddress returns the controller whose turn it is in a rotation.
+func (c *Client) NextAddress(r *Rotation) string {
+	return r.next(c.addresses(), func(string) bool { return false })
 }
 
 // LeaderAddress returns the leader's address from the hint, else that of the
 // leader at the last call, else the next address in rotation.
 func (c *Client) LeaderAddress() string {
+	if l := c.knownLeader(); l != "" {
+		return l
+	}
+	return c.NextAddress(&c.rotation)
+}
+
+// knownLeader returns the leader's address from the hint, else that of the leader at
+// the last call, else "".
+func (c *Client) knownLeader() string {
 	if c.leaderHint != nil {
 		if l := c.leaderHint(); l != "" {
 			return l
@@ -98,7 +114,14 @@
 	if l := c.leader.Load(); l != nil {
 		return *l
 	}
-	return c.NextAddress()
+	return ""
+}
+
+// forgetLeader forgets the leader of the last call if it has the given address.
+func (c *Client) forgetLeader(address string) {
+	if l := c.leader.Load(); l != nil && *l == address {
+		c.leader.CompareAndSwap(l, nil)
+	}
 }
 
 // reply has the fields that all replies to calls of the leader contain.
@@ -128,24 +151,23 @@
 // if an attempt failed that may have taken effect.
 func (c *Client) callLeader(ctx context.Context, kind callKind, timeout time.Duration, try callFunc) (maybeApplied bool, err error) {
 	retryInterval := _minRetryInterval
-	address := c.LeaderAddress()
+	search := newLeaderSearch(c)
+	hint := ""
 	for {
+		address := search.next(hint)
 		r, err := c.callOnce(ctx, kind, timeout, address, try)
 		if err == nil && !r.GetNotLeader() {
 			c.leader.Store(&address)
 			return maybeApplied, nil
 		}
-		next := ""
+		hint = ""
+		c.forgetLeader(address)
 		if err != nil {
 			maybeApplied = maybeApplied || !errors.Is(err, errNotSent)
-			c.leader.Store(nil)
 		} else {
-			next = r.GetLeaderAddress()
-		}
-		if next == "" || next == address {
-			next = c.NextAddress()
+			search.recordAnswer(address)
+			hint = r.GetLeaderAddress()
 		}
-		address = next
 		if !clock.Sleep(ctx, retryInterval) {
 			return maybeApplied, ctx.Err()
 		}
@@ -290,11 +312,13 @@
 	address := c.LeaderAddress()
 	conn, err := c.pool.Get(ctx, clock.Now(), address)
 	if err != nil {
+		c.forgetLeader(address)
 		return err
 	}
 	client := pb.NewDRPCControllerClient(conn)
 	if _, err := client.Report(ctx, &pb.HolderReport{Holder: holder, Role: role, Revision: revision}); err != nil {
 		_ = conn.Close()
+		c.forgetLeader(address)
 		return err
 	}
 	c.pool.Put(clock.Now(), address, conn)
--- a/internal/control/submissions.go
+++ b/internal/control/submissions.go
@@ -119,7 +119,7 @@
 func (c *Client) RefreshMembers(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, _attemptTimeout)
 	defer cancel()
-	address := c.NextAddress()
+	address := c.NextAddress(&c.refreshes)
 	conn, err := c.pool.Get(ctx, clock.Now(), address)
 	if err != nil {
 		return err
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -141,7 +141,7 @@
 func (c *Client) followStream(ctx context.Context, holder string, v *View, changed func()) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, err := link.Dial(ctx, c.NextAddress())
+	conn, err := link.Dial(ctx, c.NextAddress(&c.watches))
 	if err != nil {
 		return err
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,6 +16,7 @@
 
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/clock"
+	"github.com/gentianrail/gentianrail/internal/control"
 	"github.com/gentianrail/gentianrail/internal/disk"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/identity"
@@ -32,6 +33,7 @@
 	lock         *flock.Flock
 	peers        *peers.Set
 	adviceClient AdviceClient
+	controllers  *control.Client
 	registry     metrics.Registry
 	cancel       context.CancelFunc
 	goroutines   sync.WaitGroup
@@ -40,7 +42,9 @@
 
 // Start locks and reads the data folder and starts the controller's goroutines.
 // adviceClient approves workers for the steps of some queues; it may be nil.
-func Start(s *settings.Settings, log event.Log, adviceClient AdviceClient, registry metrics.Registry) (*Controller, error) {
+// controllers sends the join requests of a controller that is not a member; Start takes
+// it over.
+func Start(s *settings.Settings, log event.Log, adviceClient AdviceClient, controllers *control.Client, registry metrics.Registry) (*Controller, error) {
 	cfg := s.Controller
 	files, err := disk.OpenFolder(cfg.DataFolder)
 	if err != nil {
@@ -50,7 +54,7 @@
 	if ok, err := lock.TryLock(); err != nil || !ok {
 		return nil, fault.New(fault.DataLocked, "the data folder is in use by another process")
 	}
-	c := &Controller{lock: lock, adviceClient: adviceClient, registry: registry}
+	c := &Controller{lock: lock, adviceClient: adviceClient, controllers: controllers, registry: registry}
 	if err := c.start(s, files, log); err != nil {
 		_ = lock.Unlock()
 		return nil, err
--- a/internal/controller/join.go
+++ b/internal/controller/join.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/gentianrail/gentianrail/internal/clock"
-	"github.com/gentianrail/gentianrail/internal/control"
 	"github.com/gentianrail/gentianrail/internal/settings"
 	"github.com/gentianrail/gentianrail/replica"
 )
@@ -22,33 +21,32 @@
 // again whenever it has no contact with a leader: at the first start, after a
 // disk loss, and when the group has continued without this controller.
 func (c *Controller) requestMembership(ctx context.Context, id replica.ID, s *settings.Settings) {
-	client := control.NewClient(s.Controllers)
-	defer client.Close()
+	defer c.controllers.Close()
 	lastContact := clock.Now()
 	joined := false
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, _joinInterval)
 		var addresses []string
 		leaderless, member := false, false
-		err := c.core.Do(ctx, func(c *Core, now time.Time) {
-			if c.replica.HasRecentContact(now) {
+		err := c.core.Do(ctx, func(core *Core, now time.Time) {
+			if core.replica.HasRecentContact(now) {
 				lastContact = now
 			}
 			leaderless = now.Sub(lastContact) >= _joinDelay
-			addresses = c.memberAddresses()
-			member = slices.ContainsFunc(c.replica.Members(), func(m replica.Member) bool { return m.ID == id })
+			addresses = core.memberAddresses()
+			member = slices.ContainsFunc(core.replica.Members(), func(m replica.Member) bool { return m.ID == id })
 		})
 		if err != nil {
 			return
 		}
-		client.SetMembers(addresses)
+		c.controllers.SetMembers(addresses)
 		joined = joined || member
 		if joined && !leaderless {
 			continue
 		}
 		joinCtx, cancel := context.WithTimeout(ctx, _joinDelay)
 		// The next iteration repeats a failed request.
-		_ = client.Join(joinCtx, string(id), s.Controller.Address)
+		_ = c.controllers.Join(joinCtx, string(id), s.Controller.Address)
 		cancel()
 	}
 }
--- a/internal/daemon/clock_test.go
+++ b/internal/daemon/clock_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gentianrail/gentianrail/internal/agent"
+	"github.com/gentianrail/gentianrail/internal/control"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/settings"
 	"github.com/gentianrail/gentianrail/internal/unit"
@@ -49,7 +50,7 @@
 			SyncInterval: unit.Duration(200 * time.Millisecond),
 		}
 		agentSettings.Controllers = []string{address(0)}
-		a, err := agent.Start(&agentSettings, event.Log{}, now)
+		a, err := agent.Start(&agentSettings, event.Log{}, control.NewClient(agentSettings.Controllers), now)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -80,7 +80,7 @@
 		d.components = append(d.components, sampleComponent{t})
 	}
 	if s.Controller != nil {
-		c, err := controller.Start(s, d.log.With("role", settings.RoleController), newAdviceClient(s), d.metrics)
+		c, err := controller.Start(s, d.log.With("role", settings.RoleController), newAdviceClient(s), d.newClient(s), d.metrics)
 		if err != nil {
 			return err
 		}
@@ -89,7 +89,7 @@
 		if s.Controller.OperatorAddress == "" {
 			return d.startOtherRoles(s)
 		}
-		o, err := operator.Start(s, c.Core(), d.metrics)
+		o, err := operator.Start(s, c.Core(), d.newClient(s), d.metrics)
 		if err != nil {
 			return err
 		}
@@ -104,14 +104,14 @@
 		return d.startPlatform(s)
 	}
 	if s.Agent != nil {
-		a, err := agent.Start(s, d.log.With("role", settings.RoleAgent), time.Now())
+		a, err := agent.Start(s, d.log.With("role", settings.RoleAgent), d.newClient(s), time.Now())
 		if err != nil {
 			return err
 		}
 		d.components = append(d.components, a)
 	}
 	if s.Entry != nil {
-		e, err := entry.Start(s, d.log.With("role", settings.RoleEntry), d.metrics)
+		e, err := entry.Start(s, d.log.With("role", settings.RoleEntry), d.newClient(s), d.metrics)
 		if err != nil {
 			return err
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,13 +61,13 @@
 }
 
 // Start starts an entry instance.
-func Start(s *settings.Settings, log event.Log, registry metrics.Registry) (*Entry, error) {
+func Start(s *settings.Settings, log event.Log, controllers *control.Client, registry metrics.Registry) (*Entry, error) {
 	e := &Entry{
 		name:        s.Name,
 		zone:        s.Zone,
 		cfg:         *s.Entry,
 		log:         log,
-		controllers: control.NewClient(s.Controllers),
+		controllers: controllers,
 		viewChanged: make(chan struct{}, 1),
 		router:      newRouter(uint64(time.Now().UnixNano()), uint64(os.Getpid())),
 		requests:    metrics.NewRegisteredTimer("entry.requests", registry),
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -23,6 +23,7 @@
 // Timing of an entry instance.
 const (
 	_refreshInterval = time.Second             // between refreshes of the list of controllers
+	_refreshRetry    = 100 * time.Millisecond  // from a failed refresh to one from the next controller
 	_unreadyAfter    = 3 * time.Second         // without an answer of any controller
 	_maxLeaderWait   = 1500 * time.Millisecond // of a call for a leader; an election takes about a second
 	_minLeaderWait   = 150 * time.Millisecond  // of a call after a long time without a leader
@@ -56,20 +57,15 @@
 // refreshMembers keeps the list of controllers up to date and closes idle
 // connections.
 func (f *Frontend) refreshMembers(ctx context.Context) {
-	t := time.NewTicker(_refreshInterval)
-	defer t.Stop()
-	for {
+	for interval := time.Duration(0); clock.Sleep(ctx, interval); {
+		interval = _refreshRetry
 		if err := f.controllers.RefreshMembers(ctx); err == nil {
+			interval = _refreshInterval
 			f.mu.Lock()
 			f.controllerAnsweredAt = clock.Now()
 			f.mu.Unlock()
 		}
 		f.controllers.CloseExpired(clock.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
 	}
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -57,8 +57,7 @@
 }
 
 // Start serves the operator API of a controller.
-func Start(s *settings.Settings, core *controller.Core, registry metrics.Registry) (*Server, error) {
-	client := control.NewClient(s.Controllers)
+func Start(s *settings.Settings, core *controller.Core, client *control.Client, registry metrics.Registry) (*Server, error) {
 	o := &operator{id: s.Controller.ID, core: core, client: client, members: s.Controller.Members, metrics: registry}
 	handler, err := web.Handler("operator", o.routes())
 	if err != nil {
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -27,7 +27,8 @@
 
 // reportLoop keeps a stream to the leader open.
 func (r *Runner) reportLoop(ctx context.Context) {
-	address := r.controllers.NextAddress()
+	var rotation control.Rotation
+	address := r.controllers.NextAddress(&rotation)
 	retry, redirected := _minAttachRetry, false
 	for ctx.Err() == nil {
 		if !r.hasWorker() {
@@ -47,7 +48,7 @@
 		}
 		redirected = false
 		if next == "" || next == address {
-			next = r.controllers.NextAddress()
+			next = r.controllers.NextAddress(&rotation)
 		}
 		address = next
 		// The jitter keeps agents that lost the leader together from asking together.
