controller: grant a lease only to an agent that has listed its runs

Cause: the leader renewed the lease of all runs of a worker with each report of its agent. A restarted agent attaches before it has listed any run: it knows of none, so it reports the end of none, and its presence kept the leader from ending them. Beside that, a new leader did not know that the start of the run had been answered, and would have kept the run for the 22 s in which a late call could carry it out.

Change: an agent gets a lease when it has reported its complete lists on its stream. From then on it knows of each recorded run of its worker or has the order to start it. Until then the runs end with the lease of the earlier agent. No lease is granted that the leader does not count: the agent would pass it on with its first listing. The log records that a run is settled for all runs that are a second old, and not for long-running tasks alone.

--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -100,12 +100,14 @@
 // sessions is the leader's state of workers and task scheduling, which a new
 // leader rebuilds from the agents' reports.
 type sessions struct {
-	lease            time.Duration
-	leaderSince      time.Time
-	byIncarnation    map[string]*session
-	machines         map[string]*machineHistory
-	strayHolders     map[submission.RunID]string // worker incarnations that have a run which is not recorded on them
-	leaseExpiries    map[string]time.Time        // when the latest lease of a worker incarnation has expired for certain
+	lease         time.Duration
+	leaderSince   time.Time
+	byIncarnation map[string]*session
+	machines      map[string]*machineHistory
+	strayHolders  map[submission.RunID]string // worker incarnations that have a run which is not recorded on them
+	// When the latest lease of a worker incarnation has expired for certain. Leases are granted
+	// only on streams whose agent has reported its lists.
+	leaseExpiries    map[string]time.Time
 	lateStarts       lateStarts
 	settlements      settlements
 	leaseOrder       recency                   // worker incarnations by renewal of their lease
@@ -301,12 +303,17 @@
 	}
 }
 
-// renewLease renews the lease of the worker's runs, unless their end is proposed.
+// renewLease renews the lease of the worker's runs, unless their end is proposed. An agent
+// that has not reported its lists gets no lease: it may not know of the recorded runs, so it
+// could never report their ends.
 func (c *Core) renewLease(now time.Time, sess *session, in *pb.AgentReport, order *pb.AgentOrder) {
 	incarnation := sess.worker.Incarnation
 	if _, expiring := c.sessions.expiring[incarnation]; expiring || in.GetGone() || !c.replica.HoldsLease(now) {
 		return
 	}
+	if !sess.hasLists && !in.GetComplete() {
+		return
+	}
 	order.Sent = in.GetSent()
 	order.Lease = int64(c.sessions.lease)
 	if expiry := now.Add(c.sessions.maxLease()); expiry.After(c.sessions.leaseExpiries[incarnation]) {
--- a/internal/controller/settledruns.go
+++ b/internal/controller/settledruns.go
@@ -12,14 +12,22 @@
 // settlements are the leader's proposals to record which runs are settled. The record lets the
 // next leader end the runs of a machine that it never hears of as soon as this one would.
 //
-// Only long-running tasks have it: they start seldom, and have no other end that their callers
-// wait for. A run that is recorded as settled gets a further start call only when the record
-// says otherwise again.
+// Runs of short tasks end before they have it. A run that is recorded as settled gets a further
+// start call only when the record says otherwise again.
 type settlements struct {
-	candidates map[submission.RunID]bool // reported runs of long-running tasks, not recorded as settled
+	candidates map[submission.RunID]bool // reported runs that are not recorded as settled
 	proposed   map[submission.RunID]bool // runs whose record as settled is proposed
+	lastCheck  time.Time
 }
 
+const (
+	// _minSettledAge is the time from the order of a run's start until the run is recorded as
+	// settled. Runs of long-running tasks, which start seldom, are recorded at once.
+	_minSettledAge = time.Second
+	// _settledCheckInterval is the minimum time between checks for runs to record.
+	_settledCheckInterval = 200 * time.Millisecond
+)
+
 func (s *settlements) reset() {
 	s.candidates = make(map[submission.RunID]bool)
 	s.proposed = make(map[submission.RunID]bool)
@@ -37,17 +45,22 @@
 	return ok && s.IsSettled(run)
 }
 
-// recordSettledRuns proposes to record which runs of long-running tasks are settled now.
+// recordSettledRuns proposes to record which runs are settled now.
 func (c *Core) recordSettledRuns(now time.Time) {
 	if !c.replica.HoldsLease(now) {
 		return // a proposal may fail, which closes the agents' streams
 	}
+	if now.Sub(c.sessions.settlements.lastCheck) < _settledCheckInterval {
+		return
+	}
+	c.sessions.settlements.lastCheck = now
 	var settled []submission.RunID
 	for run := range c.sessions.settlements.candidates {
 		s, ok := c.machine.Submissions().Submission(run.Task.Submission)
 		switch {
 		case !ok || s.ActiveOn(run) == "" || c.isRecordedSettled(s, run):
 			delete(c.sessions.settlements.candidates, run)
+		case !s.Steps[run.Task.Step].LongRunning && now.Sub(c.sessions.startOrderedAt[run]) < _minSettledAge:
 		case c.sessions.lateStarts.wasSettled(now, run) && c.sessions.lateStarts.endsWithGrant(c.sessions.leaseExpiry(s.ActiveOn(run)), run):
 			settled = append(settled, run)
 		}
@@ -113,7 +126,7 @@
 		return !ok || !c.isRecordedSettled(s, run)
 	}
 	c.sessions.lateStarts.record(now, run, r)
-	if ok && s.Steps[run.Task.Step].LongRunning && !c.isRecordedSettled(s, run) {
+	if ok && !c.isRecordedSettled(s, run) {
 		c.sessions.settlements.candidates[run] = true
 	}
 	return true
--- a/internal/controller/unlistedstray_test.go
+++ b/internal/controller/unlistedstray_test.go
@@ -10,7 +10,6 @@
 // TestTaskWaitsNotForStrayOfUnlistedWorker guards against a task that never starts again: the
 // agent whose worker had a stray run of it has restarted, and the worker never answers it.
 func TestTaskWaitsNotForStrayOfUnlistedWorker(t *testing.T) {
-	skipKnownRed(t)
 	l := newDrivenLeader(t)
 	l.core.sessions.lateStarts.window = 18 * time.Second
 	l.endFirstRun()
--- a/submission/store.go
+++ b/submission/store.go
@@ -27,7 +27,7 @@
 	Number  uint32
 	Worker  string    // incarnation of the worker
 	Started time.Time // log time of its start
-	Settled bool      // no call to start the run that was made may still be carried out; recorded for long-running tasks
+	Settled bool      // no call to start the run that was made may still be carried out
 }
 
 // StepRecord is the record of a step in one occurrence.
