dispatch: ask the advice service about each worker that can run a waiting task

Cause: the search for workers to ask about ended at the first one with a ticket that could run a task of the step, and did not count the step's tasks that ran there. It asked about the twelve cheapest workers, and again about the same ones when a rejection was 2 s old. The request about the most urgent step was the only one sent, and was repeated 20 ms after a failure.

Workers that were approved before are asked about beside them, as many as tasks wait, so that a gang has valid tickets at the same time. Every second request is about the step whose latest request was longest ago, and failed ones back off. Runs with tickets are not moved to workers without one. step_waits names the obstacle "unapproved".

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -138,9 +138,7 @@
 	if len(s.pool.nodes) == 0 {
 		return nil
 	}
-	s.pruneCordons(at)
-	r := s.newRound(at, store)
-	r.absent = s.absences(at, store)
+	r := s.newStartRound(at, store)
 	defer r.end(store)
 	for _, ws := range s.waitingSteps(at, store) {
 		r.placeStep(ws)
@@ -148,6 +146,14 @@
 	return r.starts
 }
 
+// newStartRound returns a round that places waiting tasks.
+func (s *Scheduler) newStartRound(at Clocks, store *submission.Store) *round {
+	s.pruneCordons(at)
+	r := s.newRound(at, store)
+	r.absent = s.absences(at, store)
+	return r
+}
+
 // Summary describes the load of the workers and the waiting steps.
 type Summary struct {
 	Workers     int    // that can receive tasks
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -258,12 +258,12 @@
 	if got := s.Starts(clocksAt(testNow), &store); len(got) != 0 {
 		t.Fatalf("%d tasks started without a ticket", len(got))
 	}
-	requests := s.AdviceRequests(clocksAt(testNow), &store)
-	if len(requests) != 1 || len(requests[0].Workers) != len(workers) {
-		t.Fatalf("requests %v", requests)
+	request, ok := s.NextAdviceRequest(clocksAt(testNow), &store)
+	if !ok || len(request.Workers) != len(workers) {
+		t.Fatalf("request %v", request)
 	}
 	id := StepID{Submission: "a"}
-	s.RecordAdvice(testNow, id, requests[0].Workers, map[string]string{"w01": "t1"}, time.Second)
+	s.RecordAdvice(testNow, id, request.Workers, map[string]string{"w01": "t1"}, time.Second)
 	starts := s.Starts(clocksAt(testNow), &store)
 	if len(starts) != 2 {
 		t.Fatalf("%d tasks started, want the 2 that fit", len(starts))
@@ -273,15 +273,15 @@
 			t.Errorf("a task started on %s", st.Worker)
 		}
 	}
-	if got := s.AdviceRequests(clocksAt(testNow), &store); len(got) != 0 {
-		t.Errorf("requests %v, want none while a ticket is valid", got)
+	if got, ok := s.NextAdviceRequest(clocksAt(testNow), &store); ok {
+		t.Errorf("request %v, want none while a ticket is valid", got)
 	}
 	later := testNow.Add(time.Second)
 	if got := s.Starts(clocksAt(later), &store); len(got) != 0 {
 		t.Errorf("%d tasks started with an expired ticket", len(got))
 	}
-	if got := s.AdviceRequests(clocksAt(later), &store); len(got) != 1 || len(got[0].Workers) != 1 {
-		t.Errorf("requests %v, want one on the worker that was approved", got)
+	if got, ok := s.NextAdviceRequest(clocksAt(later), &store); !ok || len(got.Workers) != 1 {
+		t.Errorf("request %v, want one on the worker that was approved", got)
 	}
 }
 
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -175,7 +175,7 @@
 	without := r.tolerance.blocked(a.serviceImages, task.step.Image)
 	needs := task.step.Reserved()
 	for _, b := range nodes {
-		if b == a || b.used || b.Service != a.Service || !mayRun(task, b.node) {
+		if b == a || b.used || b.Service != a.Service || !mayMove(task, b.node) {
 			continue
 		}
 		if needs.Fits(b.free) {
@@ -186,7 +186,7 @@
 		}
 		for i, t := range b.tasks {
 			returned := t.step.Reserved()
-			if t.step.Image == task.step.Image || !needs.Fits(b.free.Add(returned)) || !returned.Fits(a.free.Add(needs)) || !mayRun(t, a.node) {
+			if t.step.Image == task.step.Image || !needs.Fits(b.free.Add(returned)) || !returned.Fits(a.free.Add(needs)) || !mayMove(t, a.node) {
 				continue
 			}
 			withB := r.tolerance.blocked(b.serviceImages, t.step.Image).union(r.tolerance.intolerable[task.step.Image])
@@ -204,9 +204,13 @@
 	return (r.tolerance.share(blockedA)-a.share)*float64(a.Capacity.CPU) + (r.tolerance.share(blockedB)-b.share)*float64(b.Capacity.CPU)
 }
 
-// mayRun reports whether the constraints of a service task, other than its needs,
-// allow it to run on a worker.
-func mayRun(t serviceTask, n *node) bool {
+// mayMove reports whether the constraints of a service task, other than its needs,
+// allow it to run on a worker. A task that needs a ticket stays where it is, since the
+// advice service is asked only about tasks that wait.
+func mayMove(t serviceTask, n *node) bool {
+	if t.sub.NeedsAdvice {
+		return false
+	}
 	if t.step.Requirement != "" && !slices.Contains(n.Labels, t.step.Requirement) || t.step.DataRack != "" && t.step.DataRack != n.Rack || t.step.RackLocal {
 		return false
 	}
--- a/dispatch/exchange_test.go
+++ b/dispatch/exchange_test.go
@@ -245,3 +245,24 @@
 		})
 	}
 }
+
+// TestTasksWithTicketsAreNotExchanged guards against service tasks that are stopped for a
+// worker that the advice service has not approved.
+func TestTasksWithTicketsAreNotExchanged(t *testing.T) {
+	for _, needsAdvice := range []bool{false, true} {
+		var store submission.Store
+		s := newScheduler(&store, newWorkers(2, 32000, 256000))
+		s.trainPairs(testNow, map[string]string{"a1": "a", "b1": "b"}, "a", "b")
+		for i, worker := range []string{"w00", "w01"} {
+			for _, image := range []string{"a1", "b1"} {
+				id := fmt.Sprint(image, i)
+				submitService(t, s, &store, id, image, worker, 1)
+				sub, _ := store.Submission(id)
+				sub.NeedsAdvice = needsAdvice
+			}
+		}
+		if stops := s.Stops(clocksAt(testNow), &store); (len(stops) == 0) != needsAdvice {
+			t.Errorf("tickets needed %t: stops %v", needsAdvice, stops)
+		}
+	}
+}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -31,11 +31,14 @@
 	Deferred
 	// Isolated workers run a task that may crash them, or wait for one.
 	Isolated
+	// Unapproved workers could run the task, but the advice service has given no ticket
+	// for them that is still valid.
+	Unapproved
 )
 
 // String returns the obstacle's name in lower case.
 func (o Obstacle) String() string {
-	return [...]string{"none", "other_service", "no_label", "spread", "no_cpu", "no_memory", "no_gpu", "sick", "disturbed", "isolated"}[o]
+	return [...]string{"none", "other_service", "no_label", "spread", "no_cpu", "no_memory", "no_gpu", "sick", "disturbed", "isolated", "unapproved"}[o]
 }
 
 // Wait explains why a step's tasks wait.
@@ -83,6 +86,9 @@
 		if o == 0 && r.shouldWait(p.step, n) {
 			o = Deferred
 		}
+		if o == 0 && !r.isApproved(ws, n) {
+			o = Unapproved
+		}
 		w.Obstacles[o]++
 	}
 	return w
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -122,6 +122,7 @@
 	search     search
 	candidates []candidate
 	found      int // candidates that searches have found since the latest start
+	unplaced   int // waiting tasks without a worker; 0 if each one that may start now has one
 }
 
 // candidate is a worker that can start a task, with its cost.
@@ -130,11 +131,20 @@
 	cost float64
 }
 
-// placeStep assigns the waiting tasks of a step to workers. A gang is placed
-// completely or not at all.
+// placeStep assigns the waiting tasks of a step to workers.
 func (r *round) placeStep(ws waitingStep) {
-	rec := ws.record()
-	p := &placement{round: r, ws: ws, step: &ws.sub.Steps[ws.step]}
+	p := r.newPlacement(ws)
+	p.place()
+}
+
+func (r *round) newPlacement(ws waitingStep) placement {
+	return placement{round: r, ws: ws, step: &ws.sub.Steps[ws.step]}
+}
+
+// place assigns the waiting tasks of the step to workers. A gang is placed completely or
+// not at all.
+func (p *placement) place() {
+	rec := p.ws.record()
 	lastRun := uint32(0)
 	if p.step.Gang {
 		for i := range rec.Tasks {
@@ -145,31 +155,33 @@
 		}
 	}
 	p.countActiveRuns(rec)
-	p.search = r.newSearch(ws.sub, p.step)
-	firstStart, full := len(r.starts), false
+	p.search = p.newSearch(p.ws.sub, p.step)
+	firstStart, full := len(p.starts), false
 	for i := range rec.Tasks {
 		t := &rec.Tasks[i]
-		if t.Done || len(t.Runs) > 0 || ws.suspectedFailing && !p.step.Gang && t.FailedRuns < submission.RepeatedFailures {
+		if t.Done || len(t.Runs) > 0 || p.ws.suspectedFailing && !p.step.Gang && t.FailedRuns < submission.RepeatedFailures {
 			continue
 		}
-		id := submission.TaskID{Submission: ws.sub.ID, Occurrence: ws.occurrence, Step: ws.step, Index: i}
-		if full && r.mover.destination(id) == "" {
+		id := submission.TaskID{Submission: p.ws.sub.ID, Occurrence: p.ws.occurrence, Step: p.ws.step, Index: i}
+		if full && p.mover.destination(id) == "" {
 			continue
 		}
 		isolation := p.step.Isolation(t)
 		n := p.bestWorker(id, isolation > 0)
 		if n == nil {
 			if p.step.Gang {
-				r.undoStarts(firstStart, p.step)
+				p.undoStarts(firstStart)
+				p.unplaced = len(rec.Tasks)
 				return
 			}
-			if t.FailedRuns > 0 || r.mover.destination(id) != "" || isolation > 0 {
+			p.unplaced = 1
+			if t.FailedRuns > 0 || p.mover.destination(id) != "" || isolation > 0 {
 				continue // this task excludes workers that other tasks may use
 			}
 			// The step's tasks are alike, so the rest do not fit either, except where
 			// resources are reserved for a task that is being moved.
-			if !r.mover.isMoving(ws.sub.ID) {
-				return
+			if !p.mover.isMoving(p.ws.sub.ID) {
+				break
 			}
 			full = true
 			continue
@@ -179,6 +191,9 @@
 			p.isolate(n, isolation)
 		}
 	}
+	if p.unplaced > 0 {
+		p.unplaced = max(1, rec.WaitingTasks()-(len(p.starts)-firstStart))
+	}
 }
 
 // start adds the start of a run to the round.
@@ -213,11 +228,16 @@
 }
 
 // undoStarts withdraws the starts of a gang, which begin at index firstStart.
-func (r *round) undoStarts(firstStart int, step *submission.Step) {
-	for _, st := range r.starts[firstStart:] {
-		r.pool.nodes[st.Worker].addRuns(step, -1)
+func (p *placement) undoStarts(firstStart int) {
+	for _, st := range p.starts[firstStart:] {
+		n := p.pool.nodes[st.Worker]
+		n.addRuns(p.step, -1)
+		p.onWorker[st.Worker]--
+		if p.step.RackLocal {
+			p.onRack[n.Rack]--
+		}
 	}
-	r.starts = r.starts[:firstStart]
+	p.starts = p.starts[:firstStart]
 }
 
 // countActiveRuns counts the active runs of the step by worker and by rack.
@@ -297,9 +317,12 @@
 }
 
 // fits reports whether a task of the step may start on the worker now.
-func (p *placement) fits(n *node) bool {
-	return p.obstacle(n, p.ws.sub, p.step, p.onWorker[n.Incarnation]) == 0 && p.isApproved(p.ws, n) &&
-		(!p.shouldWait(p.step, n) || p.isStarved(p.ws.sub))
+func (p *placement) fits(n *node) bool { return p.isApproved(p.ws, n) && p.mayRun(n) }
+
+// mayRun reports whether a task of the step may start on the worker now, if its queue
+// needs no ticket.
+func (p *placement) mayRun(n *node) bool {
+	return p.obstacle(n, p.ws.sub, p.step, p.onWorker[n.Incarnation]) == 0 && (!p.shouldWait(p.step, n) || p.isStarved(p.ws.sub))
 }
 
 // isDestinationLost reports whether the destination of a task that is being moved can
@@ -369,7 +392,7 @@
 	if !ws.sub.NeedsAdvice {
 		return true
 	}
-	_, ok := r.approvals.ticket(r.at.Now, StepID{Submission: ws.sub.ID, Occurrence: ws.occurrence, Step: ws.step}, n.Incarnation)
+	_, ok := r.approvals.ticket(r.at.Now, ws.id(), n.Incarnation)
 	return ok
 }
 
--- a/dispatch/steps.go
+++ b/dispatch/steps.go
@@ -18,6 +18,10 @@
 	valueDensity     float64 // value of the completion per core-second of remaining work
 }
 
+func (ws *waitingStep) id() StepID {
+	return StepID{Submission: ws.sub.ID, Occurrence: ws.occurrence, Step: ws.step}
+}
+
 func (ws *waitingStep) record() *submission.StepRecord {
 	return &ws.sub.StepRecords[ws.occurrence][ws.step]
 }
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -233,7 +233,7 @@
 		if !step.IsBatch() || !isWorthMoving(step, r.runTime(sub, run), status) {
 			continue
 		}
-		if n := r.tolerantWorker(sub, step, active.Worker); n != nil {
+		if n := r.tolerantWorker(sub, run.Task, active.Worker); n != nil {
 			r.markChanged(n)
 			n.addRuns(step, 1)
 			r.mover.recordMove(r.at.Now, run)
@@ -244,12 +244,14 @@
 }
 
 // tolerantWorker returns a worker other than the present one that can run a batch
-// task of the step at full speed, or nil.
-func (r *round) tolerantWorker(sub *submission.Submission, step *submission.Step, present string) *node {
+// task at full speed, or nil.
+func (r *round) tolerantWorker(sub *submission.Submission, id submission.TaskID, present string) *node {
+	step := &sub.Steps[id.Step]
+	ws := waitingStep{sub: sub, occurrence: id.Occurrence, step: id.Step}
 	search := r.newSearch(sub, step)
 	for n := search.next(); n != nil; n = search.next() {
 		if n.Incarnation != present && !r.unhealthy[n.Incarnation] && n.idleCPU >= step.Needs.CPU && r.obstacle(n, sub, step, 0) == 0 &&
-			(n.serviceRuns == 0 || r.toleratesBatchTask(step, n)) {
+			(n.serviceRuns == 0 || r.toleratesBatchTask(step, n)) && r.isApproved(ws, n) {
 			return n
 		}
 	}
--- a/dispatch/stops_test.go
+++ b/dispatch/stops_test.go
@@ -80,16 +80,19 @@
 		status        RunStatus
 		otherLatency  int // tail latency on the other worker, in percent of the target
 		checkpointing bool
+		tickets       []string // of an advice service; nil if the queue has none
 		want          int
 	}{
-		{"another worker tolerates the run", RunStatus{Share: 10, Progress: 20}, 36, true, 1},
-		{"the run is slightly throttled", RunStatus{Share: 60, Progress: 20}, 36, true, 0},
-		{"the run is nearly done", RunStatus{Share: 10, Progress: 90}, 36, true, 0},
-		{"the other worker misses its target", RunStatus{Share: 10, Progress: 20}, 120, true, 0},
-		{"the run saves no progress and has little", RunStatus{Share: 10, Progress: 20}, 36, false, 1},
-		{"the run saves no progress and has much", RunStatus{Share: 20, Progress: 70}, 36, false, 0},
-		{"the run saves its progress and has much", RunStatus{Share: 20, Progress: 60}, 36, true, 1},
-		{"a paused run with much progress that it does not save", RunStatus{Share: 0, Progress: 60}, 36, false, 1},
+		{"another worker tolerates the run", RunStatus{Share: 10, Progress: 20}, 36, true, nil, 1},
+		{"the run is slightly throttled", RunStatus{Share: 60, Progress: 20}, 36, true, nil, 0},
+		{"the run is nearly done", RunStatus{Share: 10, Progress: 90}, 36, true, nil, 0},
+		{"the other worker misses its target", RunStatus{Share: 10, Progress: 20}, 120, true, nil, 0},
+		{"the run saves no progress and has little", RunStatus{Share: 10, Progress: 20}, 36, false, nil, 1},
+		{"the run saves no progress and has much", RunStatus{Share: 20, Progress: 70}, 36, false, nil, 0},
+		{"the run saves its progress and has much", RunStatus{Share: 20, Progress: 60}, 36, true, nil, 1},
+		{"a paused run with much progress that it does not save", RunStatus{Share: 0, Progress: 60}, 36, false, nil, 1},
+		{"the other worker is approved", RunStatus{Share: 10, Progress: 20}, 36, true, []string{"w00", "w01"}, 1},
+		{"the other worker is not approved", RunStatus{Share: 10, Progress: 20}, 36, true, []string{"w00"}, 0},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -109,6 +112,14 @@
 			batch := batchStep
 			batch.Image, batch.UnreservedCPU, batch.Count, batch.Checkpointing = "light", true, 1, tc.checkpointing
 			submitSteps(&store, "batch", 2, batch)
+			if sub, _ := store.Submission("batch"); tc.tickets != nil {
+				sub.NeedsAdvice = true
+				tickets := make(map[string]string)
+				for _, w := range tc.tickets {
+					tickets[w] = "t"
+				}
+				s.RecordAdvice(testNow, StepID{Submission: "batch"}, []string{"w00", "w01"}, tickets, time.Second)
+			}
 			workers[0].TailLatencies = []interference.TailLatency{{Step: "a", Image: "web", Percent: 36}}
 			s.setWorkers(&store, workers)
 			started := s.startTasks(t, &store, testNow)
--- a/internal/controller/advice.go
+++ b/internal/controller/advice.go
@@ -51,12 +51,11 @@
 	}
 	c.advice.lastCheck = at.Now
 	c.sessions.scheduler.PruneAdvice(c.machine.Submissions())
-	requests := c.sessions.scheduler.AdviceRequests(at, c.machine.Submissions())
-	if len(requests) == 0 {
+	request, ok := c.sessions.scheduler.NextAdviceRequest(at, c.machine.Submissions())
+	if !ok {
 		return
 	}
 	c.advice.requesting = true
-	request := requests[0]
 	c.advice.requests.Go(func() { c.advice.results <- sendAdviceRequest(c.advice.client, request) })
 }
 
@@ -98,6 +97,7 @@
 	if a.err != nil {
 		fields["error"] = a.err.Error()
 		c.log.Emit(event.AdviceFailed, fields, "advice request failed; retrying")
+		c.sessions.scheduler.RecordAdviceFailure(now, a.request.Step)
 		return
 	}
 	c.log.Emit(event.AdviceGiven, fields, "advice service approved workers for a step")
