dispatch: let successive searches for a step look at each worker

What callers saw: nothing yet. A task on a pool of more than 256 workers could wait for ever beside a worker with room for it.

Cause: a search looked at 256 workers at most, from a place that the searches for all steps share, and began with the first list of workers each time. Workers of later lists were not reached: 424 of 1,224 in 2,000 searches for one step.

Change: the second half of a search in a large pool is a window over all lists, which goes on where the step's latest search has ended. The first half still prefers the rack and the fullest workers. Pools of up to 128 workers are searched as before.

TestSampledPlacementMatchesFullSearch passes as it is.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -174,7 +174,7 @@
 		return nil
 	}
 	var approved, others []candidate
-	search := r.newSearch(ws.sub, p.step)
+	search := r.newSearch(ws.sub, p.step, nil)
 	search.unbound = true
 	for n := search.next(); n != nil; n = search.next() {
 		if r.isApproved(ws, n) || !p.mayRun(n) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/gentianrail/gentianrail/estimate"
@@ -57,6 +58,7 @@
 	toleranceAt time.Time
 	steps       []waitingStep     // of the latest round, for reuse
 	cordons     map[string]cordon // by worker incarnation
+	cursors     map[StepID]*int   // where the latest searches for the steps have ended, in large pools
 	lossAt      time.Time         // when workers with service tasks were lost last; zero before the first round
 	searchAll   bool              // searches are not bounded; for tests
 }
@@ -92,6 +94,25 @@
 	s.estimator.Prune(now)
 	s.health.Prune(now)
 	s.times.Prune(store)
+	maps.DeleteFunc(s.cursors, func(id StepID, _ *int) bool {
+		sub, ok := store.Submission(id.Submission)
+		return !ok || sub.State.Ended()
+	})
+}
+
+// searchCursor returns the cursor of a step's searches, or nil if each search looks at all
+// workers of the service.
+func (s *Scheduler) searchCursor(ws waitingStep) *int {
+	if service := s.pool.services[ws.sub.Service]; service == nil || service.workers <= _maxScanned/2 {
+		return nil
+	}
+	if s.cursors == nil {
+		s.cursors = make(map[StepID]*int)
+	}
+	if s.cursors[ws.id()] == nil {
+		s.cursors[ws.id()] = new(int)
+	}
+	return s.cursors[ws.id()]
 }
 
 // RecordStart records that a start has been recorded.
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -147,7 +147,7 @@
 	}
 	const minFitting = 2
 	fitting := int64(0)
-	search := r.newSearch(s, step)
+	search := r.newSearch(s, step, nil)
 	for other := search.next(); other != nil && fitting < minFitting; other = search.next() {
 		if need.Fits(other.free) {
 			fitting += other.free.CPU / need.CPU
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -33,8 +33,8 @@
 // loaded pool. The requirement is 3 s.
 const _maxStarvation = 2 * time.Second
 
-// Bounds of the search for workers for one step. In a pool of 60 workers a search
-// looks at all of them.
+// Bounds of the search for workers for one step. In a pool of half of _maxScanned
+// workers a search looks at all of them.
 const (
 	_maxCandidates = 96  // workers that can start a task and are compared
 	_maxScanned    = 256 // workers that are looked at
@@ -120,6 +120,7 @@
 	onWorker   map[string]int // active runs of the step by worker
 	onRack     map[string]int // the same by rack, if the step's tasks run slower on several racks
 	search     search
+	cursor     *int // of the step's searches; nil in a small pool
 	candidates []candidate
 	found      int // candidates that searches have found since the latest start
 	unplaced   int // waiting tasks without a worker; 0 if each one that may start now has one
@@ -155,7 +156,8 @@
 		}
 	}
 	p.countActiveRuns(rec)
-	p.search = p.newSearch(p.ws.sub, p.step)
+	p.cursor = p.searchCursor(p.ws)
+	p.search = p.newSearch(p.ws.sub, p.step, p.cursor)
 	firstStart, full := len(p.starts), false
 	for i := range rec.Tasks {
 		t := &rec.Tasks[i]
@@ -213,7 +215,7 @@
 		firstOnRack = p.onRack[n.Rack] == 1
 	}
 	if wasStarved || firstOnRack { // which workers fit, or their costs, have changed
-		p.candidates, p.search = nil, p.newSearch(p.ws.sub, p.step)
+		p.candidates, p.search = nil, p.newSearch(p.ws.sub, p.step, p.cursor)
 		return
 	}
 	i := slices.IndexFunc(p.candidates, func(c candidate) bool { return c.n == n })
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -248,7 +248,7 @@
 func (r *round) tolerantWorker(sub *submission.Submission, id submission.TaskID, present string) *node {
 	step := &sub.Steps[id.Step]
 	ws := waitingStep{sub: sub, occurrence: id.Occurrence, step: id.Step}
-	search := r.newSearch(sub, step)
+	search := r.newSearch(sub, step, nil)
 	for n := search.next(); n != nil; n = search.next() {
 		if n.Incarnation != present && !r.unhealthy[n.Incarnation] && n.idleCPU >= step.Needs.CPU && r.obstacle(n, sub, step, 0) == 0 &&
 			(n.serviceRuns == 0 || r.toleratesBatchTask(step, n)) && r.isApproved(ws, n) {
