control: let no rejection contradict an acceptance that had no answer

Cause: an entry instance repeats a call at the next leader. That leader, and the state machine, looked for the queue before they looked for the submission. The client noted that an earlier attempt may have been applied, but passed a leader's rejection on as it was.

Change: a submission or job that is known is recognized first, whatever became of its queue or entry; its state and its cancellation do not need the queue either. A rejection that rests on the state, after an attempt without an answer, becomes maybe_applied (504). Faults of the request itself stay as they are.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -215,9 +215,9 @@
 	return r, nil
 }
 
-// Propose submits a command and returns its outcome. Without an outcome the
-// error is NoLeader if the command was certainly not applied, and MaybeApplied
-// otherwise.
+// Propose submits a command and returns its outcome. Without an outcome, or with one that
+// an earlier attempt may contradict, the error is NoLeader if the command was certainly not
+// applied, and MaybeApplied otherwise.
 func (c *Client) Propose(ctx context.Context, cmd state.Command) (state.Outcome, error) {
 	in := &pb.ProposeRequest{Command: wire.EncodeCommand(cmd)}
 	var out *pb.ProposeReply
@@ -238,9 +238,24 @@
 		return state.Outcome{}, fault.Wrap(fault.NoLeader, err, "no controller leads")
 	}
 	o := wire.DecodeOutcome(out.GetOutcome())
+	if o.Err != nil && (maybeApplied || unconfirmed) && mayContradictEarlierAttempt(fault.CodeOf(o.Err)) {
+		return state.Outcome{}, fault.Wrap(fault.MaybeApplied, o.Err, "an earlier attempt had no answer")
+	}
 	return o, o.Err
 }
 
+// mayContradictEarlierAttempt reports whether a rejection says that a command certainly has
+// no effect, although an earlier attempt may have been accepted: what it lacks may have been
+// there then, or may be there when that attempt is carried out. Faults of the request itself
+// hold for all attempts.
+func mayContradictEarlierAttempt(code fault.Code) bool {
+	switch code {
+	case fault.EntryNotFound, fault.WrongClass, fault.NotReady, fault.NoLeader, fault.Overloaded, fault.QueueTimeout, fault.Draining:
+		return true
+	}
+	return false
+}
+
 // Barrier returns a revision that includes all changes accepted before the
 // call.
 func (c *Client) Barrier(ctx context.Context) (uint64, error) {
--- a/internal/control/submissions.go
+++ b/internal/control/submissions.go
@@ -52,7 +52,9 @@
 }
 
 // Call sends a caller's request to the leader. If no leader answers, the error is
-// NoLeader if the request certainly had no effect, and MaybeApplied otherwise.
+// NoLeader if the request certainly had no effect, and MaybeApplied otherwise. It is
+// MaybeApplied also if the leader rejects the request although an earlier attempt may have
+// been accepted.
 func (c *Client) Call(ctx context.Context, call Call) (CallAnswer, error) {
 	in := &pb.CallRequest{Host: call.Host, Path: call.Path, Verb: uint32(call.Verb), Malformed: call.Malformed}
 	if call.Verb == Submit {
@@ -80,6 +82,9 @@
 		return CallAnswer{}, fault.Wrap(fault.NoLeader, err, "no controller leads")
 	}
 	if code := fault.Code(out.GetCode()); code != fault.OK && code != 0 {
+		if (maybeApplied || unconfirmed) && mayContradictEarlierAttempt(code) {
+			return CallAnswer{}, fault.New(fault.MaybeApplied, "an earlier attempt had no answer: %s", out.GetMessage())
+		}
 		return CallAnswer{}, fault.New(code, "%s", out.GetMessage()).WithRetryAfter(time.Duration(out.GetRetryAfter()))
 	}
 	return CallAnswer{State: submission.State(out.GetState()), Pending: int(out.GetPending())}, nil
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -51,21 +51,26 @@
 }
 
 // handleCall answers from the state, or returns the command that must be
-// applied before the answer.
+// applied before the answer. A submission that was accepted is known also when its queue
+// has been removed.
 func (c *Core) handleCall(in *pb.CallRequest, out *pb.CallReply) state.Command {
 	table := c.machine.Queues()
 	if table.Version == 0 {
 		setFault(out, fault.New(fault.NotReady, "no table of queues is effective"))
 		return nil
 	}
-	q, id, ok := table.Match(in.GetHost(), in.GetPath())
-	if !ok {
-		setFault(out, fault.New(fault.EntryNotFound, "no queue at %s%s", in.GetHost(), in.GetPath()))
-		return nil
+	verb := control.Verb(in.GetVerb())
+	q, id, hasQueue := table.Match(in.GetHost(), in.GetPath())
+	if !hasQueue {
+		id = path.Base(in.GetPath())
 	}
 	store := c.machine.Submissions()
 	existing, exists := store.Submission(id)
-	switch control.Verb(in.GetVerb()) {
+	if !hasQueue && (!exists || verb == control.Count) {
+		setFault(out, fault.New(fault.EntryNotFound, "no queue at %s%s", in.GetHost(), in.GetPath()))
+		return nil
+	}
+	switch verb {
 	case control.Count:
 		out.Pending = int64(store.Pending(q.Name, func(id string) bool { return c.sessions.started[id] }))
 	case control.Describe:
@@ -81,17 +86,17 @@
 		}
 		return state.CancelSubmission{ID: id}
 	case control.Submit:
-		return c.handleSubmit(in, out, q.Name, id, exists)
+		if exists {
+			return nil // a retry of an accepted submission
+		}
+		return c.handleSubmit(in, out, q.Name, id)
 	default:
 		setFault(out, fault.New(fault.BadRequest, "unsupported verb %d", in.GetVerb()))
 	}
 	return nil
 }
 
-func (c *Core) handleSubmit(in *pb.CallRequest, out *pb.CallReply, queue, id string, exists bool) state.Command {
-	if exists {
-		return nil // a retry of an accepted submission
-	}
+func (c *Core) handleSubmit(in *pb.CallRequest, out *pb.CallReply, queue, id string) state.Command {
 	if in.GetMalformed() != "" {
 		setFault(out, fault.New(fault.BadRequest, "%s", in.GetMalformed()))
 		return nil
--- a/job/store.go
+++ b/job/store.go
@@ -96,6 +96,16 @@
 	return out
 }
 
+// WasSubmitted reports whether a job with the identifier, or with the entry and the
+// idempotency key, was submitted before.
+func (s *Store) WasSubmitted(j Job) bool {
+	if _, ok := s.jobs[j.ID]; ok {
+		return true
+	}
+	_, ok := s.jobs[s.jobByKey[idempotencyKey{j.Entry, j.Key}]]
+	return ok && j.Key != ""
+}
+
 // Submit queues a new job and returns it. A submission with an idempotency key
 // that was used before returns the first job.
 func (s *Store) Submit(j Job, now time.Time) (Job, error) {
--- a/state/machine.go
+++ b/state/machine.go
@@ -205,8 +205,13 @@
 	s.Slack, s.BaseObjective, s.NeedsAdvice = q.Slack, q.BaseObjective, q.Advice != nil
 }
 
+// submit accepts a submission. One that was accepted before is accepted again, whatever has
+// changed since: the first answer may be lost.
 func (m *Machine) submit(c Submit) Result {
 	s := c.Submission
+	if _, ok := m.submissions.Submission(s.ID); ok {
+		return Result{Outcome: Outcome{Repeated: true}}
+	}
 	if err := s.Validate(); err != nil {
 		return errorResult(fault.Wrap(fault.BadRequest, err, "submission %q", s.ID))
 	}
@@ -308,7 +313,12 @@
 	return Result{Events: []Event{WorkerChanged{Worker: w}}}
 }
 
+// submitJob accepts a job. One that was accepted before is accepted again, whatever has
+// changed since.
 func (m *Machine) submitJob(c SubmitJob) Result {
+	if m.jobs.WasSubmitted(c.Job) {
+		return jobResult(m.jobs.Submit(c.Job, m.now))
+	}
 	entry, ok := m.catalogue.Entry(c.Job.Entry)
 	if !ok {
 		return errorResult(fault.New(fault.EntryNotFound, "no entry %q", c.Job.Entry))
