runner: keep the end of a run open while its start may be carried out late

What callers saw: a task ran on two workers at the same time.

Cause: the end of the run was certain once the second incarnation had listed its runs under a later token. That one refuses the late order, and the third one, which has seen no token, does not.

Change: the end of a run with a start call without an answer is certain when a listing was requested after the time in which such a call may be carried out. Until then the agent does not report its lists as proof for former incarnations, so the leader does not end the run either. Runs whose calls all have answers end as before.

--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -78,7 +78,7 @@
 // listings anyway. r.mu must be held.
 func (r *Runner) keepListedRuns(list Listing) {
 	keep := func(run submission.RunID) {
-		if end, ok := r.inferredEnds[run]; ok && r.isCertain(end.End) {
+		if end, ok := r.inferredEnds[run]; ok && r.isCertain(end) {
 			delete(r.inferredEnds, run)
 		}
 	}
@@ -128,9 +128,26 @@
 }
 
 // isCertain reports whether an inferred end is certain. An incarnation under another
-// identifier rejects orders for the former one. r.mu must be held.
-func (r *Runner) isCertain(e submission.End) bool {
-	return !r.isOfEarlierIncarnation(e) || r.isSettled() || !strings.HasPrefix(e.Worker, r.machine+"/"+r.incarnation.ID+"/")
+// identifier rejects orders for the former one. Under the same one it refuses the starts of
+// earlier streams once it has listed its runs, but a further incarnation does not: a start
+// without an answer may be carried out there until it is too late for that. r.mu must be held.
+func (r *Runner) isCertain(e inferredEnd) bool {
+	if !r.isOfEarlierIncarnation(e.End) || !strings.HasPrefix(e.Worker, r.machine+"/"+r.incarnation.ID+"/") {
+		return true
+	}
+	return r.isSettled() && !r.listingSentAt.Before(e.lateUntil)
+}
+
+// hasLateStarts reports whether a start without an answer may still be carried out whose run
+// has an inferred end. The leader would otherwise take the incarnation's lists as proof that
+// it does not have the run. r.mu must be held.
+func (r *Runner) hasLateStarts() bool {
+	for _, e := range r.inferredEnds {
+		if !r.isCertain(e) {
+			return true
+		}
+	}
+	return false
 }
 
 // isOfEarlierIncarnation reports whether an inferred end names an earlier incarnation
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -144,19 +144,22 @@
 	}
 	r.failedPolls, r.unresponsive, r.superseded, r.disconnected, r.outage = 0, false, false, false, outage{}
 	r.lease.recordWorkerClock(list.Clock, now)
-	r.recordListing(now, list)
+	r.recordListing(now, sent, list)
 	r.reconcileRuns(ctx, now, sent, list)
 	r.applyPacing(ctx, incarnation, now, list)
 	return true
 }
 
-// recordListing records that the incarnation has listed its runs, and under which token
-// it has listed all of them. r.mu must be held.
-func (r *Runner) recordListing(now time.Time, list Listing) {
+// recordListing records that the incarnation has listed its runs, as requested at the time
+// sent, and under which token it has listed all of them. r.mu must be held.
+func (r *Runner) recordListing(now, sent time.Time, list Listing) {
 	if !r.listed {
 		r.listed = true
 		wake(r.wakeReport)
 	}
+	if !list.MoreEnds {
+		r.listingSentAt = sent
+	}
 	if list.MoreEnds || r.listedAll && r.listedToken == r.polledToken {
 		return
 	}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -203,7 +203,9 @@
 		r.addEnds(s, report) // further ones are listed when these are recorded
 		return report, false
 	}
-	report.ListedTerm, report.ListedAttachment = r.listedToken.term, r.listedToken.attachment
+	if !r.hasLateStarts() {
+		report.ListedTerm, report.ListedAttachment = r.listedToken.term, r.listedToken.attachment
+	}
 	if !s.complete {
 		s.complete = true
 		report.Complete = true
@@ -253,7 +255,7 @@
 // must be held.
 func (r *Runner) addInferredEnds(s *session, report *pb.AgentReport) {
 	for run, e := range r.inferredEnds {
-		if !(e.reported && s.inferredEnds[run]) && r.isCertain(e.End) {
+		if !(e.reported && s.inferredEnds[run]) && r.isCertain(e) {
 			e.reported, s.inferredEnds[run] = true, true
 			r.inferredEnds[run] = e
 			report.Refused = append(report.Refused, wire.EncodeRunEnd(e.End))
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -10,7 +10,9 @@
 // A worker may start again under its identifier, and an order names no more than
 // that. Whether a run of the former incarnation has ended is known when the next
 // one has listed its runs under the token of a later stream to the leader: an order
-// of an earlier stream can start nothing from then on.
+// of an earlier stream can start nothing there from then on. A further incarnation could
+// still carry out a start that has no answer, so the end of such a run also waits for the
+// time after which none is carried out.
 //
 // One lock guards all state. Each goroutine owns one kind of I/O: the stream to
 // the leader, the polls of the worker's runs, or one start or stop that is not
@@ -83,7 +85,8 @@
 // inferredEnd is the end of a run that the worker has not listed.
 type inferredEnd struct {
 	submission.End
-	reported bool // to a leader, perhaps not the present one
+	reported  bool      // to a leader, perhaps not the present one
+	lateUntil time.Time // until when a call that starts the run and has no answer may be carried out; zero for none
 }
 
 // Runner is the agent of one worker.
@@ -126,6 +129,7 @@
 	supersededBy    int64                            // start time of another incarnation that has answered a poll, in ms since 1970; 0 for none
 	listed          bool                             // the worker has listed its active runs in this incarnation
 	listedAll       bool                             // and all its ends that are not recorded, in one listing
+	listingSentAt   time.Time                        // request of the latest listing of all runs and ends; zero for none
 	listedEnds      int                              // ends in the latest listing
 	failedPolls     int                              // consecutive, without an answer
 	outage          outage                           // the consecutive failed polls
@@ -188,7 +192,7 @@
 	r.supersededBy, r.superseded, r.listedToken = 0, false, token{}
 	r.ends, r.lastListedEnd, r.lastRecordedEnd = nil, 0, 0
 	r.lease = lease{grantEnd: r.lease.grantEnd, heldUntil: r.lease.heldUntil}
-	r.listed, r.listedAll = false, false
+	r.listed, r.listedAll, r.listingSentAt = false, false, time.Time{}
 	r.unresponsive, r.failedPolls, r.departed, r.disconnected = false, 0, false, false
 	r.listedEnds = 0
 	r.outage = outage{}
@@ -375,9 +379,13 @@
 // held.
 func (r *Runner) inferEnd(tr *trackedRun, reason submission.EndReason) {
 	r.untrack(tr.run)
-	r.inferredEnds[tr.run] = inferredEnd{
+	end := inferredEnd{
 		End: submission.End{Run: tr.run, Worker: r.incarnationName(r.incarnation), Reason: reason, Checkpoint: r.checkpoints[tr.run]},
 	}
+	if !tr.unansweredAt.IsZero() {
+		end.lateUntil = tr.unansweredAt.Add(r.callDelay)
+	}
+	r.inferredEnds[tr.run] = end
 	fields := event.Fields{
 		"worker": r.incarnationName(r.incarnation), "task": tr.run.Task.String(), "run": tr.run.Number, "how": reason.String(),
 		"stop_ordered": tr.stopOrdered, "listed_ends": r.listedEnds,
