controller: stop no long-running task that is at work

Cause: an agent reports a run whose progress has not changed for a while as stalled. A long-running task at work has no more progress to make.

Change: a long-running task at full progress does not count as stalled. One that is stuck as it starts does, as does a batch task at any progress.

Evidence: TestLongRunningTaskAtWorkIsNotStopped failed before for that case and passes.

--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -256,7 +256,8 @@
 		if r.GetSaved() != "" {
 			sess.checkpoints[run] = r.GetSaved()
 		}
-		if r.GetStalled() && !c.sessions.scheduler.IsStalled(run) {
+		isStalled := c.isStalled(run, r)
+		if isStalled && !c.sessions.scheduler.IsStalled(run) {
 			stalled++
 		}
 		if on := recordedOn(c.machine.Submissions(), sess.worker.Incarnation, run); on != "" && isLatest && !c.recordReportedRun(now, sess.worker.Incarnation, on, run, r) {
@@ -264,7 +265,7 @@
 		}
 		if isActive(c.machine.Submissions(), sess.worker.Incarnation, run) {
 			c.recordStarted(run)
-			c.sessions.scheduler.SetRunStatus(run, dispatch.RunStatus{Share: int(r.GetShare()), Progress: int(r.GetProgress()), Stalled: r.GetStalled()})
+			c.sessions.scheduler.SetRunStatus(run, dispatch.RunStatus{Share: int(r.GetShare()), Progress: int(r.GetProgress()), Stalled: isStalled})
 		}
 	}
 	c.proposeSettled(now, unsettled, false)
@@ -274,6 +275,19 @@
 	}
 }
 
+// _fullProgress is the progress of a run that has no more to make, in percent.
+const _fullProgress = 100
+
+// isStalled reports whether a run makes no progress although it should. A long-running task
+// is at work at full progress and makes no more.
+func (c *Core) isStalled(run submission.RunID, r *pb.ListedRun) bool {
+	if !r.GetStalled() || r.GetProgress() < _fullProgress {
+		return r.GetStalled()
+	}
+	s, ok := c.machine.Submissions().Submission(run.Task.Submission)
+	return !ok || s.Task(run.Task) == nil || !s.Steps[run.Task.Step].LongRunning
+}
+
 // recordStarted records that a worker has had a run. It is not in the log: a new leader
 // learns it from the agents' complete reports.
 func (c *Core) recordStarted(run submission.RunID) {
