dispatch: start long-running tasks beside batch work that has reserved the CPU

Cause: a task whose CPU is not reserved waited for a worker with that much idle CPU, and was searched for among those only. A long-running task must not be down while there is room for it, and room does not include the CPU that it does not reserve.

Change: long-running tasks do not wait for idle CPU. A worker with idle CPU is still preferred.

Evidence: TestLongRunningTaskNeedsNoIdleCPU failed before and passes.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -120,6 +120,33 @@
 	}
 }
 
+// TestLongRunningTaskNeedsNoIdleCPU guards against a standing task that does not return
+// while batch work has reserved the CPU: its own CPU is not reserved.
+func TestLongRunningTaskNeedsNoIdleCPU(t *testing.T) {
+	for _, idle := range []int{0, 1} { // workers with idle CPU
+		var store submission.Store
+		workers := newWorkers(4, 16000, 256000)
+		batch := batchStep
+		batch.Needs, batch.Count, batch.MaxPerWorker = submission.Resources{CPU: 15000, Memory: 100}, len(workers)-idle, 1
+		submitSteps(&store, "batch", 2, batch)
+		s := newScheduler(&store, workers)
+		if got := len(s.startTasks(t, &store, testNow)); got != batch.Count {
+			t.Fatalf("%d batch tasks started, want %d", got, batch.Count)
+		}
+		watch := serviceStep
+		watch.UnreservedCPU, watch.Needs, watch.Count = true, submission.Resources{CPU: 3000, Memory: 500}, 1
+		submitSteps(&store, "watch", 0, watch)
+		starts := s.startTasks(t, &store, testNow)
+		if len(starts) != 1 {
+			t.Errorf("%d workers with idle CPU: %d tasks started, want 1", idle, len(starts))
+			continue
+		}
+		if u := store.Usage(starts[0].Worker); idle > 0 && u.BatchRuns > 0 {
+			t.Error("the task started beside batch work although another worker has idle CPU")
+		}
+	}
+}
+
 // TestStarvedSubmissionStartsOneTask submits tasks with unreserved CPU that would
 // get no CPU, while no CPU of the pool is reserved. One task must start after
 // _maxStarvation, so that the submission is not starved.
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -399,12 +399,13 @@
 }
 
 // shouldWait reports whether a task should wait rather than start on the worker.
-// A task with unreserved CPU waits if it would get no CPU and only occupy memory.
+// A task with unreserved CPU waits if it would get no CPU and only occupy memory, unless it is
+// long-running: such a task must not be down while there is room for it.
 // A batch task waits if the worker's service tasks do not tolerate it: it would
 // be throttled, and one slow task would delay its submission. It also waits for a
 // worker that absent service tasks need.
 func (r *round) shouldWait(step *submission.Step, n *node) bool {
-	if step.UnreservedCPU && step.Needs.CPU > n.idleCPU && n.runs > 0 {
+	if step.UnreservedCPU && !step.LongRunning && step.Needs.CPU > n.idleCPU && n.runs > 0 {
 		return true
 	}
 	if !step.IsBatch() {
--- a/dispatch/search.go
+++ b/dispatch/search.go
@@ -45,7 +45,7 @@
 	buckets, first := &service.byFree, bucketOf(step.Reserved().CPU)
 	if step.UnreservedCPU {
 		buckets, first = &service.byIdle, bucketOf(step.Needs.CPU)
-		if r.isStarved(sub) {
+		if step.LongRunning || r.isStarved(sub) {
 			first = 0
 		}
 	}
