controller: report a group that is short of voters

What operators saw: nothing.

Change: the leader logs voters_missing every 10 s while fewer voters answer than the group should have, from 5 s on. OPERATIONS.md had an alarm on members_changed, which does not come then.

--- a/internal/controller/group.go
+++ b/internal/controller/group.go
@@ -22,6 +22,35 @@
 	reportedMembers []replica.Member // argument of the latest call of onMembersChange
 	applicants      []membership.Applicant
 	lastCheck       time.Time
+	voters          shortage
+}
+
+// Times of the reports on missing voters.
+const (
+	_shortageDelay    = 5 * time.Second // for which voters must be missing
+	_shortageInterval = 10 * time.Second
+)
+
+// shortage is how long voters have been missing. The zero value is none.
+type shortage struct {
+	since    time.Time // zero if no voter is missing
+	loggedAt time.Time
+}
+
+// isDue records how many voters are missing, and reports whether that should be logged.
+func (s *shortage) isDue(now time.Time, missing int) bool {
+	switch {
+	case missing == 0:
+		*s = shortage{}
+		return false
+	case s.since.IsZero():
+		s.since = now
+	}
+	if now.Sub(s.since) < _shortageDelay || !s.loggedAt.IsZero() && now.Sub(s.loggedAt) < _shortageInterval {
+		return false
+	}
+	s.loggedAt = now
+	return true
 }
 
 // _leaderAddressTTL is how long the address of a leader is returned after the
@@ -104,6 +133,7 @@
 	}
 	c.group.lastCheck = now
 	if !c.replica.HoldsLease(now) {
+		c.group.voters = shortage{}
 		return
 	}
 	g := membership.Group{
@@ -114,6 +144,10 @@
 		LastIndex:     c.replica.LastIndex(),
 		Applicants:    c.group.applicants,
 	}
+	if missing := g.MissingVoters(now); c.group.voters.isDue(now, missing) {
+		c.log.Emit(event.VotersMissing, event.Fields{"missing": missing, "voters": c.group.replicas - missing, "want": c.group.replicas},
+			"the group has fewer voters than it should")
+	}
 	next := g.NextMembers(now)
 	if next == nil {
 		return
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,7 @@
 	PeerMessageRefused Number = 228
 	TaskGivenUp        Number = 229
 	StrayRun           Number = 230
+	VotersMissing      Number = 231
 	AgentJoined        Number = 301
 	ControllerLost     Number = 302
 	TaskStarted        Number = 303
@@ -132,6 +133,7 @@
 	{PeerMessageRefused, "peer_message_refused", logrus.WarnLevel},
 	{TaskGivenUp, "task_given_up", logrus.WarnLevel},
 	{StrayRun, "stray_run", logrus.WarnLevel},
+	{VotersMissing, "voters_missing", logrus.WarnLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -64,6 +64,11 @@
 	return n
 }
 
+// MissingVoters returns how many voters that respond the group lacks.
+func (g *Group) MissingVoters(now time.Time) int {
+	return max(g.DesiredVoters-(g.countVoters()-g.countUnresponsiveVoters(now)), 0)
+}
+
 // promoteLearner makes a learner that has caught up a voter if the learner
 // replaces the voter that was at its address, or if the group has too few voters
 // that respond.
