controller: renew the lease of a worker whose many ends take several listings

What callers saw: nothing yet.

Change: a report with ends that are new gets a lease too. It shows that the worker lists, and the ends of a worker that answers no more come to an end.

Evidence: TestEndsOfUnlistedWorkerRenewLease failed before and passes.

--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -105,8 +105,8 @@
 	byIncarnation map[string]*session
 	machines      map[string]*machineHistory
 	strayHolders  map[submission.RunID]string // worker incarnations that have a run which is not recorded on them
-	// When the latest lease of a worker incarnation has expired for certain. Leases are granted
-	// only on streams whose agent has reported its lists.
+	// When the latest lease of a worker incarnation has expired for certain. Each lease rests on a
+	// listing: see renewLease.
 	leaseExpiries    map[string]time.Time
 	lateStarts       lateStarts
 	settlements      settlements
@@ -318,14 +318,15 @@
 }
 
 // renewLease renews the lease of the worker's runs, unless their end is proposed. An agent
-// that has not reported its lists gets no lease: it may not know of the recorded runs, so it
-// could never report their ends.
+// that has not reported its lists may not know of the recorded runs, and could never report
+// their ends. It gets a lease only with ends that it has not reported before: they show that
+// its worker lists, and that it takes several listings until all ends are recorded.
 func (c *Core) renewLease(now time.Time, sess *session, in *pb.AgentReport, order *pb.AgentOrder) {
 	incarnation := sess.worker.Incarnation
 	if _, expiring := c.sessions.expiring[incarnation]; expiring || in.GetGone() || !c.replica.HoldsLease(now) {
 		return
 	}
-	if !sess.hasLists && !in.GetComplete() {
+	if !sess.hasLists && !in.GetComplete() && len(in.GetEnds()) == 0 {
 		return
 	}
 	order.Sent = in.GetSent()
--- a/internal/controller/unlistedworker_test.go
+++ b/internal/controller/unlistedworker_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/submission"
 )
 
 // unlisted returns a report of an agent whose worker has not listed its runs.
@@ -103,6 +104,35 @@
 	}
 }
 
+// TestEndsOfUnlistedWorkerRenewLease guards against runs that lapse while their restarted agent
+// needs several listings for all ends of its worker.
+func TestEndsOfUnlistedWorkerRenewLease(t *testing.T) {
+	l, sess := newLeaderOfSettledRun(t)
+	l.core.detach(sess)
+	l.changeLeader()
+	next := l.attach(unlisted("m1/w/1"))
+	orderedRuns(next)
+	for n := range uint64(20) {
+		l.pass(500 * time.Millisecond)
+		ended := submission.RunID{Task: submission.TaskID{Submission: "other"}, Number: uint32(n) + 1}
+		in := &pb.AgentReport{Sent: 1, Ends: []*pb.ListedEnd{{Number: n + 1, Run: wire.EncodeRun(ended), How: uint32(submission.Done)}}}
+		l.core.handleReport(l.now, next, in)
+		orders, _ := next.outbox.popAll()
+		if len(orders) != 1 || orders[0].GetLease() == 0 {
+			t.Fatalf("orders %v, want a lease", orders)
+		}
+		l.core.dispatchTasks(l.now)
+		l.commit()
+	}
+	if runs := l.activeRuns(); len(runs) != 1 {
+		t.Errorf("the record has the runs %v, want run 1", runs)
+	}
+	l.reportFor(next, l.core.sessions.maxLease()+2*time.Second) // no further listing
+	if runs := l.activeRuns(); len(runs) > 0 {
+		t.Errorf("the record has the runs %v, want none when the worker lists no more", runs)
+	}
+}
+
 // TestLateListingKeepsRun guards against a second run of a task whose worker answers its
 // restarted agent late, while its lease lasts.
 func TestLateListingKeepsRun(t *testing.T) {
