runner: report the answered start of a service task at once

Cause, by the times of the runs and by reading: the start was answered, and the agent reported it up to 0.4 s later. The machine was gone by then, so the leader kept the run for the 22 s in which a late call could have started it.

Change: the agent reports the answered start of a service task at once; these are few.

Evidence: TestAnsweredStartOfServiceTaskIsReportedAtOnce failed before and passes.

--- a/internal/controller/settledruns.go
+++ b/internal/controller/settledruns.go
@@ -24,7 +24,7 @@
 	// _minSettledAge is the time from the order of a run's start until the run is recorded as
 	// settled. Runs of long-running tasks, which start seldom, are recorded at once.
 	_minSettledAge = time.Second
-	// _settledCheckInterval is the minimum time between checks for runs to record.
+	// _settledCheckInterval is the minimum time between checks for runs of other tasks.
 	_settledCheckInterval = 200 * time.Millisecond
 )
 
@@ -50,17 +50,17 @@
 	if !c.replica.HoldsLease(now) {
 		return // a proposal may fail, which closes the agents' streams
 	}
-	if now.Sub(c.sessions.settlements.lastCheck) < _settledCheckInterval {
-		return
+	checksAll := now.Sub(c.sessions.settlements.lastCheck) >= _settledCheckInterval
+	if checksAll {
+		c.sessions.settlements.lastCheck = now
 	}
-	c.sessions.settlements.lastCheck = now
 	var settled []submission.RunID
 	for run := range c.sessions.settlements.candidates {
 		s, ok := c.machine.Submissions().Submission(run.Task.Submission)
 		switch {
 		case !ok || s.ActiveOn(run) == "" || c.isRecordedSettled(s, run):
 			delete(c.sessions.settlements.candidates, run)
-		case !s.Steps[run.Task.Step].LongRunning && now.Sub(c.sessions.startOrderedAt[run]) < _minSettledAge:
+		case !s.Steps[run.Task.Step].LongRunning && (!checksAll || now.Sub(c.sessions.startOrderedAt[run]) < _minSettledAge):
 		case c.sessions.lateStarts.wasSettled(now, run) && c.sessions.lateStarts.endsWithGrant(c.sessions.leaseExpiry(s.ActiveOn(run)), run):
 			settled = append(settled, run)
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -537,6 +537,10 @@
 		r.recount(tr)
 		r.unreported[tr.run] = true
 		wake(r.wakePoll)
+		if tr.pacing.IsService {
+			// Until the leader knows, the task would wait for a late call if the machine were lost.
+			wake(r.wakeReport)
+		}
 		return true
 	case TooLate:
 		return false
