dispatch: let restarts of long-running tasks go first

Cause, by a simulated pool: short tasks of the same priority came first and took the room that the task had left, and its headroom was kept from it. In a full pool no other room of that size came up.

Change: a step with a long-running task that has run before precedes other steps of its lateness class and priority, and does not leave the headroom. First starts do as before.

--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -75,7 +75,7 @@
 		Submission: ws.sub.ID, Occurrence: ws.occurrence, Step: ws.step, Since: ws.sub.Accepted, LatenessClass: ws.latenessClass,
 		Obstacles: make(map[Obstacle]int),
 	}
-	p := &placement{round: r, ws: ws, step: &ws.sub.Steps[ws.step]}
+	p := r.newPlacement(ws)
 	p.countActiveRuns(ws.record())
 	counted := 0
 	for _, n := range r.pool.nodes {
@@ -132,9 +132,9 @@
 // mustLeaveHeadroom reports whether a step's tasks must leave a worker's headroom
 // to short urgent tasks. Tasks of gangs and tasks that reserve no CPU need not.
 // Other short tasks must if their queue is not urgent. A long-running task of any
-// queue must unless it fits into the headroom, leaves the headroom free anyway, or
-// the pool has capacity for two such tasks, because a long-running task must not be
-// down while there is capacity for it.
+// queue must at its first start, unless it fits into the headroom, leaves the headroom
+// free anyway, or the pool has capacity for two such tasks, because a long-running task
+// must not be down while there is capacity for it.
 func (r *round) mustLeaveHeadroom(n *node, s *submission.Submission, step *submission.Step) bool {
 	need := step.Reserved()
 	switch {
@@ -142,6 +142,8 @@
 		return false
 	case !step.LongRunning:
 		return s.Priority > _urgentPriority
+	case r.restarting[step]:
+		return false
 	case need.CPU <= n.headroom() || need.CPU <= n.free.CPU-n.headroom():
 		return false
 	}
--- a/dispatch/lasting_test.go
+++ b/dispatch/lasting_test.go
@@ -22,9 +22,6 @@
 		{name: "one on each worker", maxPerWorker: 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			if tc.priority == 0 {
-				skipKnownRed(t)
-			}
 			sim := newCrashSim(t, 8)
 			watch := submission.Step{
 				Count: 8, Needs: submission.Resources{CPU: 13000, Memory: 26000}, LongRunning: true, Image: "web", TailTarget: 10 * time.Millisecond, Estimate: 320 * time.Millisecond, MaxPerWorker: tc.maxPerWorker,
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -45,12 +45,13 @@
 	*Scheduler
 	at              Clocks
 	store           *submission.Store
-	serviceHeadroom map[string]bool    // services whose workers with service tasks have the headroom for urgent tasks
-	lightlyLoaded   map[string]bool    // services with a large share of free CPU
-	unhealthy       map[string]bool    // worker incarnations
-	absent          map[string]absence // by service
-	isolations      *isolations        // nil until needed
-	started         map[string]bool    // submissions with a start in this round
+	serviceHeadroom map[string]bool           // services whose workers with service tasks have the headroom for urgent tasks
+	lightlyLoaded   map[string]bool           // services with a large share of free CPU
+	unhealthy       map[string]bool           // worker incarnations
+	absent          map[string]absence        // by service
+	isolations      *isolations               // nil until needed
+	restarting      map[*submission.Step]bool // steps whose placement restarts long-running tasks
+	started         map[string]bool           // submissions with a start in this round
 	starts          []submission.Start
 	changed         []*node // workers with starts in this round
 }
@@ -139,7 +140,14 @@
 }
 
 func (r *round) newPlacement(ws waitingStep) placement {
-	return placement{round: r, ws: ws, step: &ws.sub.Steps[ws.step]}
+	step := &ws.sub.Steps[ws.step]
+	if ws.restarts {
+		if r.restarting == nil {
+			r.restarting = make(map[*submission.Step]bool)
+		}
+		r.restarting[step] = true
+	}
+	return placement{round: r, ws: ws, step: step}
 }
 
 // place assigns the waiting tasks of the step to workers. A gang is placed completely or
--- a/dispatch/steps.go
+++ b/dispatch/steps.go
@@ -15,6 +15,7 @@
 	step             int
 	latenessClass    int     // 0: can meet its objective, or is long-running; 1: will be late; 2: too late to have value
 	suspectedFailing bool    // only its repeatedly failed tasks are placed, except in gangs
+	restarts         bool    // is long-running, and a waiting task has run before
 	valueDensity     float64 // value of the completion per core-second of remaining work
 }
 
@@ -84,6 +85,7 @@
 				continue
 			}
 			ws := waitingStep{sub: sub, occurrence: k, step: i, valueDensity: density, suspectedFailing: suspected}
+			ws.restarts = sub.Steps[i].LongRunning && hasRestart(ws.record())
 			finish := at.Log.Add(e.Path(i))
 			switch {
 			case sub.Steps[i].LongRunning || !finish.After(accepted.Add(objective)):
@@ -98,10 +100,28 @@
 	return out
 }
 
-// compareUrgency orders waiting steps, the most urgent first.
+// hasRestart reports whether a waiting task of the step has run before.
+func hasRestart(rec *submission.StepRecord) bool {
+	return slices.ContainsFunc(rec.Tasks, func(t submission.Task) bool { return !t.Done && len(t.Runs) == 0 && t.LastRun > 0 })
+}
+
+// compareUrgency orders waiting steps, the most urgent first. Restarts of long-running tasks
+// precede other steps of their priority: the room that such a task has left would be gone
+// after them, and may be the only one that is large enough.
 func compareUrgency(a, b waitingStep) int {
 	return cmp.Or(
-		cmp.Compare(a.latenessClass, b.latenessClass), cmp.Compare(a.sub.Priority, b.sub.Priority), cmp.Compare(b.valueDensity, a.valueDensity),
+		cmp.Compare(a.latenessClass, b.latenessClass), cmp.Compare(a.sub.Priority, b.sub.Priority), compareBool(b.restarts, a.restarts), cmp.Compare(b.valueDensity, a.valueDensity),
 		cmp.Compare(a.sub.Sequence, b.sub.Sequence), cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step),
 	)
 }
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
