--- a/internal/disk/lostdiskscommands_test.go
+++ b/internal/disk/lostdiskscommands_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
+	"github.com/gentianrail/gentianrail/evacuation"
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/queue"
 	"github.com/gentianrail/gentianrail/replica"
@@ -24,6 +26,13 @@
 	cancelled map[string]bool
 	completed map[string]bool
 	ended     map[submission.RunID]bool
+	zones     map[string]zoneOrder // latest acknowledged order of each zone
+}
+
+// zoneOrder is an operator's order of an availability zone.
+type zoneOrder struct {
+	evacuated bool
+	revision  uint64
 }
 
 func (g *lostDisksGroup) apply(p *process, e replica.Entry) {
@@ -75,6 +84,10 @@
 		for _, e := range cmd.Ends {
 			g.shown.ended[e.Run] = true
 		}
+	case state.StartEvacuation:
+		g.shown.zones[cmd.Zone] = zoneOrder{evacuated: true, revision: o.Revision}
+	case state.FinishEvacuation:
+		g.shown.zones[cmd.Zone] = zoneOrder{revision: o.Revision}
 	}
 	if g.armed {
 		g.struck = p
@@ -101,6 +114,13 @@
 	if v := p.machine.Queues().Version; v < g.shown.version {
 		g.failf("%s shows version %d, %d was acknowledged", p.id, v, g.shown.version)
 	}
+	for name, shown := range g.shown.zones {
+		zones := p.machine.Evacuations()
+		i := slices.IndexFunc(zones.Zones(), func(z evacuation.Zone) bool { return z.Name == name })
+		if i < 0 || zones.IsEvacuated(name) != shown.evacuated && zones.Zones()[i].Revision <= shown.revision {
+			g.failf("%s shows the zones %v, the order %+v of zone %s was acknowledged", p.id, zones.Zones(), shown, name)
+		}
+	}
 	store := p.machine.Submissions()
 	for id := range g.shown.submitted {
 		s, ok := store.Submission(id)
@@ -135,7 +155,7 @@
 	if len(unended) > 0 {
 		s = unended[g.rnd.IntN(len(unended))]
 	}
-	switch n := g.rnd.IntN(10); {
+	switch n := g.rnd.IntN(11); {
 	case n == 0 || p.machine.Queues().Version == 0:
 		cmd = state.ReplaceQueues{Table: queue.Table{
 			Version:  p.machine.Queues().Version + 1,
@@ -148,6 +168,11 @@
 		}}}
 	case n == 3:
 		cmd = state.CancelSubmission{ID: s.ID}
+	case n == 10:
+		cmd = state.FinishEvacuation{Zone: fmt.Sprintf("z%d", g.commands/2%2)}
+		if g.commands%2 == 0 {
+			cmd = state.StartEvacuation{Zone: fmt.Sprintf("z%d", g.commands/2%2)}
+		}
 	default:
 		cmd = g.nextRunCommand(s)
 	}
--- a/internal/disk/lostdisksgroup_test.go
+++ b/internal/disk/lostdisksgroup_test.go
@@ -90,7 +90,7 @@
 		leaders: make(map[uint64]replica.ID), committed: make(map[uint64]string), ordered: make(map[submission.RunID]string),
 		shown: shown{
 			submitted: make(map[string]bool), cancelled: make(map[string]bool), completed: make(map[string]bool),
-			ended: make(map[submission.RunID]bool),
+			ended: make(map[submission.RunID]bool), zones: make(map[string]zoneOrder),
 		},
 	}
 	for i := range groupSize {
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -80,6 +80,10 @@
 		return &pb.Command{Kind: &pb.Command_EndRuns{EndRuns: encodeEndRuns(c.Ends)}}
 	case state.SettleRuns:
 		return &pb.Command{Kind: &pb.Command_EndRuns{EndRuns: encodeSettleRuns(c)}}
+	case state.StartEvacuation:
+		return &pb.Command{Kind: &pb.Command_StartEvacuation{StartEvacuation: &pb.StartEvacuation{Zone: c.Zone}}}
+	case state.FinishEvacuation:
+		return &pb.Command{Kind: &pb.Command_FinishEvacuation{FinishEvacuation: &pb.FinishEvacuation{Zone: c.Zone}}}
 	case state.RecordBurn:
 		return &pb.Command{Kind: &pb.Command_RecordBurn{RecordBurn: encodeRecordBurn(c)}}
 	default:
@@ -193,6 +197,10 @@
 			return decodeSettleRuns(k.EndRuns)
 		}
 		return state.EndRuns{Ends: decodeEndRuns(k.EndRuns)}, nil
+	case *pb.Command_StartEvacuation:
+		return state.StartEvacuation{Zone: k.StartEvacuation.GetZone()}, nil
+	case *pb.Command_FinishEvacuation:
+		return state.FinishEvacuation{Zone: k.FinishEvacuation.GetZone()}, nil
 	case *pb.Command_RecordBurn:
 		return state.RecordBurn{
 			Source: k.RecordBurn.GetSource(), Sequence: k.RecordBurn.GetSequence(), Counts: decodeBurnCounts(k.RecordBurn.GetCounts()),
--- a/internal/wire/robustness_test.go
+++ b/internal/wire/robustness_test.go
@@ -37,6 +37,8 @@
 		state.SettleRuns{Runs: []submission.RunID{run}, Settled: true},
 		state.SettleRuns{Runs: []submission.RunID{run}},
 		state.CancelSubmission{ID: "s1"},
+		state.StartEvacuation{Zone: "z"},
+		state.FinishEvacuation{Zone: "z"},
 		state.PutEntry{Spec: catalogue.Spec{Name: "entry", Class: catalogue.Batch, Owner: "o", Target: "t"}, ChangeID: "c1"},
 		state.RegisterWorker{Worker: worker.Worker{ID: "w1", AgentIncarnation: 1, Address: "a", Targets: []string{"t"}}},
 		state.SubmitJob{Job: job.Job{ID: "j1", Entry: "entry"}},
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/gentianrail/gentianrail/catalogue"
+	"github.com/gentianrail/gentianrail/evacuation"
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/state"
@@ -49,6 +50,11 @@
 	for _, s := range c.Submissions {
 		m.Submissions = append(m.Submissions, EncodeSubmission(s))
 	}
+	for _, z := range c.Evacuations {
+		m.Evacuations = append(m.Evacuations, &pb.EvacuationZone{
+			Name: z.Name, Evacuated: z.Evacuated, ChangedAt: encodeTime(z.ChangedAt), Revision: z.Revision,
+		})
+	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
 }
 
@@ -96,5 +102,10 @@
 		}
 		c.Submissions = append(c.Submissions, s)
 	}
+	for _, z := range m.GetEvacuations() {
+		c.Evacuations = append(c.Evacuations, evacuation.Zone{
+			Name: z.GetName(), Evacuated: z.GetEvacuated(), ChangedAt: decodeTime(z.GetChangedAt()), Revision: z.GetRevision(),
+		})
+	}
 	return c, nil
 }
--- a/state/command.go
+++ b/state/command.go
@@ -15,8 +15,8 @@
 // Command is the sealed set of changes to the replicated state: PutEntry,
 // DeleteEntry, RegisterWorker, RetireWorker, DrainWorker, SubmitJob,
 // CancelJob, PlaceJob, EndAttempt, FailJob, BeginClaim, FinishClaim,
-// ReleaseClaim, RecordBurn, ReplaceQueues, Submit, CancelSubmission, StartRuns
-// and EndRuns.
+// ReleaseClaim, RecordBurn, ReplaceQueues, Submit, CancelSubmission, StartRuns,
+// EndRuns, SettleRuns, StartEvacuation and FinishEvacuation.
 type Command interface{ command() }
 
 // PutEntry creates or replaces the declaration of a catalogue entry.
@@ -130,6 +130,15 @@
 	Settled bool
 }
 
+// StartEvacuation evacuates an availability zone: nothing is started on its workers.
+type StartEvacuation struct{ Zone string }
+
+// FinishEvacuation ends the evacuation of an availability zone.
+type FinishEvacuation struct{ Zone string }
+
+func (StartEvacuation) command()  {}
+func (FinishEvacuation) command() {}
+
 func (ReplaceQueues) command()    {}
 func (Submit) command()           {}
 func (CancelSubmission) command() {}
@@ -173,6 +182,8 @@
 	_ Command = StartRuns{}
 	_ Command = EndRuns{}
 	_ Command = SettleRuns{}
+	_ Command = StartEvacuation{}
+	_ Command = FinishEvacuation{}
 )
 
 // Outcome is the result of a command for its proposer.
--- a/state/machine.go
+++ b/state/machine.go
@@ -1,7 +1,7 @@
 // Package state implements the state machine that the controllers replicate.
 //
 // A Machine holds the catalogue, the workers, the jobs, the claims, the burn
-// counts, the table of queues and the submissions. Apply is deterministic: its
+// counts, the table of queues, the submissions and the evacuated zones. Apply is deterministic: its
 // result depends only on the state, the command, the log index and the log
 // time, so that all replicas agree. The log time never decreases, even if a new
 // leader's clock is behind that of its predecessor.
@@ -15,6 +15,7 @@
 	"github.com/gentianrail/gentianrail/burn"
 	"github.com/gentianrail/gentianrail/catalogue"
 	"github.com/gentianrail/gentianrail/claim"
+	"github.com/gentianrail/gentianrail/evacuation"
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/job"
 	"github.com/gentianrail/gentianrail/queue"
@@ -76,6 +77,7 @@
 	burn         burn.Store
 	queues       queue.Table
 	submissions  submission.Store
+	evacuations  evacuation.Set
 	burnSources  map[string]BurnSource // last burn report of each entry instance, by name
 	burnPrunedAt time.Time             // log time of the last removal of old burn counts
 }
@@ -107,6 +109,9 @@
 // Submissions returns the submissions. Only Apply may change them.
 func (m *Machine) Submissions() *submission.Store { return &m.submissions }
 
+// Evacuations returns the evacuated zones. Only Apply may change them.
+func (m *Machine) Evacuations() *evacuation.Set { return &m.evacuations }
+
 // Apply applies the command at the given log index. The time at is that of the
 // leader that proposed the command.
 func (m *Machine) Apply(index uint64, at time.Time, c Command) Result {
@@ -170,6 +175,10 @@
 	case SettleRuns:
 		m.submissions.Settle(c.Runs, c.Settled)
 		return Result{}
+	case StartEvacuation:
+		return m.setEvacuated(c.Zone, m.evacuations.Start)
+	case FinishEvacuation:
+		return m.setEvacuated(c.Zone, m.evacuations.Finish)
 	default:
 		panic(fmt.Sprintf("state: unexpected command %T", c))
 	}
@@ -222,6 +231,15 @@
 	return Result{Outcome: Outcome{Repeated: m.submissions.Submit(s, m.now)}}
 }
 
+// setEvacuated starts or finishes the evacuation of a zone. An order that changes nothing is
+// accepted: it may be a repeated one.
+func (m *Machine) setEvacuated(zone string, set func(string, time.Time, uint64) bool) Result {
+	if err := evacuation.CheckName(zone); err != nil {
+		return errorResult(err)
+	}
+	return Result{Outcome: Outcome{Repeated: !set(zone, m.now, m.revision)}}
+}
+
 // errorResult returns a result that carries only err, which may be nil.
 func errorResult(err error) Result { return Result{Outcome: Outcome{Err: err}} }
 
@@ -413,6 +431,8 @@
 
 	Queues      queue.Table
 	Submissions []*submission.Submission // changed only by the machine that Restore returns
+
+	Evacuations []evacuation.Zone
 }
 
 // Contents returns the complete state.
@@ -433,6 +453,7 @@
 
 		Queues:      m.queues,
 		Submissions: m.submissions.Copies(),
+		Evacuations: m.evacuations.Zones(),
 	}
 }
 
@@ -468,5 +489,8 @@
 	for _, s := range c.Submissions {
 		m.submissions.Put(s)
 	}
+	for _, z := range c.Evacuations {
+		m.evacuations.Put(z)
+	}
 	return m
 }
--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -112,6 +112,14 @@
 			sim.apply(state.CancelJob{ID: jobs[pick%len(jobs)].ID})
 		}
 	case 15:
+		switch zone := fmt.Sprintf("z%d", pick/8%3); pick % 8 {
+		case 0, 1:
+			sim.apply(state.StartEvacuation{Zone: zone})
+			return
+		case 2:
+			sim.apply(state.FinishEvacuation{Zone: zone})
+			return
+		}
 		sim.apply(state.RecordBurn{Source: "entry_1", Sequence: uint64(pick), Counts: []burn.Count{{Entry: "e1", Minute: 5, Good: 1}}})
 	}
 }
