--- a/dispatch/absent.go
+++ b/dispatch/absent.go
@@ -14,7 +14,7 @@
 
 // absence is the CPU that service tasks of a service need which neither run nor
 // have a place: those of lost workers whose ends are not recorded, and waiting
-// ones.
+// ones. Those on workers of evacuated zones run.
 type absence struct {
 	cpu      int64 // thousandths of a core
 	cleanCPU int64 // capacity of workers with neither service tasks nor batch tasks
@@ -33,7 +33,7 @@
 	}
 	out := make(map[string]absence, len(s.pool.services))
 	for name, service := range s.pool.services {
-		if cpu := store.ServiceCPU(name) - service.serviceCPU; cpu > 0 {
+		if cpu := store.ServiceCPU(name) - service.serviceCPU - s.pool.evacuatedServiceCPU(name); cpu > 0 {
 			out[name] = absence{cpu: int64(_packingFactor * float64(cpu)), cleanCPU: service.cleanCPU}
 		}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -64,9 +64,9 @@
 }
 
 // Reset forgets the workers, their health and the moves. The estimates of
-// interference and of run times and the approvals are kept.
+// interference and of run times, the approvals and the evacuated zones are kept.
 func (s *Scheduler) Reset() {
-	s.pool, s.health, s.mover, s.lossAt, s.cordons = pool{}, health.Tracker{}, mover{}, time.Time{}, nil
+	s.pool, s.health, s.mover, s.lossAt, s.cordons = pool{evacuation: s.pool.evacuation.withoutWorkers()}, health.Tracker{}, mover{}, time.Time{}, nil
 }
 
 // SetWorker adds or updates a worker that can receive tasks now. A worker that is
@@ -76,7 +76,7 @@
 // RemoveWorker removes a worker that can receive no tasks now. Its health is kept.
 func (s *Scheduler) RemoveWorker(incarnation string) { s.pool.remove(incarnation) }
 
-// HasWorker reports whether a worker can receive tasks.
+// HasWorker reports whether a worker can receive tasks. One of an evacuated zone can't.
 func (s *Scheduler) HasWorker(incarnation string) bool { return s.pool.nodes[incarnation] != nil }
 
 // AddSample updates the estimates of interference with a worker's usage
@@ -143,6 +143,9 @@
 	if e.Reason == submission.Rejected && !s.pool.holds(e.Worker, step) {
 		return // the worker has shrunk since the start was decided, which is no fault
 	}
+	if e.Reason == submission.Rejected && s.pool.cancelsStarts(now, e.Worker) {
+		return
+	}
 	s.health.RecordEnd(now, e.Worker, e.Run, step, e.Reason, took, s.times.Step(sub.Queue, id, step))
 	if e.Reason == submission.Done {
 		s.times.RecordRunTime(sub.Queue, id, step, took)
@@ -178,6 +181,7 @@
 // Summary describes the load of the workers and the waiting steps.
 type Summary struct {
 	Workers     int    // that can receive tasks
+	Evacuated   int    // workers of evacuated zones, which are not included elsewhere
 	Shared      int    // of these, workers with both service tasks and batch tasks
 	Capacity    int64  // thousandths of a core
 	Free        int64  // not reserved, in thousandths of a core
@@ -194,7 +198,8 @@
 		t.add(service.totals, 1)
 	}
 	out := Summary{
-		Workers: t.workers, Shared: t.shared, Capacity: t.capacity, Free: t.free, Idle: t.idle, ServiceRuns: t.serviceRuns, BatchRuns: t.batchRuns,
+		Evacuated: len(s.pool.evacuatedNodes),
+		Workers:   t.workers, Shared: t.shared, Capacity: t.capacity, Free: t.free, Idle: t.idle, ServiceRuns: t.serviceRuns, BatchRuns: t.batchRuns,
 	}
 	for _, ws := range s.waitingSteps(at, store) {
 		out.Waiting[ws.latenessClass]++
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -34,11 +34,13 @@
 	// Unapproved workers could run the task, but the advice service has given no ticket
 	// for them that is still valid.
 	Unapproved
+	// Evacuated workers are in an availability zone that an operator has evacuated.
+	Evacuated
 )
 
 // String returns the obstacle's name in lower case.
 func (o Obstacle) String() string {
-	return [...]string{"none", "other_service", "no_label", "spread", "no_cpu", "no_memory", "no_gpu", "sick", "disturbed", "isolated", "unapproved"}[o]
+	return [...]string{"none", "other_service", "no_label", "spread", "no_cpu", "no_memory", "no_gpu", "sick", "disturbed", "isolated", "unapproved", "evacuated"}[o]
 }
 
 // Wait explains why a step's tasks wait.
@@ -91,9 +93,24 @@
 		}
 		w.Obstacles[o]++
 	}
+	for _, n := range r.pool.evacuatedNodes {
+		if counted++; counted > _maxExplained {
+			break
+		}
+		w.Obstacles[r.evacuatedObstacle(n, ws.sub)]++
+	}
 	return w
 }
 
+// evacuatedObstacle returns the reason that a worker of an evacuated zone cannot run a task
+// of a submission.
+func (r *round) evacuatedObstacle(n *node, s *submission.Submission) Obstacle {
+	if n.Service != s.Service {
+		return OtherService
+	}
+	return Evacuated
+}
+
 // obstacle returns the reason that the worker cannot run a task of the step, or 0.
 func (r *round) obstacle(n *node, s *submission.Submission, step *submission.Step, runsOnWorker int) Obstacle {
 	if n.Service != s.Service {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -113,6 +113,7 @@
 	nodes    map[string]*node // by incarnation
 	services map[string]*service
 	isolated map[string]*node // with isolatedFor, also if that has expired; by incarnation
+	evacuation
 	// A worker with service tasks has been removed. The owner resets it.
 	lostServiceTasks bool
 }
@@ -123,6 +124,9 @@
 		p.remove(w.Incarnation)
 		return
 	}
+	if p.setEvacuated(store, w) {
+		return
+	}
 	if p.nodes == nil {
 		p.nodes, p.services = make(map[string]*node), make(map[string]*service)
 	}
@@ -164,13 +168,26 @@
 }
 
 func (p *pool) remove(incarnation string) {
+	n := p.nodes[incarnation]
+	if n == nil {
+		n = p.evacuatedNodes[incarnation]
+	}
+	if n == nil {
+		return
+	}
+	p.lostServiceTasks = p.lostServiceTasks || n.serviceRuns > 0
+	delete(p.evacuatedNodes, incarnation)
+	p.withdraw(incarnation)
+}
+
+// withdraw removes a worker from those that can receive tasks.
+func (p *pool) withdraw(incarnation string) {
 	n := p.nodes[incarnation]
 	if n == nil {
 		return
 	}
 	delete(p.nodes, incarnation)
 	delete(p.isolated, incarnation)
-	p.lostServiceTasks = p.lostServiceTasks || n.serviceRuns > 0
 	s := p.services[n.Service]
 	s.add(n.counted, -1)
 	removeAt(&s.byFree[n.freeIndex.bucket], n.freeIndex.index, func(o *node, i int) { o.freeIndex.index = i })
@@ -208,15 +225,25 @@
 // refresh takes over a worker's recorded runs. It must be called when a run of the
 // worker has started or ended.
 func (p *pool) refresh(store *submission.Store, incarnation string) {
+	if n := p.evacuatedNodes[incarnation]; n != nil {
+		n.takeOver(store)
+		return
+	}
 	n := p.nodes[incarnation]
 	if n == nil {
 		return
 	}
+	n.takeOver(store)
+	p.index(n)
+}
+
+// takeOver takes over the worker's recorded runs.
+func (n *node) takeOver(store *submission.Store) {
 	n.free, n.idleCPU = n.Capacity, n.Capacity.CPU
 	n.serviceRuns, n.serviceCPU, n.batchRuns, n.runs = 0, 0, 0, 0
 	n.roundLoads, n.roundStarts, n.changed = nil, nil, false
 	n.isolatedFor, n.isolatedUntil, n.latestStarts = "", time.Time{}, nil
-	if u := store.Usage(incarnation); u != nil {
+	if u := store.Usage(n.Incarnation); u != nil {
 		n.free = n.Capacity.Sub(u.Reserved)
 		n.idleCPU -= u.RequestedCPU - u.ServiceCPU + expectedServiceCPU(u.ServiceCPU)
 		n.serviceRuns, n.serviceCPU, n.batchRuns, n.runs = u.ServiceRuns, u.ServiceCPU, u.BatchRuns, len(u.Runs)
@@ -225,6 +252,10 @@
 	} else {
 		n.serviceImages = nil
 	}
+}
+
+// index updates a worker's place in the lists of its service.
+func (p *pool) index(n *node) {
 	p.indexIsolated(n)
 	s := p.services[n.Service]
 	s.add(n.counted, -1)
