controller, runner, platform: evacuate an availability zone

The leader accepts the order of a known zone, records it, and tells the agents of the zone with each order. Agents cancel starts that they have not carried out. A copy of an order whose sender has gone is not proposed.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -88,6 +88,7 @@
 	StaleWorker    Code = 1504
 	RevisionGone   Code = 1505
 	NotReady       Code = 1506
+	ZoneNotFound   Code = 1507
 	Internal       Code = 1599
 
 	BadSettings  Code = 1601
@@ -144,6 +145,7 @@
 	{StaleWorker, "stale_worker", http.StatusConflict, RanNo, 0},
 	{RevisionGone, "revision_gone", http.StatusGone, RanNo, 0},
 	{NotReady, "not_ready", http.StatusServiceUnavailable, RanNo, time.Second},
+	{ZoneNotFound, "zone_not_found", http.StatusNotFound, RanNo, 0},
 	{Internal, "internal", http.StatusInternalServerError, RanUnknown, 0},
 	{BadSettings, "bad_settings", http.StatusBadRequest, RanNo, 0},
 	{DataLocked, "data_locked", http.StatusConflict, RanNo, 0},
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -249,7 +249,7 @@
 // hold for all attempts.
 func mayContradictEarlierAttempt(code fault.Code) bool {
 	switch code {
-	case fault.EntryNotFound, fault.WrongClass, fault.NotReady, fault.NoLeader, fault.Overloaded, fault.QueueTimeout, fault.Draining:
+	case fault.EntryNotFound, fault.ZoneNotFound, fault.WrongClass, fault.NotReady, fault.NoLeader, fault.Overloaded, fault.QueueTimeout, fault.Draining:
 		return true
 	}
 	return false
--- a/internal/control/submissions.go
+++ b/internal/control/submissions.go
@@ -110,6 +110,18 @@
 	return wire.DecodeQueueTable(out.GetTable()), nil
 }
 
+// StartEvacuation evacuates an availability zone: nothing is started on its workers.
+func (c *Client) StartEvacuation(ctx context.Context, zone string) error {
+	_, err := c.Propose(ctx, state.StartEvacuation{Zone: zone})
+	return err
+}
+
+// FinishEvacuation ends the evacuation of an availability zone.
+func (c *Client) FinishEvacuation(ctx context.Context, zone string) error {
+	_, err := c.Propose(ctx, state.FinishEvacuation{Zone: zone})
+	return err
+}
+
 // Join requests membership for a controller from the leader.
 func (c *Client) Join(ctx context.Context, id, address string) error {
 	_, err := c.callLeader(ctx, readCall, _attemptTimeout, func(ctx context.Context, client pb.DRPCControllerClient) (reply, error) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -88,6 +88,7 @@
 		LateStartWindow: lateStartWindow(s),
 		AdviceClient:    c.adviceClient,
 		Metrics:         c.registry,
+		Zones:           s.Zones,
 		Replicas:        cfg.Replicas,
 		OnMembersChange: func(members []replica.Member) { c.peers.UpdateMembers(id, members) },
 		Address:         c.peers.Address,
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -87,6 +87,8 @@
 	tasksGivenUp     metrics.Counter
 	strayRuns        metrics.Counter // that a worker has and that are not recorded on it
 	firstStarts      metrics.Timer   // from a submission to the first start of its first task
+	evacuatedZones   metrics.Gauge
+	zones            zones
 	advice           advice
 	holders          map[string]Holder
 	diskErr          error         // disk failure; the core rejects every later proposal
@@ -113,6 +115,7 @@
 	LateStartWindow time.Duration           // from an agent's latest call until its worker can hold no lease from it
 	Metrics         metrics.Registry        // nil for none
 	AdviceClient    AdviceClient            // approves workers for the steps of some queues; nil if there is none
+	Zones           []string                // availability zones of the deployment; empty if only the workers name them
 	Replicas        int                     // voters that the group should have; 0 for a fixed group
 	OnMembersChange func([]replica.Member)  // called when the members change
 	Address         func(replica.ID) string // returns a replica's address; "" if unknown
@@ -166,6 +169,9 @@
 	c.tasksGivenUp = metrics.NewRegisteredCounter("controller.tasks_given_up", registry)
 	c.strayRuns = metrics.NewRegisteredCounter("controller.stray_runs", registry)
 	c.firstStarts = metrics.NewRegisteredTimer("controller.first_starts", registry)
+	c.evacuatedZones = metrics.NewRegisteredGauge("controller.evacuated_zones", registry)
+	c.updateEvacuationMetric()
+	c.zones = newZones(cfg.Zones)
 	c.advice = advice{client: cfg.AdviceClient, results: make(chan adviceResult, 1)}
 	c.group = group{replicas: cfg.Replicas, onMembersChange: cfg.OnMembersChange, address: cfg.Address}
 	c.replica = replica.New(cfg.Replica, restored, func() replica.Snapshot { return c.latestSnapshot }, now)
@@ -382,6 +388,7 @@
 		return err
 	}
 	c.latestSnapshot = *ready.Snapshot
+	c.updateEvacuationMetric()
 	c.feed.Reset(c.machine.Revision())
 	c.sched.reset()
 	c.sessions.reset(clock.Now())
@@ -483,6 +490,7 @@
 	if role == replica.Leader {
 		c.sched.startLeading(clock.Now(), c.machine)
 		c.sessions.reset(clock.Now())
+		c.zones.reset()
 	}
 	if c.role == replica.Leader {
 		c.sched.reset()
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -139,9 +139,16 @@
 			"version": q.Table.Version, "queues": len(q.Table.Queues), "services": len(q.Table.Services),
 		}, "table of queues took effect")
 	}
+	zone, isOrder := zoneOfOrder(cmd)
+	if isOrder {
+		c.updateEvacuationMetric()
+	}
 	if c.replica.Role() != replica.Leader || term != c.replica.Term() {
 		return
 	}
+	if isOrder {
+		c.handleEvacuation(clock.Now(), zone, r)
+	}
 	switch cmd := cmd.(type) {
 	case state.StartRuns:
 		c.sessions.startsProposedAt = time.Time{}
@@ -201,7 +208,7 @@
 func (c *Core) orderStarts(starts []submission.Start) {
 	orders := make(map[*session]*pb.AgentOrder)
 	now := clock.Now()
-	for _, st := range c.rejectBesideStrays(now, starts) {
+	for _, st := range c.rejectBesideStrays(now, c.rejectInEvacuatedZones(now, starts)) {
 		c.sessions.startOrderedAt[st.Run] = now
 		c.sessions.scheduler.RecordStart(now, c.machine.Submissions(), st)
 		c.recordFirstStart(now, st)
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -26,6 +26,7 @@
 	c.sessions.changed = false
 	c.sessions.nextRound = now.Add(_retryInterval)
 	at := c.clocks(now, time.Now())
+	c.syncEvacuations(now)
 	c.logPoolState(at)
 	c.stopRuns(at)
 	c.requestAdvice(at)
@@ -69,7 +70,7 @@
 		"missed_targets": c.sessions.missedTargets,
 		"workers":        s.Workers, "shared": s.Shared, "cpu": s.Capacity, "cpu_free": s.Free, "cpu_idle": s.Idle, "serving": s.ServiceRuns, "filling": s.BatchRuns,
 		"waiting_in_time": s.Waiting[0], "waiting_late": s.Waiting[1], "waiting_too_late": s.Waiting[2],
-		"submissions": c.machine.Submissions().UnendedCount(),
+		"submissions": c.machine.Submissions().UnendedCount(), "evacuated": s.Evacuated,
 	}, "pool state")
 	c.sessions.missedTargets = 0
 	for _, w := range c.sessions.scheduler.ExplainWaits(at, c.machine.Submissions(), _maxLoggedWaits) {
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -42,6 +42,11 @@
 	if err != nil {
 		return &pb.ProposeReply{Outcome: wire.EncodeOutcome(state.Outcome{Err: err})}, nil
 	}
+	if zone, ok := zoneOfOrder(cmd); ok {
+		if reply, err := s.checkOrder(ctx, zone); reply != nil || err != nil {
+			return reply, err
+		}
+	}
 	o, err := s.core.Propose(ctx, cmd)
 	switch fault.CodeOf(err) {
 	case fault.OK:
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -212,6 +212,7 @@
 func (c *Core) handleReport(now time.Time, sess *session, in *pb.AgentReport) {
 	if w := in.GetWorker(); w != nil {
 		sess.updateWorker(now, w)
+		c.zones.report(w.GetZone())
 		c.updateDeparture(sess)
 		c.sessions.changed = true
 	}
@@ -337,9 +338,10 @@
 	}
 }
 
-// newOrder returns an order without content for the session's agent.
+// newOrder returns an order without content for the session's agent. Each order says whether
+// the worker's zone is evacuated.
 func (c *Core) newOrder(sess *session) *pb.AgentOrder {
-	return &pb.AgentOrder{Term: c.replica.Term(), Attachment: sess.attachment}
+	return &pb.AgentOrder{Term: c.replica.Term(), Attachment: sess.attachment, Evacuated: c.isEvacuated(sess)}
 }
 
 // proposeReportedEnds proposes the run ends that an agent reports.
--- a/internal/controller/split.go
+++ b/internal/controller/split.go
@@ -11,7 +11,8 @@
 const _maxOrderBytes = 1 << 20
 
 // splitOrder divides an order whose starts exceed _maxOrderBytes. The first part has all
-// but the further starts. Each part has a start at least, however large.
+// but the further starts. Each part has a start at least, however large, and says whether the
+// zone is evacuated.
 func splitOrder(o *pb.AgentOrder) []*pb.AgentOrder {
 	starts := o.GetStarts()
 	n := countStarts(starts)
@@ -22,7 +23,7 @@
 	out := []*pb.AgentOrder{o}
 	for starts = starts[n:]; len(starts) > 0; starts = starts[n:] {
 		n = countStarts(starts)
-		out = append(out, &pb.AgentOrder{Term: o.GetTerm(), Attachment: o.GetAttachment(), Starts: starts[:n]})
+		out = append(out, &pb.AgentOrder{Term: o.GetTerm(), Attachment: o.GetAttachment(), Evacuated: o.GetEvacuated(), Starts: starts[:n]})
 	}
 	return out
 }
--- a/internal/controller/split_test.go
+++ b/internal/controller/split_test.go
@@ -25,7 +25,7 @@
 		{"each larger than a part", 3, _maxOrderBytes + 1, 3, 3},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			o := &pb.AgentOrder{Term: 3, Attachment: 5, Sent: 7, Lease: 9, Taken: 11}
+			o := &pb.AgentOrder{Term: 3, Attachment: 5, Sent: 7, Lease: 9, Taken: 11, Evacuated: true}
 			for i := range tc.starts {
 				run := submission.RunID{Task: submission.TaskID{Submission: "s", Index: i}, Number: 1}
 				o.Starts = append(o.Starts, &pb.StartOrder{Run: wire.EncodeRun(run), Text: strings.Repeat("x", tc.bytes)})
@@ -33,7 +33,7 @@
 			next := 0
 			parts := splitOrder(o)
 			for i, p := range parts {
-				if p.GetTerm() != 3 || p.GetAttachment() != 5 || (p.GetLease() == 9) != (i == 0) || (p.GetTaken() == 11) != (i == 0) {
+				if p.GetTerm() != 3 || p.GetAttachment() != 5 || !p.GetEvacuated() || (p.GetLease() == 9) != (i == 0) || (p.GetTaken() == 11) != (i == 0) {
 					t.Errorf("part %d: %v", i, p)
 				}
 				if size := proto.Size(p); size > _maxOrderBytes+100 && len(p.GetStarts()) > 1 {
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -56,35 +56,52 @@
 	return nil
 }
 
-// loggedQueues passes an operator's requests to the controllers and logs the
+// loggedOrders passes an operator's requests to the controllers and logs the
 // answers.
-type loggedQueues struct {
+type loggedOrders struct {
 	client *control.Client
 	log    event.Log
 }
 
-var _ platform.Queues = loggedQueues{}
+var (
+	_ platform.Queues      = loggedOrders{}
+	_ platform.Evacuations = loggedOrders{}
+)
 
 // ReplaceQueues implements platform.Queues.
-func (q loggedQueues) ReplaceQueues(ctx context.Context, t queue.Table) error {
+func (q loggedOrders) ReplaceQueues(ctx context.Context, t queue.Table) error {
 	began := time.Now()
 	err := q.client.ReplaceQueues(ctx, t)
-	q.logAnswer("replace", t.Version, began, err)
+	q.logAnswer("replace", event.Fields{"version": t.Version}, began, err)
 	return err
 }
 
 // Queues implements platform.Queues.
-func (q loggedQueues) Queues(ctx context.Context) (queue.Table, error) {
+func (q loggedOrders) Queues(ctx context.Context) (queue.Table, error) {
 	began := time.Now()
 	t, err := q.client.Queues(ctx)
-	q.logAnswer("describe", t.Version, began, err)
+	q.logAnswer("describe", event.Fields{"version": t.Version}, began, err)
 	return t, err
 }
 
-func (q loggedQueues) logAnswer(request string, version uint64, began time.Time, err error) {
-	fields := event.Fields{
-		"order": request, "version": version, "code": fault.CodeOf(err).Name(), "ms": time.Since(began).Milliseconds(),
-	}
+// StartEvacuation implements platform.Evacuations.
+func (q loggedOrders) StartEvacuation(ctx context.Context, zone string) error {
+	began := time.Now()
+	err := q.client.StartEvacuation(ctx, zone)
+	q.logAnswer("start_evacuation", event.Fields{"zone": zone}, began, err)
+	return err
+}
+
+// FinishEvacuation implements platform.Evacuations.
+func (q loggedOrders) FinishEvacuation(ctx context.Context, zone string) error {
+	began := time.Now()
+	err := q.client.FinishEvacuation(ctx, zone)
+	q.logAnswer("finish_evacuation", event.Fields{"zone": zone}, began, err)
+	return err
+}
+
+func (q loggedOrders) logAnswer(request string, fields event.Fields, began time.Time, err error) {
+	fields["order"], fields["code"], fields["ms"] = request, fault.CodeOf(err).Name(), time.Since(began).Milliseconds()
 	if err != nil {
 		fields["reason"] = fault.From(err).Message()
 	}
@@ -97,8 +114,8 @@
 		client := d.newClient(s)
 		client.SetLeaderHint(d.core.LeaderAddress)
 		d.components = append(d.components, clientComponent{client})
-		queues := loggedQueues{client: client, log: d.log.With("role", settings.RoleController)}
-		if err := d.startServers(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.OperatorHandler(queues)}); err != nil {
+		orders := loggedOrders{client: client, log: d.log.With("role", settings.RoleController)}
+		if err := d.startServers(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.OperatorHandler(orders, orders)}); err != nil {
 			return err
 		}
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,8 @@
 	TaskGivenUp        Number = 229
 	StrayRun           Number = 230
 	VotersMissing      Number = 231
+	EvacuationStarted  Number = 234
+	EvacuationFinished Number = 235
 	AgentJoined        Number = 301
 	ControllerLost     Number = 302
 	TaskStarted        Number = 303
@@ -74,6 +76,7 @@
 	WorkerSuperseded   Number = 314
 	EndedRunListed     Number = 315
 	RunEndInferred     Number = 316
+	StartCancelled     Number = 317
 	ViewLost           Number = 401
 	ConnectionDead     Number = 402
 	WorkerEjected      Number = 403
@@ -134,6 +137,8 @@
 	{TaskGivenUp, "task_given_up", logrus.WarnLevel},
 	{StrayRun, "stray_run", logrus.WarnLevel},
 	{VotersMissing, "voters_missing", logrus.WarnLevel},
+	{EvacuationStarted, "evacuation_started", logrus.WarnLevel},
+	{EvacuationFinished, "evacuation_finished", logrus.InfoLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
@@ -150,6 +155,7 @@
 	{WorkerSuperseded, "worker_superseded", logrus.WarnLevel},
 	{EndedRunListed, "ended_run_listed", logrus.WarnLevel},
 	{RunEndInferred, "run_end_inferred", logrus.InfoLevel},
+	{StartCancelled, "start_cancelled", logrus.InfoLevel},
 	{ViewLost, "view_lost", logrus.WarnLevel},
 	{ConnectionDead, "connection_dead", logrus.WarnLevel},
 	{WorkerEjected, "worker_ejected", logrus.WarnLevel},
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -108,6 +108,7 @@
 	incarnation     Incarnation  // zero until the worker has confirmed an announcement
 	candidate       *candidate   // another incarnation that was announced; nil if none
 	departed        bool         // the worker has announced its departure
+	evacuated       bool         // the worker's zone is evacuated, as of the latest order
 	superseded      bool         // the latest poll was answered by another incarnation
 	disconnected    bool         // a poll since the latest answer failed before its timeout
 	token           token        // latest that a leader has sent
@@ -275,6 +276,7 @@
 		r.lease.applyGrant(time.Unix(0, o.GetSent()), time.Duration(o.GetLease()))
 	}
 	r.controllers.SetMembers(o.GetControllers())
+	r.evacuated = o.GetEvacuated() // before the starts, which are cancelled then
 	for _, p := range o.GetPresses() {
 		r.coefficients[interference.Pair{Batch: p.GetFills(), Service: p.GetServes()}] = float64(p.GetPercent()) / 100
 	}
@@ -423,7 +425,12 @@
 		return true
 	}
 	inDoubt := r.isInDoubt()
-	if tr.lateGrants != r.lateGrants || r.isLeaving() || !inDoubt && !r.holds(tr) {
+	if tr.lateGrants != r.lateGrants || r.isLeaving() || r.evacuated || !inDoubt && !r.holds(tr) {
+		if r.evacuated {
+			r.log.Emit(event.StartCancelled, event.Fields{
+				"worker": r.incarnationName(incarnation), "task": tr.run.Task.String(), "run": tr.run.Number, "called": tr.startCalled,
+			}, "start cancelled: the worker's zone is evacuated")
+		}
 		r.cancelStart(ctx, incarnation, tr)
 		r.mu.Unlock()
 		return true
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/gentianrail/gentianrail/evacuation"
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/declaration"
 	"github.com/gentianrail/gentianrail/internal/unit"
@@ -110,6 +111,7 @@
 	Rack            string        `json:"rack"`
 	Roles           []string      `json:"roles"`
 	Controllers     []string      `json:"controllers,omitempty"`
+	Zones           []string      `json:"zones,omitempty"` // availability zones of the deployment
 	Controller      *Controller   `json:"controller,omitempty"`
 	Entry           *Entry        `json:"entry,omitempty"`
 	Agent           *Agent        `json:"agent,omitempty"`
@@ -363,6 +365,11 @@
 	for i, a := range s.Controllers {
 		c.checkDialAddress(fmt.Sprintf("controllers.%d", i), a)
 	}
+	for i, zone := range s.Zones {
+		if err := evacuation.CheckName(zone); err != nil || slices.Contains(s.Zones[:i], zone) {
+			c.addProblem(fmt.Sprintf("zones.%d", i), "found %.300q, allowed are different names without slashes and control characters", zone)
+		}
+	}
 }
 
 func (c *checker) checkRole(hasRole, present bool, role string) {
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -85,7 +85,7 @@
 		return ExitUsage
 	case fault.VersionConflict, fault.KeyMismatch, fault.JobEnded:
 		return ExitConflict
-	case fault.EntryNotFound, fault.JobNotFound, fault.WorkerNotFound:
+	case fault.EntryNotFound, fault.JobNotFound, fault.WorkerNotFound, fault.ZoneNotFound:
 		return ExitNotFound
 	}
 	if fault.From(err).RetryAfter() > 0 {
