--- a/internal/operator/reports.go
+++ b/internal/operator/reports.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/gentianrail/gentianrail/burn"
+	"github.com/gentianrail/gentianrail/evacuation"
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/controller"
 	"github.com/gentianrail/gentianrail/internal/web"
@@ -19,7 +20,7 @@
 // WorkerDocument is the JSON form of a worker.
 type WorkerDocument struct {
 	ID             string   `json:"id"`
-	State          string   `json:"state"` // open, draining or leaving
+	State          string   `json:"state"` // open, draining, evacuated or leaving
 	Incarnation    uint64   `json:"incarnation"`
 	Address        string   `json:"address"`
 	Region         string   `json:"region,omitempty"`
@@ -40,12 +41,14 @@
 	Workers  []WorkerDocument `json:"workers"`
 }
 
-func workerState(w worker.Worker) string {
+func workerState(w worker.Worker, zones *evacuation.Set) string {
 	switch {
 	case w.Leaving:
 		return "leaving"
 	case w.Drained:
 		return "draining"
+	case zones.IsEvacuated(w.Zone):
+		return "evacuated"
 	}
 	return "open"
 }
@@ -68,7 +71,7 @@
 func workerDocument(rd controller.ReadOnlyState, w worker.Worker) WorkerDocument {
 	d := WorkerDocument{
 		ID:          w.ID,
-		State:       workerState(w),
+		State:       workerState(w, rd.Machine.Evacuations()),
 		Incarnation: w.AgentIncarnation,
 		Address:     w.Address,
 		Region:      w.Region,
