--- a/e2e/tool_test.go
+++ b/e2e/tool_test.go
@@ -131,6 +131,15 @@
 		{"logs explain none README.md", 4, "names the submission"},
 		{"load http://198.51.100.1/", 2, "loopback"},
 		{"load --rate 50 --duration 1s http://127.0.0.1:8630/price", 0, "sent 50, answered 50"},
+		{"evacuate nowhere", 4, "zone_not_found"},
+		{"evacuate", 2, "expected one zone"},
+		{"evacuate zone_a", 0, "zone zone_a is evacuated"},
+		{"evacuate zone_a", 0, "zone zone_a is evacuated"},
+		{"evacuations", 0, "zone_a"},
+		{"workers", 0, "evacuated"},
+		{"-o json evacuations", 0, `"zone": "zone_a"`},
+		{"evacuate --undo zone_a", 0, "zone zone_a is open"},
+		{"-o json evacuations", 0, `"evacuations": []`},
 		{"--server 127.0.0.1:1 status", 5, "no_leader"},
 		{"-o xml status", 1, "allowed are table and json"},
 	} {
@@ -260,3 +269,59 @@
 		t.Errorf("%d jobs on %d pages, want 5 on 3", jobs, pages)
 	}
 }
+
+// TestEvacuationOfProduct guards against requests and jobs that are given to the workers of an
+// evacuated zone, against one in flight that an evacuation ends, and against work that does
+// not go on afterwards.
+func TestEvacuationOfProduct(t *testing.T) {
+	s := startSingleProcess(t)
+	if exit, out := s.runTool("apply", "-f", "examples/catalogue"); exit != 0 {
+		t.Fatal(out)
+	}
+	get := func(path string) (int, error) {
+		resp, err := _client.Get(_entries[0] + path)
+		if err != nil {
+			return 0, err
+		}
+		return resp.StatusCode, resp.Body.Close()
+	}
+	await := func(status int) {
+		t.Helper()
+		last, err := 0, error(nil)
+		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			if last, err = get("/v1/services/quotes/price"); last == status {
+				return
+			}
+		}
+		t.Fatalf("the latest request was answered %d, %v, want %d", last, err, status)
+	}
+	await(http.StatusOK)
+	inFlight := make(chan int, 1)
+	go func() {
+		status, _ := get("/v1/services/quotes/price?delay_ms=1500")
+		inFlight <- status
+	}()
+	time.Sleep(300 * time.Millisecond)
+	if exit, out := s.runTool("evacuate", "zone_a"); exit != 0 {
+		t.Fatal(out)
+	}
+	await(http.StatusServiceUnavailable)
+	if status := <-inFlight; status != http.StatusOK {
+		t.Errorf("a request in flight was answered %d", status)
+	}
+	exit, job := s.runTool("jobs", "submit", "--body", "{}", "cutting_plans")
+	if exit != 0 {
+		t.Fatal(job)
+	}
+	time.Sleep(time.Second)
+	if _, out := s.runTool("tasks"); strings.Contains(out, "cutting_plans") {
+		t.Errorf("a job runs in the evacuated zone:\n%s", out)
+	}
+	if exit, out := s.runTool("evacuate", "--undo", "zone_a"); exit != 0 {
+		t.Fatal(out)
+	}
+	await(http.StatusOK)
+	if exit, out := s.runTool("jobs", "result", "--wait", "20s", strings.TrimSpace(job)); exit != 0 {
+		t.Errorf("the job has no result after the evacuation: exit code %d\n%s", exit, out)
+	}
+}
--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -91,6 +91,12 @@
 		delete(s.placing, c.ID)
 	case state.DrainWorker:
 		s.wakeWorker(c.ID)
+	case state.StartEvacuation, state.FinishEvacuation:
+		for _, e := range r.Events {
+			if w, ok := e.(state.WorkerChanged); ok {
+				s.wakeWorker(w.Worker.ID)
+			}
+		}
 	case state.RetireWorker:
 		s.forget(c.ID, c.AgentIncarnation)
 	}
@@ -246,7 +252,7 @@
 	if reply.Superseded = ok && w.AgentIncarnation > agentIncarnation; reply.Superseded {
 		reply.RegisteredIncarnation = w.AgentIncarnation
 	}
-	reply.Drained = w.Drained
+	reply.Drained = w.Drained || w.Evacuated // to the agent it is the same
 	reported := make(map[string]uint32, len(in.GetRunning()))
 	for _, t := range in.GetRunning() {
 		reported[t.GetJob()] = t.GetAttempt()
--- a/internal/operator/reports.go
+++ b/internal/operator/reports.go
@@ -9,7 +9,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/gentianrail/gentianrail/burn"
-	"github.com/gentianrail/gentianrail/evacuation"
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/controller"
 	"github.com/gentianrail/gentianrail/internal/web"
@@ -41,13 +40,13 @@
 	Workers  []WorkerDocument `json:"workers"`
 }
 
-func workerState(w worker.Worker, zones *evacuation.Set) string {
+func workerState(w worker.Worker) string {
 	switch {
 	case w.Leaving:
 		return "leaving"
 	case w.Drained:
 		return "draining"
-	case zones.IsEvacuated(w.Zone):
+	case w.Evacuated:
 		return "evacuated"
 	}
 	return "open"
@@ -71,7 +70,7 @@
 func workerDocument(rd controller.ReadOnlyState, w worker.Worker) WorkerDocument {
 	d := WorkerDocument{
 		ID:          w.ID,
-		State:       workerState(w, rd.Machine.Evacuations()),
+		State:       workerState(w),
 		Incarnation: w.AgentIncarnation,
 		Address:     w.Address,
 		Region:      w.Region,
--- a/internal/wire/robustness_test.go
+++ b/internal/wire/robustness_test.go
@@ -40,7 +40,7 @@
 		state.StartEvacuation{Zone: "z"},
 		state.FinishEvacuation{Zone: "z"},
 		state.PutEntry{Spec: catalogue.Spec{Name: "entry", Class: catalogue.Batch, Owner: "o", Target: "t"}, ChangeID: "c1"},
-		state.RegisterWorker{Worker: worker.Worker{ID: "w1", AgentIncarnation: 1, Address: "a", Targets: []string{"t"}}},
+		state.RegisterWorker{Worker: worker.Worker{ID: "w1", AgentIncarnation: 1, Address: "a", Zone: "z", Targets: []string{"t"}}},
 		state.SubmitJob{Job: job.Job{ID: "j1", Entry: "entry"}},
 		state.PlaceJob{ID: "j1", Attempt: 1, Worker: "w1", AgentIncarnation: 1},
 		state.EndAttempt{ID: "j1", Attempt: 1, Outcome: job.Lost{Reason: "r"}},
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -125,6 +125,7 @@
 		Accelerators: int32(w.Capacity.Accelerators),
 		Leaving:      w.Leaving,
 		Drained:      w.Drained,
+		Evacuated:    w.Evacuated,
 		Revision:     w.Revision,
 	}
 }
@@ -146,9 +147,10 @@
 			MemoryBytes:  m.GetMemoryBytes(),
 			Accelerators: int(m.GetAccelerators()),
 		},
-		Leaving:  m.GetLeaving(),
-		Drained:  m.GetDrained(),
-		Revision: m.GetRevision(),
+		Leaving:   m.GetLeaving(),
+		Drained:   m.GetDrained(),
+		Evacuated: m.GetEvacuated(),
+		Revision:  m.GetRevision(),
 	}
 }
 
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -63,6 +63,11 @@
 			workers[1].Leaving = true
 			workers[2].Drained = true
 		}, nil, []string{"w1", "w2"}, []string{"w0", "w3"}},
+		{"workers of evacuated zones are skipped", "z0", func(_ *Table, workers []worker.Worker) {
+			for _, id := range []int{0, 3, 6} {
+				workers[id].Evacuated = true
+			}
+		}, nil, []string{"w0", "w3", "w6"}, []string{"w1", "w2"}},
 		{"tried workers are skipped", "z9", func(*Table, []worker.Worker) {}, []string{"w0", "w5"}, []string{"w0", "w5"}, []string{"w1"}},
 		{
 			"a worker that fails repeatedly is ejected, however fast it fails", "z9", func(table *Table, _ []worker.Worker) { recordFailures(table, 4, 5) },
--- a/state/machine.go
+++ b/state/machine.go
@@ -237,7 +237,11 @@
 	if err := evacuation.CheckName(zone); err != nil {
 		return errorResult(err)
 	}
-	return Result{Outcome: Outcome{Repeated: !set(zone, m.now, m.revision)}}
+	r := Result{Outcome: Outcome{Repeated: !set(zone, m.now, m.revision)}}
+	for _, w := range m.workers.SetEvacuated(zone, m.evacuations.IsEvacuated(zone), m.revision) {
+		r.Events = append(r.Events, WorkerChanged{Worker: w})
+	}
+	return r
 }
 
 // errorResult returns a result that carries only err, which may be nil.
@@ -291,6 +295,7 @@
 
 func (m *Machine) registerWorker(c RegisterWorker) Result {
 	old, known := m.workers.Worker(c.Worker.ID)
+	c.Worker.Evacuated = m.evacuations.IsEvacuated(c.Worker.Zone)
 	w, err := m.workers.Register(c.Worker, m.revision)
 	if err != nil {
 		return errorResult(err)
--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -201,7 +201,7 @@
 	id := fmt.Sprintf("w%d", pick%3)
 	incarnation := uint64(1 + pick/3%5)
 	old, known := sim.m.Workers().Worker(id)
-	o := sim.apply(state.RegisterWorker{Worker: worker.Worker{ID: id, AgentIncarnation: incarnation, Targets: []string{"sample"}}})
+	o := sim.apply(state.RegisterWorker{Worker: worker.Worker{ID: id, AgentIncarnation: incarnation, Zone: "z" + id[1:], Targets: []string{"sample"}}})
 	if known && incarnation < old.AgentIncarnation && o.Err == nil {
 		sim.failf("%s: agent incarnation %d replaced %d", id, incarnation, old.AgentIncarnation)
 	}
@@ -233,8 +233,14 @@
 }
 
 // checkWorkers checks that each running attempt belongs to the registered agent of its
-// worker. Only that agent is told to stop it.
+// worker. Only that agent is told to stop it. It also checks that the workers of evacuated
+// zones, and no others, count as such.
 func (sim *simulation) checkWorkers() {
+	for _, w := range sim.m.Workers().Workers() {
+		if want := sim.m.Evacuations().IsEvacuated(w.Zone); w.Evacuated != want || want && w.AcceptsWork() {
+			sim.failf("%s of zone %s is evacuated: %t, want %t", w.ID, w.Zone, w.Evacuated, want)
+		}
+	}
 	for _, j := range sim.m.Jobs().Running() {
 		if w, ok := sim.m.Workers().Worker(j.Worker); !ok || w.AgentIncarnation != j.AgentIncarnation {
 			sim.failf("%s runs on %s/%d, registered is %d", j.ID, j.Worker, j.AgentIncarnation, w.AgentIncarnation)
@@ -255,6 +261,9 @@
 		if o.Err != nil {
 			continue
 		}
+		if wk.Evacuated {
+			sim.failf("%s was placed on %s of an evacuated zone", j.ID, wk.ID)
+		}
 		if sim.runningAttempts[j.ID] != 0 {
 			sim.failf("%s runs as attempt %d and %d", j.ID, sim.runningAttempts[j.ID], cmd.Attempt)
 		}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -35,17 +35,18 @@
 	Capacity         Capacity
 	Leaving          bool   // the agent has announced that it is stopping
 	Drained          bool   // an operator has drained the worker
+	Evacuated        bool   // an operator has evacuated the worker's zone
 	Revision         uint64 // revision of the latest change
 }
 
 // AcceptsWork reports whether the worker accepts new work.
-func (w Worker) AcceptsWork() bool { return !w.Leaving && !w.Drained }
+func (w Worker) AcceptsWork() bool { return !w.Leaving && !w.Drained && !w.Evacuated }
 
 // Serves reports whether the worker has the target.
 func (w Worker) Serves(target string) bool { return slices.Contains(w.Targets, target) }
 
-// SameAnnouncement reports whether two announcements are equal. The drain and
-// the revision are not part of an announcement.
+// SameAnnouncement reports whether two announcements are equal. The drain, the
+// evacuation and the revision are not part of an announcement.
 func (w Worker) SameAnnouncement(o Worker) bool {
 	return w.ID == o.ID && w.AgentIncarnation == o.AgentIncarnation && w.Address == o.Address &&
 		w.Region == o.Region && w.Zone == o.Zone && w.Rack == o.Rack &&
@@ -120,6 +121,21 @@
 	return nil
 }
 
+// SetEvacuated sets whether the workers of a zone accept no new work because of an
+// evacuation. It returns those that have changed, sorted by identifier.
+func (p *Pool) SetEvacuated(zone string, evacuated bool, revision uint64) []Worker {
+	var out []Worker
+	for _, w := range p.Workers() {
+		if w.Zone != zone || w.Evacuated == evacuated {
+			continue
+		}
+		w.Evacuated, w.Revision = evacuated, revision
+		p.Put(w)
+		out = append(out, w)
+	}
+	return out
+}
+
 // Drain sets whether the worker is drained. A drained worker accepts no new work.
 func (p *Pool) Drain(id string, drained bool, revision uint64) (Worker, error) {
 	w, ok := p.workers[id]
