--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -42,11 +42,14 @@
 	// Misplaced service tasks make their worker tolerate fewer batch images than
 	// they would elsewhere.
 	Misplaced
+	// Evacuating runs are long-running and in an evacuated zone, while another zone has
+	// capacity for them.
+	Evacuating
 )
 
 // String returns the reason's name in lower case.
 func (r StopReason) String() string {
-	return [...]string{"", "leaving", "stalled", "crowded", "misplaced"}[r]
+	return [...]string{"", "leaving", "stalled", "crowded", "misplaced", "evacuated"}[r]
 }
 
 // Stop is a run to stop, so that its task starts again on another worker.
@@ -66,7 +69,8 @@
 	moves        map[submission.TaskID]move      // in progress
 	lastExchange time.Time
 
-	exchangesDisabled bool
+	lastEvacuationMove time.Time // latest check for runs to move out of evacuated zones
+	exchangesDisabled  bool
 }
 
 // SetRunStatus records the reported status of an active run.
@@ -99,7 +103,7 @@
 
 // Stops returns the runs to stop now: runs on leaving workers, stalled runs, batch
 // runs that are throttled beside service tasks while other workers have capacity,
-// and service tasks to exchange between workers. Runs that were returned before
+// long-running runs in evacuated zones, and service tasks to exchange between workers. Runs that were returned before
 // may be returned again.
 func (s *Scheduler) Stops(at Clocks, store *submission.Store) []Stop {
 	s.mover.prune(at.Now)
@@ -112,6 +116,7 @@
 	runs := sortedRuns(s.mover.statuses)
 	out = append(out, s.stopsOfStalledRuns(store, runs)...)
 	out = append(out, r.stopsOfThrottledRuns(store, runs)...)
+	out = append(out, r.stopsInEvacuatedZones(store)...)
 	return append(out, r.exchanges(store)...)
 }
 
