--- a/internal/operator/reports.go
+++ b/internal/operator/reports.go
@@ -19,7 +19,7 @@
 // WorkerDocument is the JSON form of a worker.
 type WorkerDocument struct {
 	ID             string   `json:"id"`
-	State          string   `json:"state"` // open, draining or leaving
+	State          string   `json:"state"` // open, draining, evacuated or leaving
 	Incarnation    uint64   `json:"incarnation"`
 	Address        string   `json:"address"`
 	Region         string   `json:"region,omitempty"`
@@ -46,6 +46,8 @@
 		return "leaving"
 	case w.Drained:
 		return "draining"
+	case w.Evacuated:
+		return "evacuated"
 	}
 	return "open"
 }
