Wait for the preferred rack where that is cheaper than starting elsewhere

Package locality decides how long a task, or a gang, waits for the rack of its data or for one rack; dispatch applies it when a worker elsewhere has capacity. The first task of a rack-local step takes the rack that can hold all tasks. Without a remote penalty placement is as before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -53,6 +53,7 @@
 	estimator   interference.Estimator
 	approvals   approvals
 	times       estimate.RunTimes
+	preferences preferences
 	mover       mover
 	tolerance   *tolerance // of the estimator's coefficients at toleranceAt
 	toleranceAt time.Time
@@ -67,6 +68,7 @@
 // interference and of run times and the approvals are kept.
 func (s *Scheduler) Reset() {
 	s.pool, s.health, s.mover, s.lossAt, s.cordons = pool{}, health.Tracker{}, mover{}, time.Time{}, nil
+	s.preferences.reset()
 }
 
 // SetWorker adds or updates a worker that can receive tasks now. A worker that is
@@ -94,6 +96,7 @@
 	s.estimator.Prune(now)
 	s.health.Prune(now)
 	s.times.Prune(store)
+	s.preferences.prune(store)
 	maps.DeleteFunc(s.cursors, func(id StepID, _ *int) bool {
 		sub, ok := store.Submission(id.Submission)
 		return !ok || sub.State.Ended()
@@ -124,6 +127,7 @@
 		}
 	}
 	s.mover.endMove(st.Run.Task)
+	s.recordPreferredStart(now, store, st)
 	s.pool.refresh(store, st.Worker)
 }
 
@@ -136,13 +140,20 @@
 	s.mover.removeRun(e.Run)
 	s.pool.refresh(store, e.Worker)
 	sub, ok := store.Submission(e.Run.Task.Submission)
-	if !ok || took < 0 {
+	if !ok {
+		return
+	}
+	slowdown := s.slowdown(sub, e.Run.Task, e.Worker)
+	s.recordPreferredEnd(now, sub, e.Run.Task)
+	if took < 0 {
 		return
 	}
 	step, id := &sub.Steps[e.Run.Task.Step], estimate.Step{Submission: sub.ID, Index: e.Run.Task.Step}
 	if e.Reason == submission.Rejected && !s.pool.holds(e.Worker, step) {
 		return // the worker has shrunk since the start was decided, which is no fault
 	}
+	// Health and the estimates judge a run that was slow because of its rack as on its own rack.
+	took = time.Duration(float64(took) / slowdown)
 	s.health.RecordEnd(now, e.Worker, e.Run, step, e.Reason, took, s.times.Step(sub.Queue, id, step))
 	if e.Reason == submission.Done {
 		s.times.RecordRunTime(sub.Queue, id, step, took)
@@ -170,6 +181,7 @@
 // newStartRound returns a round that places waiting tasks.
 func (s *Scheduler) newStartRound(at Clocks, store *submission.Store) *round {
 	s.pruneCordons(at)
+	s.preferences.beginRound(at)
 	r := s.newRound(at, store)
 	r.absent = s.absences(at, store)
 	return r
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -50,6 +50,7 @@
 	// 0: can meet its objective, or is long-running; 1: will be late; 2: too late to
 	// have value.
 	LatenessClass int
+	Preferred     *PreferredWait   // nil if no task waits for its preferred rack
 	Obstacles     map[Obstacle]int // number of workers by obstacle; 0 is no obstacle; of up to _maxExplained workers
 }
 
@@ -75,6 +76,7 @@
 		Submission: ws.sub.ID, Occurrence: ws.occurrence, Step: ws.step, Since: ws.sub.Accepted, LatenessClass: ws.latenessClass,
 		Obstacles: make(map[Obstacle]int),
 	}
+	w.Preferred = r.preferredWait(ws)
 	p := r.newPlacement(ws)
 	p.countActiveRuns(ws.record())
 	counted := 0
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -54,6 +54,9 @@
 	started         map[string]bool           // submissions with a start in this round
 	starts          []submission.Start
 	changed         []*node // workers with starts in this round
+	rackRuns        map[*node][]expectedRun
+	rackWaiters     map[*node][]rackWaiter // tasks that wait for a worker, those of the most urgent steps first
+	isTrial         bool                   // nothing is recorded of the decisions
 }
 
 func (s *Scheduler) newRound(at Clocks, store *submission.Store) *round {
@@ -125,6 +128,7 @@
 	candidates []candidate
 	found      int // candidates that searches have found since the latest start
 	unplaced   int // waiting tasks without a worker; 0 if each one that may start now has one
+	preference preference
 }
 
 // candidate is a worker that can start a task, with its cost.
@@ -163,9 +167,7 @@
 			lastRun = max(lastRun, rec.Tasks[i].LastRun)
 		}
 	}
-	p.countActiveRuns(rec)
-	p.cursor = p.searchCursor(p.ws)
-	p.search = p.newSearch(p.ws.sub, p.step, p.cursor)
+	p.beginSearch(rec)
 	firstStart, full := len(p.starts), false
 	for i := range rec.Tasks {
 		t := &rec.Tasks[i]
@@ -196,16 +198,31 @@
 			full = true
 			continue
 		}
+		if p.waitsForRack(id, n) {
+			continue
+		}
 		p.start(submission.RunID{Task: id, Number: max(lastRun, t.LastRun) + 1}, n)
 		if isolation > 0 {
 			p.isolate(n, isolation)
 		}
 	}
+	if p.step.Gang && p.gangWaitsForRack(firstStart) {
+		return
+	}
 	if p.unplaced > 0 {
 		p.unplaced = max(1, rec.WaitingTasks()-(len(p.starts)-firstStart))
 	}
 }
 
+// beginSearch prepares the placement of the step's tasks.
+func (p *placement) beginSearch(rec *submission.StepRecord) {
+	p.countActiveRuns(rec)
+	p.cursor = p.searchCursor(p.ws)
+	p.preference.startedBefore = p.started[p.ws.sub.ID]
+	p.preferRack(rec)
+	p.search = p.newRackSearch(p.ws.sub, p.step, p.cursor, p.searchedRack())
+}
+
 // start adds the start of a run to the round.
 func (p *placement) start(run submission.RunID, n *node) {
 	wasStarved := p.isStarved(p.ws.sub)
@@ -223,7 +240,7 @@
 		firstOnRack = p.onRack[n.Rack] == 1
 	}
 	if wasStarved || firstOnRack { // which workers fit, or their costs, have changed
-		p.candidates, p.search = nil, p.newSearch(p.ws.sub, p.step, p.cursor)
+		p.candidates, p.search = nil, p.newRackSearch(p.ws.sub, p.step, p.cursor, p.searchedRack())
 		return
 	}
 	i := slices.IndexFunc(p.candidates, func(c candidate) bool { return c.n == n })
@@ -434,7 +451,10 @@
 	cost := n.packingCost(step) + p.interferenceCost(step, n) + p.toleranceCost(step, n)
 	cost += costIf(p.isolates(n, p.ws.sub.ID), _costIsolated) + costIf(p.unhealthy[n.Incarnation], _costUnhealthy)
 	cost += costIf(step.DataRack != "" && step.DataRack != n.Rack, _costOffRack)
-	return cost + costIf(step.RackLocal && len(p.onRack) > 0 && p.onRack[n.Rack] == 0, _costOffRack)
+	if step.RackLocal && len(p.onRack) == 0 {
+		return cost + costIf(p.preference.rack != "" && n.Rack != p.preference.rack, _costOffRack)
+	}
+	return cost + costIf(step.RackLocal && p.onRack[n.Rack] == 0, _costOffRack)
 }
 
 // packingCost is the part of the cost that depends on what runs on the worker.
--- a/dispatch/search.go
+++ b/dispatch/search.go
@@ -29,6 +29,11 @@
 // newSearch starts a search for a step of a submission. cursor is where the step's latest
 // search has ended; nil if the search need not reach each worker.
 func (r *round) newSearch(sub *submission.Submission, step *submission.Step, cursor *int) search {
+	return r.newRackSearch(sub, step, cursor, step.DataRack)
+}
+
+// newRackSearch starts a search that begins with the workers of a rack, if there are any.
+func (r *round) newRackSearch(sub *submission.Submission, step *submission.Step, cursor *int, preferred string) search {
 	service := r.pool.services[sub.Service]
 	if service == nil {
 		return search{}
@@ -38,9 +43,9 @@
 		s.addList(service.byLabel[step.Requirement])
 		return s
 	}
-	if rack := service.byRack[step.DataRack]; step.DataRack != "" && len(rack) > 0 {
+	if rack := service.byRack[preferred]; preferred != "" && len(rack) > 0 {
 		s.addList(rack)
-		s.rack = step.DataRack
+		s.rack = preferred
 	}
 	buckets, first := &service.byFree, bucketOf(step.Reserved().CPU)
 	if step.UnreservedCPU {
--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -78,6 +78,7 @@
 type Submission struct {
 	at       time.Time
 	steps    []time.Duration // run time of a task
+	spreads  []float64       // standard deviations of the logarithms of the run times
 	paths    []time.Duration // critical path that starts with each step
 	critical time.Duration   // longest of the paths
 	work     float64         // core-seconds of one occurrence
@@ -86,6 +87,11 @@
 // Work returns the core-seconds of one occurrence.
 func (e *Submission) Work() float64 { return e.work }
 
+// Step returns the run time of a step's tasks and the standard deviation of its logarithm.
+func (e *Submission) Step(step int) (runTime time.Duration, deviation float64) {
+	return e.steps[step], e.spreads[step]
+}
+
 // Path returns the critical path that starts with a step.
 func (e *Submission) Path(step int) time.Duration { return e.paths[step] }
 
@@ -136,7 +142,24 @@
 	if step.Estimate <= 0 {
 		return 0
 	}
-	mean, variance := logSeconds(step.Estimate), _priorError*_priorError
+	mean, _ := t.logRunTime(queue, id, step)
+	return time.Duration(math.Exp(mean) * float64(time.Second))
+}
+
+// Deviation returns the standard deviation of the logarithm of a task's run time from
+// that of the estimate, as far as it is known; infinity if there is no estimate.
+func (t *RunTimes) Deviation(queue string, id Step, step *submission.Step) float64 {
+	if step.Estimate <= 0 {
+		return math.Inf(1)
+	}
+	_, variance := t.logRunTime(queue, id, step)
+	return math.Sqrt(variance + _withinDeviation*_withinDeviation)
+}
+
+// logRunTime returns the estimated logarithm of the mean run time of a step's tasks, and
+// the variance of that estimate.
+func (t *RunTimes) logRunTime(queue string, id Step, step *submission.Step) (mean, variance float64) {
+	mean, variance = logSeconds(step.Estimate), _priorError*_priorError
 	if q := t.queues[queue]; q != nil && q.runTime.n > 0 {
 		spread, mistake := q.runTime.deviationSquared(_priorDeviation), q.error.deviationSquared(_priorError)
 		trust := q.runTime.n / (q.runTime.n + _priorSteps) // in the queue's mean run time and mean error
@@ -148,8 +171,9 @@
 	if m := t.steps[id]; m != nil {
 		precision, observed := 1/variance, m.n/(_withinDeviation*_withinDeviation)
 		mean = (mean*precision + m.mean*observed) / (precision + observed)
+		variance = 1 / (precision + observed)
 	}
-	return time.Duration(math.Exp(mean) * float64(time.Second))
+	return mean, variance
 }
 
 // Submission returns the estimates of a submission.
@@ -160,12 +184,15 @@
 	}
 	first := e == nil
 	if first {
-		e = &Submission{steps: make([]time.Duration, len(s.Steps)), paths: make([]time.Duration, len(s.Steps))}
+		e = &Submission{
+			steps: make([]time.Duration, len(s.Steps)), spreads: make([]float64, len(s.Steps)), paths: make([]time.Duration, len(s.Steps)),
+		}
 	}
 	e.at, e.critical, e.work = now, 0, 0
 	for i := range s.Steps {
 		step := &s.Steps[i]
-		e.steps[i] = t.Step(s.Queue, Step{Submission: s.ID, Index: i}, step)
+		id := Step{Submission: s.ID, Index: i}
+		e.steps[i], e.spreads[i] = t.Step(s.Queue, id, step), t.Deviation(s.Queue, id, step)
 		e.paths[i] = 0
 		e.work += float64(step.Count) * float64(step.Needs.CPU) / 1000 * e.steps[i].Seconds()
 	}
