--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -149,3 +149,30 @@
 		}
 	}
 }
+
+// BenchmarkPreferredPlacement measures one scheduling round in a pool whose racks have
+// little room, beside steps of which tasks wait for their rack and rack-local gangs.
+func BenchmarkPreferredPlacement(b *testing.B) {
+	for _, workers := range []int{60, 5900} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			s, store := newFullPool(b, workers)
+			s.SetRemotePenalty(3)
+			for i := range 12 {
+				step := plainStep
+				step.Count, step.Needs, step.Estimate = 9, submission.Resources{CPU: 4000, Memory: 500}, 2*time.Second
+				if i%2 == 0 {
+					step.DataRack = "r0"
+				} else {
+					step.RackLocal, step.Gang, step.Count = true, true, 8
+				}
+				submitSteps(store, fmt.Sprint("waiting", i), 0, step)
+			}
+			at := clocksAt(testNow.Add(100 * time.Millisecond))
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Starts(at, store)
+			}
+			b.ReportMetric(float64(s.preferences.counts.Waits), "waits")
+		})
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -96,7 +96,6 @@
 	s.estimator.Prune(now)
 	s.health.Prune(now)
 	s.times.Prune(store)
-	s.preferences.prune(store)
 	maps.DeleteFunc(s.cursors, func(id StepID, _ *int) bool {
 		sub, ok := store.Submission(id.Submission)
 		return !ok || sub.State.Ended()
@@ -181,7 +180,7 @@
 // newStartRound returns a round that places waiting tasks.
 func (s *Scheduler) newStartRound(at Clocks, store *submission.Store) *round {
 	s.pruneCordons(at)
-	s.preferences.beginRound(at)
+	s.preferences.beginRound(at, store)
 	r := s.newRound(at, store)
 	r.absent = s.absences(at, store)
 	return r
--- a/dispatch/preference.go
+++ b/dispatch/preference.go
@@ -20,6 +20,8 @@
 	_maxSlots       = 512 // expected slots of one rack
 )
 
+const _preferencesPruneInterval = 5 * time.Second
+
 // preferences is what the scheduler knows of tasks that wait for the rack where they run
 // fastest. The zero value is ready to use: nothing waits.
 type preferences struct {
@@ -30,6 +32,7 @@
 	idleSince map[string]time.Time // end of the latest run of submissions without active runs, by submission
 	stepRacks map[StepID]stepRack  // of rack-local steps
 	counts    PreferenceCounts
+	prunedAt  time.Time
 }
 
 // stepRack is where the runs of a rack-local step are.
@@ -82,10 +85,15 @@
 	*f = preferences{penalty: f.penalty, decide: f.decide, counts: f.counts}
 }
 
-// beginRound records the first round under this leader.
-func (f *preferences) beginRound(at Clocks) {
+// beginRound records the first round under this leader and drops what is not needed any more
+// from time to time.
+func (f *preferences) beginRound(at Clocks, store *submission.Store) {
 	if f.since.Now.IsZero() {
-		f.since = at
+		f.since, f.prunedAt = at, at.Now
+	}
+	if at.Now.Sub(f.prunedAt) >= _preferencesPruneInterval {
+		f.prunedAt = at.Now
+		f.prune(store)
 	}
 }
 
@@ -114,7 +122,8 @@
 		return *w
 	}
 	var w rackWait
-	if _, ended := f.idleSince[sub.ID]; sub.Accepted.Before(f.since.Log) && !ended {
+	due := sub.DueAt(id.Occurrence)
+	if _, ended := f.idleSince[sub.ID]; sub.Accepted.Before(f.since.Log) && !ended && !due.After(f.since.Wall) {
 		w.used = max(at.Now.Sub(f.since.Now), 0)
 	}
 	return w
@@ -618,6 +627,9 @@
 	if since, ok := p.preferences.idleSince[sub.ID]; ok {
 		idle = p.at.Now.Sub(since)
 	}
+	if due := sub.DueAt(p.ws.occurrence); !due.IsZero() {
+		idle = min(idle, p.at.Wall.Sub(due))
+	}
 	return max(_maxStarvation-idle, 0)
 }
 
--- a/dispatch/preference_test.go
+++ b/dispatch/preference_test.go
@@ -245,6 +245,19 @@
 	}
 }
 
+// TestOccurrencesWaitAsOthersDo guards against occurrences whose wait counts from the
+// submission's acceptance, long before they were due, so that they never wait.
+func TestOccurrencesWaitAsOthersDo(t *testing.T) {
+	m := newFullRack(t, 2, 400*time.Millisecond)
+	m.store.Submit(submission.Submission{
+		Spec:    submission.Spec{ID: "a", Queue: "q0", Steps: []submission.Step{onRack(oneCore(1), "r0")}, Repeat: 2, StartAt: m.now, Interval: time.Minute},
+		Service: "s", MaxAttempts: 3, Slack: 2, BaseObjective: time.Minute,
+	}, m.now.Add(-time.Hour))
+	if wait, _ := m.playUntilStart("a"); wait != 400*time.Millisecond {
+		t.Errorf("the occurrence waits for %s, want 400ms", wait)
+	}
+}
+
 // TestEstimatesIgnoreTheRemotePenalty guards against estimates and health that count runs
 // away from their data as slow.
 func TestEstimatesIgnoreTheRemotePenalty(t *testing.T) {
--- a/dispatch/racksim_test.go
+++ b/dispatch/racksim_test.go
@@ -122,7 +122,11 @@
 			}
 		}
 	}
-	took := float64(m.work[sub.ID][st.Run.Task.Step]) * max(m.slow[rack], 1)
+	took := float64(step.Estimate)
+	if work := m.work[sub.ID]; work != nil {
+		took = float64(work[st.Run.Task.Step])
+	}
+	took *= max(m.slow[rack], 1)
 	m.started++
 	if remote {
 		m.remote++
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -85,6 +85,7 @@
 		SnapshotEntries: cfg.SnapshotEntries,
 		WorkerLease:     time.Duration(cfg.Lease),
 		RunLease:        time.Duration(cfg.RunLease),
+		RemotePenalty:   cfg.RemotePenalty,
 		LateStartWindow: lateStartWindow(s),
 		AdviceClient:    c.adviceClient,
 		Metrics:         c.registry,
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -86,7 +86,8 @@
 	crashedRuns      metrics.Counter
 	tasksGivenUp     metrics.Counter
 	strayRuns        metrics.Counter // that a worker has and that are not recorded on it
-	firstStarts      metrics.Timer   // from a submission to the first start of its first task
+	preferredWaits   preferredWaits
+	firstStarts      metrics.Timer // from a submission to the first start of its first task
 	advice           advice
 	holders          map[string]Holder
 	diskErr          error         // disk failure; the core rejects every later proposal
@@ -110,6 +111,7 @@
 	SnapshotEntries int
 	WorkerLease     time.Duration           // length of a worker's lease, which its agent renews
 	RunLease        time.Duration           // length of the lease of a worker's runs
+	RemotePenalty   float64                 // factor by which tasks run longer away from their rack; 0 if it is not known
 	LateStartWindow time.Duration           // from an agent's latest call until its worker can hold no lease from it
 	Metrics         metrics.Registry        // nil for none
 	AdviceClient    AdviceClient            // approves workers for the steps of some queues; nil if there is none
@@ -156,6 +158,7 @@
 	}
 	c.sched.lease = cfg.WorkerLease
 	c.sessions.lease = cfg.RunLease
+	c.sessions.scheduler.SetRemotePenalty(cfg.RemotePenalty)
 	c.sessions.lateStarts.window = cfg.LateStartWindow
 	registry := cfg.Metrics
 	if registry == nil {
@@ -165,6 +168,7 @@
 	c.crashedRuns = metrics.NewRegisteredCounter("controller.crashed_runs", registry)
 	c.tasksGivenUp = metrics.NewRegisteredCounter("controller.tasks_given_up", registry)
 	c.strayRuns = metrics.NewRegisteredCounter("controller.stray_runs", registry)
+	c.preferredWaits = newPreferredWaits(registry)
 	c.firstStarts = metrics.NewRegisteredTimer("controller.first_starts", registry)
 	c.advice = advice{client: cfg.AdviceClient, results: make(chan adviceResult, 1)}
 	c.group = group{replicas: cfg.Replicas, onMembersChange: cfg.OnMembersChange, address: cfg.Address}
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -72,15 +72,18 @@
 		"submissions": c.machine.Submissions().UnendedCount(),
 	}, "pool state")
 	c.sessions.missedTargets = 0
+	c.preferredWaits.update(c.sessions.scheduler.PreferenceCounts())
 	for _, w := range c.sessions.scheduler.ExplainWaits(at, c.machine.Submissions(), _maxLoggedWaits) {
 		age := at.Log.Sub(w.Since)
 		if age < _minLoggedWait {
 			continue
 		}
-		c.log.Emit(event.StepWaits, event.Fields{
+		fields := event.Fields{
 			"submission": w.Submission, "occurrence": w.Occurrence, "step": w.Step, "class": w.LatenessClass,
 			"age_ms": age.Milliseconds(), "obstacles": obstacleCounts(w),
-		}, "step is waiting")
+		}
+		addPreferredWait(fields, at.Now, w.Preferred)
+		c.log.Emit(event.StepWaits, fields, "step is waiting")
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,9 @@
 	Replicas int `json:"replicas,omitempty"`
 	// How long the runs of submissions may continue without renewal.
 	RunLease unit.Duration `json:"run_lease"`
+	// Factor by which tasks run longer away from the rack that stores their data, or on
+	// several racks if they are rack-local; 0 if it is not known.
+	RemotePenalty float64 `json:"remote_penalty,omitempty"`
 }
 
 // Entry holds the settings of the entry role.
@@ -126,6 +129,9 @@
 // _maxReplicas is more than any group needs: each command goes to all of them.
 const _maxReplicas = 99
 
+// _maxRemotePenalty is a factor that no platform has; it finds percentages.
+const _maxRemotePenalty = 100
+
 // Defaults of settings that a file omits.
 const (
 	_electionTimeout  = unit.Duration(500 * time.Millisecond)
@@ -395,6 +401,9 @@
 			time.Duration(s.ElectionTimeout))
 	}
 	c.checkDuration("controller.run_lease", s.RunLease)
+	if p := s.RemotePenalty; p != 0 && (p < 1 || p > _maxRemotePenalty) {
+		c.addProblem("controller.remote_penalty", "found %v, allowed is a factor from 1 to %d, or 0 for none", p, _maxRemotePenalty)
+	}
 	if s.Replicas != 0 {
 		c.checkGroupSettings(s)
 		return
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -45,6 +45,8 @@
 		{`"memory": "1GiB"`, `"memory": "1 gig"`, "agent.memory"},
 		{`"data_folder": "d"`, `"data_folder": "d", "heartbeat": "1s"`, "controller.election_timeout"},
 		{`"data_folder": "d"`, `"data_folder": "d", "members": {"c2": "127.0.0.1:9"}`, "controller.members"},
+		{`"data_folder": "d"`, `"data_folder": "d", "remote_penalty": 0.5`, "controller.remote_penalty: found 0.5, allowed is a factor from 1 to 100"},
+		{`"data_folder": "d"`, `"data_folder": "d", "remote_penalty": 150`, "controller.remote_penalty: found 150"},
 		{`"name": "n"`, `"name": 5`, "name: found a JSON number, allowed is a string"},
 		{`{"name"`, `["name"`, "the document: found a JSON list, allowed is an object"},
 		{`{"name"`, `{name`, "not JSON at byte"},
