--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -86,7 +86,8 @@
 	crashedRuns      metrics.Counter
 	tasksGivenUp     metrics.Counter
 	strayRuns        metrics.Counter // that a worker has and that are not recorded on it
-	firstStarts      metrics.Timer   // from a submission to the first start of its first task
+	preferredWaits   preferredWaits
+	firstStarts      metrics.Timer // from a submission to the first start of its first task
 	evacuatedZones   metrics.Gauge
 	zones            zones
 	advice           advice
@@ -112,6 +113,7 @@
 	SnapshotEntries int
 	WorkerLease     time.Duration           // length of a worker's lease, which its agent renews
 	RunLease        time.Duration           // length of the lease of a worker's runs
+	RemotePenalty   float64                 // factor by which tasks run longer away from their rack; 0 if it is not known
 	LateStartWindow time.Duration           // from an agent's latest call until its worker can hold no lease from it
 	Metrics         metrics.Registry        // nil for none
 	AdviceClient    AdviceClient            // approves workers for the steps of some queues; nil if there is none
@@ -159,6 +161,7 @@
 	}
 	c.sched.lease = cfg.WorkerLease
 	c.sessions.lease = cfg.RunLease
+	c.sessions.scheduler.SetRemotePenalty(cfg.RemotePenalty)
 	c.sessions.lateStarts.window = cfg.LateStartWindow
 	registry := cfg.Metrics
 	if registry == nil {
@@ -168,6 +171,7 @@
 	c.crashedRuns = metrics.NewRegisteredCounter("controller.crashed_runs", registry)
 	c.tasksGivenUp = metrics.NewRegisteredCounter("controller.tasks_given_up", registry)
 	c.strayRuns = metrics.NewRegisteredCounter("controller.stray_runs", registry)
+	c.preferredWaits = newPreferredWaits(registry)
 	c.firstStarts = metrics.NewRegisteredTimer("controller.first_starts", registry)
 	c.evacuatedZones = metrics.NewRegisteredGauge("controller.evacuated_zones", registry)
 	c.updateEvacuationMetric()
