--- a/dispatch/evacuation.go
+++ b/dispatch/evacuation.go
@@ -51,8 +51,8 @@
 	}
 	maps.DeleteFunc(p.finishedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= _cancelTime })
 	for _, nodes := range []map[string]*node{maps.Clone(p.nodes), maps.Clone(p.evacuatedNodes)} {
-		for _, n := range nodes {
-			p.set(store, n.Worker)
+		for _, incarnation := range slices.Sorted(maps.Keys(nodes)) { // equal inputs give equal decisions
+			p.set(store, nodes[incarnation].Worker)
 		}
 	}
 }
