Bound the tasks on workers that are still slow

A worker's announcement says for how long it stays slow. With controller.warm_up, it may have a multiple of the share of its CPU that a linear ramp gives, and some tasks more.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,7 +60,8 @@
 	cordons     map[string]cordon // by worker incarnation
 	cursors     map[StepID]*int   // where the latest searches for the steps have ended, in large pools
 	lossAt      time.Time         // when workers with service tasks were lost last; zero before the first round
-	searchAll   bool              // searches are not bounded; for tests
+	warmUp      WarmUp
+	searchAll   bool // searches are not bounded; for tests
 }
 
 // Reset forgets the workers, their health and the moves. The estimates of
@@ -146,6 +147,10 @@
 	if e.Reason == submission.Rejected && s.pool.cancelsStarts(now, e.Worker) {
 		return
 	}
+	if n := s.pool.nodes[e.Worker]; n != nil && s.isCold(now, n) {
+		s.health.RecordEnd(now, e.Worker, e.Run, step, e.Reason, took, 0) // without an estimate: the worker is known to be slow
+		return
+	}
 	s.health.RecordEnd(now, e.Worker, e.Run, step, e.Reason, took, s.times.Step(sub.Queue, id, step))
 	if e.Reason == submission.Done {
 		s.times.RecordRunTime(sub.Queue, id, step, took)
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -133,7 +133,7 @@
 		s := r.pool.services[name]
 		all := search{lists: s.byFree[:], service: s, offset: s.cursor}
 		for n := all.next(); n != nil && len(out) < _maxExamined; n = all.next() {
-			if n.serviceRuns == 0 || r.unhealthy[n.Incarnation] || busy[n.Incarnation] || r.isIsolated(n) {
+			if n.serviceRuns == 0 || r.unhealthy[n.Incarnation] || busy[n.Incarnation] || r.isIsolated(n) || r.isCold(r.at.Now, n) {
 				continue
 			}
 			out = append(out, r.newExchangeNode(store, n))
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -36,11 +36,14 @@
 	Unapproved
 	// Evacuated workers are in an availability zone that an operator has evacuated.
 	Evacuated
+	// Cold workers are slow after their start or an evacuation, and have as many tasks as
+	// they may have so far.
+	Cold
 )
 
 // String returns the obstacle's name in lower case.
 func (o Obstacle) String() string {
-	return [...]string{"none", "other_service", "no_label", "spread", "no_cpu", "no_memory", "no_gpu", "sick", "disturbed", "isolated", "unapproved", "evacuated"}[o]
+	return [...]string{"none", "other_service", "no_label", "spread", "no_cpu", "no_memory", "no_gpu", "sick", "disturbed", "isolated", "unapproved", "evacuated", "cold"}[o]
 }
 
 // Wait explains why a step's tasks wait.
@@ -128,6 +131,9 @@
 	if r.unhealthy[n.Incarnation] && !step.LongRunning && (n.runs > 0 || s.MaxAttempts < 2 || r.health.IsInBackoff(r.at.Now, n.Incarnation)) {
 		return Unhealthy
 	}
+	if r.isFullWhileCold(n, step) {
+		return Cold
+	}
 	available, need := n.free, step.Reserved()
 	if r.keepsHeadroom(n) && !n.isEmpty() && r.mustLeaveHeadroom(n, s, step) {
 		available.CPU -= n.headroom()
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -20,6 +20,8 @@
 	Capacity      submission.Resources
 	Schedulable   bool                       // accepts new tasks
 	Since         time.Time                  // when the leader first heard of the incarnation; zero if that is unknown
+	WarmAt        time.Time                  // until when the worker is slow; zero if it is not
+	WarmUp        time.Duration              // length of the ramp that ends at WarmAt
 	TailLatencies []interference.TailLatency // latest tail latencies of its service tasks
 	Loads         []interference.Load        // latest loads of its batch tasks
 }
@@ -43,6 +45,7 @@
 	serviceCPU    int64 // that service tasks request
 	batchRuns     int
 	runs          int
+	requestedCPU  int64               // of all runs, with reserved or unreserved CPU
 	serviceImages map[string]int      // runs of service tasks by image
 	newLoads      []newLoad           // of recorded runs
 	roundLoads    []interference.Load // of runs that the present round starts
@@ -240,13 +243,14 @@
 // takeOver takes over the worker's recorded runs.
 func (n *node) takeOver(store *submission.Store) {
 	n.free, n.idleCPU = n.Capacity, n.Capacity.CPU
-	n.serviceRuns, n.serviceCPU, n.batchRuns, n.runs = 0, 0, 0, 0
+	n.serviceRuns, n.serviceCPU, n.batchRuns, n.runs, n.requestedCPU = 0, 0, 0, 0, 0
 	n.roundLoads, n.roundStarts, n.changed = nil, nil, false
 	n.isolatedFor, n.isolatedUntil, n.latestStarts = "", time.Time{}, nil
 	if u := store.Usage(n.Incarnation); u != nil {
 		n.free = n.Capacity.Sub(u.Reserved)
 		n.idleCPU -= u.RequestedCPU - u.ServiceCPU + expectedServiceCPU(u.ServiceCPU)
 		n.serviceRuns, n.serviceCPU, n.batchRuns, n.runs = u.ServiceRuns, u.ServiceCPU, u.BatchRuns, len(u.Runs)
+		n.requestedCPU = u.RequestedCPU
 		n.serviceImages = maps.Clone(u.ServiceImages)
 		n.isolatedFor, n.isolatedUntil = u.IsolatedFor()
 	} else {
@@ -324,6 +328,7 @@
 		}
 	}
 	n.runs += count
+	n.requestedCPU += int64(count) * step.Needs.CPU
 	switch {
 	case step.IsService():
 		n.idleCPU -= int64(count) * expectedServiceCPU(step.Needs.CPU)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/gentianrail/gentianrail/dispatch"
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/control"
@@ -89,6 +90,7 @@
 		AdviceClient:    c.adviceClient,
 		Metrics:         c.registry,
 		Zones:           s.Zones,
+		WarmUp:          warmUp(cfg),
 		Replicas:        cfg.Replicas,
 		OnMembersChange: func(members []replica.Member) { c.peers.UpdateMembers(id, members) },
 		Address:         c.peers.Address,
@@ -151,6 +153,14 @@
 	}
 }
 
+// warmUp returns the bounds of cold workers.
+func warmUp(cfg *settings.Controller) dispatch.WarmUp {
+	if cfg.WarmUp == nil {
+		return dispatch.WarmUp{}
+	}
+	return dispatch.WarmUp{Overage: cfg.WarmUp.Overage, Tolerance: cfg.WarmUp.Tolerance}
+}
+
 // lateStartWindow returns how long after a call without an answer a worker may hold a lease
 // that the call gives. The project's own worker interface has sessions, which late calls of
 // an earlier one don't pass.
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/gentianrail/gentianrail/burn"
+	"github.com/gentianrail/gentianrail/dispatch"
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/disk"
@@ -115,6 +116,7 @@
 	LateStartWindow time.Duration           // from an agent's latest call until its worker can hold no lease from it
 	Metrics         metrics.Registry        // nil for none
 	AdviceClient    AdviceClient            // approves workers for the steps of some queues; nil if there is none
+	WarmUp          dispatch.WarmUp         // bounds of cold workers; zero for none
 	Zones           []string                // availability zones of the deployment; empty if only the workers name them
 	Replicas        int                     // voters that the group should have; 0 for a fixed group
 	OnMembersChange func([]replica.Member)  // called when the members change
@@ -172,6 +174,7 @@
 	c.evacuatedZones = metrics.NewRegisteredGauge("controller.evacuated_zones", registry)
 	c.updateEvacuationMetric()
 	c.zones = newZones(cfg.Zones)
+	c.sessions.scheduler.SetWarmUp(cfg.WarmUp)
 	c.advice = advice{client: cfg.AdviceClient, results: make(chan adviceResult, 1)}
 	c.group = group{replicas: cfg.Replicas, onMembersChange: cfg.OnMembersChange, address: cfg.Address}
 	c.replica = replica.New(cfg.Replica, restored, func() replica.Snapshot { return c.latestSnapshot }, now)
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -304,7 +304,14 @@
 		s.earliestDeparture = now.Add(time.Duration(w.GetRemaining()))
 	}
 	s.leaving = w.GetLeaving()
+	var warmAt time.Time
+	if left := time.Duration(w.GetWarmUpLeft()); left > 0 {
+		warmAt = now.Add(left)
+	}
 	s.worker = dispatch.Worker{
+		WarmAt: warmAt,
+		WarmUp: time.Duration(w.GetWarmUp()),
+
 		Incarnation:   w.GetLife(),
 		Service:       w.GetService(),
 		Zone:          w.GetZone(),
--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -113,7 +113,8 @@
 	}
 	r.inferredEnds = inferredEnds
 	r.candidate = nil
-	r.incarnation, r.announcement = incarnation, a
+	r.incarnation = incarnation
+	r.setAnnouncement(a)
 	wake(r.wakeReport)
 	wake(r.wakePoll)
 }
--- a/internal/runner/evacuation_test.go
+++ b/internal/runner/evacuation_test.go
@@ -98,3 +98,31 @@
 	r.deliverOrder(o)
 	eventually(t, "a run starts after the evacuation", confirmed(3))
 }
+
+// TestWarmUpIsReported guards against a leader that does not learn how long a worker stays
+// slow, or the length of its ramp, and against a report for each announcement.
+func TestWarmUpIsReported(t *testing.T) {
+	r := newRunner(t, &fakeWorker{startResults: []startResult{{answer: Started}}})
+	s := session{incarnation: r.currentIncarnation(), inferredEnds: make(map[submission.RunID]bool)}
+	next := func(sequence uint64, left time.Duration) *pb.WorkerLife {
+		r.announce(Announcement{ID: "w", StartTimeMS: 1000, Sequence: sequence, Address: "10.0.0.1:1", WarmUpLeft: left})
+		report, _ := r.nextReport(&s)
+		return report.GetWorker()
+	}
+	near := func(got int64, want time.Duration) bool { return (time.Duration(got) - want).Abs() < 2*time.Second }
+	if w := next(2, 0); w == nil || w.GetWarmUpLeft() != 0 || w.GetWarmUp() != 0 {
+		t.Errorf("a warm worker is reported as %v", w)
+	}
+	if w := next(3, 40*time.Second); w == nil || !near(w.GetWarmUpLeft(), 40*time.Second) || w.GetWarmUp() != int64(40*time.Second) {
+		t.Errorf("the start of the warm-up is reported as %v", w)
+	}
+	if w := next(4, 40*time.Second-time.Millisecond); w != nil {
+		t.Errorf("an announcement without news is reported as %v", w)
+	}
+	if w := next(5, 20*time.Second); w == nil || !near(w.GetWarmUpLeft(), 20*time.Second) || w.GetWarmUp() != int64(40*time.Second) {
+		t.Errorf("a shorter rest is reported as %v", w)
+	}
+	if w := next(6, 0); w == nil || w.GetWarmUpLeft() != 0 {
+		t.Errorf("the end of the warm-up is reported as %v", w)
+	}
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -271,12 +271,22 @@
 // encodeWorker encodes the worker's state for a report. r.mu must be held.
 func (r *Runner) encodeWorker() *pb.WorkerLife {
 	a := r.announcement
+	warmUpLeft := time.Duration(0)
+	if !a.warmAt.IsZero() {
+		warmUpLeft = max(0, a.warmAt.Sub(clock.Now()))
+	}
 	return &pb.WorkerLife{
+		WarmUpLeft: int64(warmUpLeft), WarmUp: int64(r.warmUp),
 		Life: r.incarnationName(r.incarnation), Service: a.Service, Zone: a.Zone, Rack: a.Rack, Labels: a.Labels, Machine: a.Machine,
 		Capacity: wire.EncodeResources(a.Capacity), Leaving: r.isLeaving(), Remaining: int64(a.Remaining), Silent: r.unresponsive,
 	}
 }
 
+// _warmUpTolerance is the difference between two announced ends of a warm-up that is not
+// reported: announcements take different times to arrive.
+const _warmUpTolerance = 500 * time.Millisecond
+
 func sameAnnouncement(a, b Announcement) bool {
-	return a.ID == b.ID && a.StartTimeMS == b.StartTimeMS && a.Service == b.Service && a.Draining == b.Draining && a.Capacity == b.Capacity
+	return a.ID == b.ID && a.StartTimeMS == b.StartTimeMS && a.Service == b.Service && a.Draining == b.Draining && a.Capacity == b.Capacity &&
+		a.warmAt.Sub(b.warmAt).Abs() <= _warmUpTolerance
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -104,19 +104,20 @@
 	stopSlots   callSlots
 
 	mu              sync.Mutex
-	announcement    Announcement // latest of the incarnation
-	incarnation     Incarnation  // zero until the worker has confirmed an announcement
-	candidate       *candidate   // another incarnation that was announced; nil if none
-	departed        bool         // the worker has announced its departure
-	evacuated       bool         // the worker's zone is evacuated, as of the latest order
-	superseded      bool         // the latest poll was answered by another incarnation
-	disconnected    bool         // a poll since the latest answer failed before its timeout
-	token           token        // latest that a leader has sent
-	raised          uint64       // how often the agent has raised the fencing token since then
-	polledToken     token        // of the latest poll
-	listedToken     token        // latest under which the incarnation has listed all its runs and ends; zero for none
-	formerToken     token        // latest of an order for an earlier incarnation under the same identifier; zero for none
-	identifiers     identifiers  // of earlier incarnations
+	announcement    Announcement  // latest of the incarnation
+	warmUp          time.Duration // longest time for which the incarnation has announced to stay slow
+	incarnation     Incarnation   // zero until the worker has confirmed an announcement
+	candidate       *candidate    // another incarnation that was announced; nil if none
+	departed        bool          // the worker has announced its departure
+	evacuated       bool          // the worker's zone is evacuated, as of the latest order
+	superseded      bool          // the latest poll was answered by another incarnation
+	disconnected    bool          // a poll since the latest answer failed before its timeout
+	token           token         // latest that a leader has sent
+	raised          uint64        // how often the agent has raised the fencing token since then
+	polledToken     token         // of the latest poll
+	listedToken     token         // latest under which the incarnation has listed all its runs and ends; zero for none
+	formerToken     token         // latest of an order for an earlier incarnation under the same identifier; zero for none
+	identifiers     identifiers   // of earlier incarnations
 	lease           lease
 	lateGrants      int // grants that arrived after the previous grant had expired
 	runs            map[submission.RunID]*trackedRun
@@ -195,7 +196,7 @@
 	r.lease = lease{grantEnd: r.lease.grantEnd, heldUntil: r.lease.heldUntil}
 	r.listed, r.listedAll, r.listingSentAt = false, false, time.Time{}
 	r.unresponsive, r.failedPolls, r.departed, r.disconnected = false, 0, false, false
-	r.listedEnds = 0
+	r.listedEnds, r.warmUp = 0, 0
 	r.outage = outage{}
 	r.pacer, r.coefficients = pacing.Pacer{}, make(interference.Coefficients)
 	r.tailLatencies, r.loads = nil, nil
@@ -207,6 +208,9 @@
 func (r *Runner) HandleAnnouncement(a Announcement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if a.WarmUpLeft > 0 {
+		a.warmAt = clock.Now().Add(a.WarmUpLeft)
+	}
 	incarnation := Incarnation{ID: a.ID, StartTimeMS: a.StartTimeMS}
 	switch {
 	case a.Address != r.address:
@@ -224,11 +228,17 @@
 	if r.departed && !a.Draining {
 		r.departed = false // the departure was a late one, of an earlier incarnation with the same identifier
 	}
-	r.announcement = a
+	r.setAnnouncement(a)
 	wake(r.wakeReport)
 	wake(r.wakePoll)
 }
 
+// setAnnouncement records the latest announcement of the incarnation. r.mu must be held.
+func (r *Runner) setAnnouncement(a Announcement) {
+	r.announcement = a
+	r.warmUp = max(r.warmUp, a.WarmUpLeft)
+}
+
 // HandleDeparture records the departure of an incarnation. Its runs end with the
 // worker, or at the latest with their lease, which is no longer renewed. A start
 // time of 0 is unknown.
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -22,6 +22,9 @@
 	Capacity    submission.Resources
 	Draining    bool
 	Remaining   time.Duration // minimum time until the worker ends, while it drains
+	WarmUpLeft  time.Duration // for which the worker stays slow after its start or a pause; 0 if it is not
+
+	warmAt time.Time // when the warm-up ends, on this machine's clock; zero if there is none
 }
 
 // Incarnation identifies one incarnation of a worker. A worker that restarts
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,6 +48,14 @@
 	Replicas int `json:"replicas,omitempty"`
 	// How long the runs of submissions may continue without renewal.
 	RunLease unit.Duration `json:"run_lease"`
+	// Bounds of the tasks on cold workers; nil for none.
+	WarmUp *WarmUp `json:"warm_up,omitempty"`
+}
+
+// WarmUp bounds the tasks on a worker that announces that it is still slow.
+type WarmUp struct {
+	Overage   float64 `json:"overage"`   // multiple of the share of its capacity that a linear ramp gives
+	Tolerance int     `json:"tolerance"` // tasks beyond that
 }
 
 // Entry holds the settings of the entry role.
@@ -128,6 +136,9 @@
 // _maxReplicas is more than any group needs: each command goes to all of them.
 const _maxReplicas = 99
 
+// _maxOverage is far beyond the multiple from which a cold worker is not bounded.
+const _maxOverage = 1000
+
 // Defaults of settings that a file omits.
 const (
 	_electionTimeout  = unit.Duration(500 * time.Millisecond)
@@ -402,6 +413,14 @@
 			time.Duration(s.ElectionTimeout))
 	}
 	c.checkDuration("controller.run_lease", s.RunLease)
+	if w := s.WarmUp; w != nil {
+		if !(w.Overage > 0 && w.Overage <= _maxOverage) {
+			c.addProblem("controller.warm_up.overage", "found %v, allowed is a number above 0 and up to %d", w.Overage, _maxOverage)
+		}
+		if w.Tolerance < 0 || w.Tolerance > math.MaxInt32 {
+			c.addProblem("controller.warm_up.tolerance", "found %d, allowed is 0 to %d", w.Tolerance, math.MaxInt32)
+		}
+	}
 	if s.Replicas != 0 {
 		c.checkGroupSettings(s)
 		return
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -105,7 +105,7 @@
 			inner = inner.Elem()
 		}
 		if inner.Kind() == reflect.Struct {
-			out = append(out, settingsKeys(inner, name+".")...)
+			out = append(out, settingsKeys(inner, prefix+name+".")...)
 			continue
 		}
 		out = append(out, prefix+name)
@@ -149,6 +149,16 @@
 		{_validSettings, `"127.0.0.1:5"`, `"127.0.0.1:0"`, "agent.target_address"},
 		{_validSettings, `"memory": "1GiB"`, `"memory": "99999999999999999999GiB"`, "agent.memory"},
 		{_validSettings, `"127.0.0.1:3"}`, `"127.0.0.1:3", "retry_ratio": 1e400}`, "entry.retry_ratio"},
+		{group, `"replicas": 3`, `"replicas": 3, "warm_up": {"overage": 1.5, "tolerance": 5}`, ""},
+		{group, `"replicas": 3`, `"replicas": 3, "warm_up": {"overage": 0.1}`, ""},
+		{group, `"replicas": 3`, `"replicas": 3, "warm_up": {"tolerance": 5}`, "controller.warm_up.overage"},
+		{group, `"replicas": 3`, `"replicas": 3, "warm_up": {"overage": -1}`, "controller.warm_up.overage"},
+		{group, `"replicas": 3`, `"replicas": 3, "warm_up": {"overage": 1001}`, "controller.warm_up.overage"},
+		{group, `"replicas": 3`, `"replicas": 3, "warm_up": {"overage": 1.5, "tolerance": -1}`, "controller.warm_up.tolerance"},
+		{_validSettings, `"name": "n"`, `"name": "n", "zones": ["a", "b"]`, ""},
+		{_validSettings, `"name": "n"`, `"name": "n", "zones": ["a", "b", "a"]`, "zones.2"},
+		{_validSettings, `"name": "n"`, `"name": "n", "zones": ["a", ""]`, "zones.1"},
+		{_validSettings, `"name": "n"`, `"name": "n", "zones": ["a/b"]`, "zones.0"},
 		{group, `"replicas": 3`, `"replicas": 99`, ""},
 		{group, `"replicas": 3`, `"replicas": 101`, "controller.replicas"},
 		{group, `"replicas": 3`, `"replicas": -3`, "controller.replicas"},
