--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,14 @@
 	// Factor by which tasks run longer away from the rack that stores their data, or on
 	// several racks if they are rack-local; 0 if it is not known.
 	RemotePenalty float64 `json:"remote_penalty,omitempty"`
+	// Bounds of the tasks on cold workers; nil for none.
+	WarmUp *WarmUp `json:"warm_up,omitempty"`
+}
+
+// WarmUp bounds the tasks on a worker that announces that it is still slow.
+type WarmUp struct {
+	Overage   float64 `json:"overage"`   // multiple of the share of its capacity that a linear ramp gives
+	Tolerance int     `json:"tolerance"` // tasks beyond that
 }
 
 // Entry holds the settings of the entry role.
@@ -134,6 +142,9 @@
 // _maxRemotePenalty is a factor that no platform has; it finds percentages.
 const _maxRemotePenalty = 100
 
+// _maxOverage is far beyond the multiple from which a cold worker is not bounded.
+const _maxOverage = 1000
+
 // Defaults of settings that a file omits.
 const (
 	_electionTimeout  = unit.Duration(500 * time.Millisecond)
@@ -411,6 +422,14 @@
 	if p := s.RemotePenalty; p != 0 && (p < 1 || p > _maxRemotePenalty) {
 		c.addProblem("controller.remote_penalty", "found %v, allowed is a factor from 1 to %d, or 0 for none", p, _maxRemotePenalty)
 	}
+	if w := s.WarmUp; w != nil {
+		if !(w.Overage > 0 && w.Overage <= _maxOverage) {
+			c.addProblem("controller.warm_up.overage", "found %v, allowed is a number above 0 and up to %d", w.Overage, _maxOverage)
+		}
+		if w.Tolerance < 0 || w.Tolerance > math.MaxInt32 {
+			c.addProblem("controller.warm_up.tolerance", "found %d, allowed is 0 to %d", w.Tolerance, math.MaxInt32)
+		}
+	}
 	if s.Replicas != 0 {
 		c.checkGroupSettings(s)
 		return
