--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -159,7 +159,7 @@
 	if cfg.WarmUp == nil {
 		return dispatch.WarmUp{}
 	}
-	return dispatch.WarmUp{Overage: cfg.WarmUp.Overage, Tolerance: cfg.WarmUp.Tolerance}
+	return dispatch.WarmUp{Overage: cfg.WarmUp.Overage, Tolerance: int(cfg.WarmUp.Tolerance)}
 }
 
 // lateStartWindow returns how long after a call without an answer a worker may hold a lease
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -58,7 +58,7 @@
 // WarmUp bounds the tasks on a worker that announces that it is still slow.
 type WarmUp struct {
 	Overage   float64 `json:"overage"`   // multiple of the share of its capacity that a linear ramp gives
-	Tolerance int     `json:"tolerance"` // tasks beyond that
+	Tolerance float64 `json:"tolerance"` // tasks beyond that
 }
 
 // Entry holds the settings of the entry role.
@@ -426,8 +426,8 @@
 		if !(w.Overage > 0 && w.Overage <= _maxOverage) {
 			c.addProblem("controller.warm_up.overage", "found %v, allowed is a number above 0 and up to %d", w.Overage, _maxOverage)
 		}
-		if w.Tolerance < 0 || w.Tolerance > math.MaxInt32 {
-			c.addProblem("controller.warm_up.tolerance", "found %d, allowed is 0 to %d", w.Tolerance, math.MaxInt32)
+		if !(w.Tolerance >= 0 && w.Tolerance <= math.MaxInt32) {
+			c.addProblem("controller.warm_up.tolerance", "found %v, allowed is 0 to %d", w.Tolerance, math.MaxInt32)
 		}
 	}
 	if s.Replicas != 0 {
