--- a/dispatch/evacuationmoves.go
+++ b/dispatch/evacuationmoves.go
@@ -13,8 +13,8 @@
 // evacuation that lasts: the zone is to be empty in the end, without tasks that are down for
 // longer than a move, and a short evacuation is to waste no work.
 const (
-	_evacuationDelay        = 3 * time.Second // of an evacuation in which nothing is moved
-	_minSteadyTime          = 6 * time.Second // for which all other tasks of a step have run before one of its tasks is moved
+	_evacuationDelay        = 10 * time.Second // of an evacuation in which nothing is moved; a move costs a restart, which a shorter evacuation does not repay
+	_minSteadyTime          = 6 * time.Second  // for which all other tasks of a step have run before one of its tasks is moved
 	_evacuationMoveInterval = 500 * time.Millisecond
 	_maxEvacuationMoves     = 8 // in one _evacuationMoveInterval
 )
