--- a/dispatch/preference_test.go
+++ b/dispatch/preference_test.go
@@ -113,13 +113,73 @@
 		if got := m.s.PreferenceCounts(); got != (PreferenceCounts{Waits: 1, Elsewhere: 1}) {
 			t.Errorf("factor %d: counts %+v", factor, got)
 		}
-		w := m.s.preferences.waits[starts[0].Run.Task]
-		w.used = w.bound
-		m.s.recordEnd(&m.store, m.now, submission.End{Run: starts[0].Run, Worker: starts[0].Worker, Reason: submission.Lost}, -1)
-		delete(m.ends, starts[0].Run)
-		if again, _ := m.playUntilStart("a"); again != 0 {
-			t.Errorf("factor %d: the task waits again for %s", factor, again)
+	}
+}
+
+// TestWaitsOfATaskAreCumulative starts a task again and again, each time with a rack that is
+// expected to have room soon. All of its waits together must stay within one bound.
+func TestWaitsOfATaskAreCumulative(t *testing.T) {
+	m := newFullRack(t, 3, 400*time.Millisecond)
+	step, busy := onRack(oneCore(1), "r0"), oneCore(1)
+	busy.Estimate = time.Hour
+	m.submit("a", 0, 2, time.Hour, 0, step, busy)
+	sum, waits := time.Duration(0), 0
+	for range 20 {
+		for id := range m.ends {
+			m.ends[id] = m.now.Add(400 * time.Millisecond)
+			sub := first(m.store.Submission(id.Task.Submission))
+			sub.Task(id.Task).Runs[0].Started = m.now // the estimate stays 400 ms from now
+		}
+		begin := m.now
+		var run submission.Start
+		for ; run.Worker == "" && m.now.Sub(begin) < 3*time.Second; m.now = m.now.Add(_simRound) {
+			for _, st := range m.round() {
+				if st.Run.Task == (submission.TaskID{Submission: "a"}) {
+					run = st
+				}
+			}
+		}
+		wait := m.now.Add(-_simRound).Sub(begin)
+		sum += wait
+		if wait > 0 {
+			waits++
+		}
+		if sum > 2*time.Second || run.Worker == "" {
+			t.Fatalf("the task has waited for %s in %d waits", sum, waits)
 		}
+		m.s.recordEnd(&m.store, m.now, submission.End{Run: run.Run, Worker: run.Worker, Reason: submission.Lost}, -1)
+		delete(m.ends, run.Run)
+	}
+	if waits < 2 {
+		t.Errorf("%d waits", waits)
+	}
+}
+
+// TestWaitsUnderTwoLeadersStarveNoSubmission changes the leader while the only task of a
+// submission waits for a rack that is always expected to have room in 100 ms. The waits
+// under both leaders together must end 2 s after the submission was accepted, since the
+// pool has much free capacity.
+func TestWaitsUnderTwoLeadersStarveNoSubmission(t *testing.T) {
+	m := newFullRack(t, 3, 100*time.Millisecond)
+	step := onRack(oneCore(1), "r0")
+	step.Estimate = 10 * time.Second
+	m.submit("a", 0, 2, time.Hour, 0, step)
+	begin := m.now
+	for ; m.now.Sub(begin) < 5*time.Second; m.now = m.now.Add(_simRound) {
+		fill := first(m.store.Submission("fill"))
+		for i := range fill.StepRecords[0][0].Tasks {
+			fill.StepRecords[0][0].Tasks[i].Runs[0].Started = m.now
+		}
+		if m.now.Sub(begin) == time.Second {
+			m.s.Reset()
+			m.s.setWorkers(&m.store, m.workers)
+		}
+		if starts := m.round(); len(starts) > 0 {
+			break
+		}
+	}
+	if wait := m.now.Sub(begin); wait < 1500*time.Millisecond || wait > 2*time.Second {
+		t.Errorf("the task starts after %s, want at most 2s", wait)
 	}
 }
 
@@ -456,7 +516,7 @@
 			return fmt.Errorf("%s waits beside capacity without a decision: %+v", id, ws.sub.Steps[ws.step])
 		}
 		b.beside[id] += _simRound
-		if limit := w.bound + _simRound; b.beside[id] > limit || limit > locality.MaxWait+_simRound {
+		if limit := w.bound + _simRound; b.beside[id] > limit || limit > 2*time.Second+_simRound {
 			return fmt.Errorf("%s has waited for %s beside capacity, its bound is %s", id, b.beside[id], w.bound)
 		}
 		if ws.sub.Steps[ws.step].LongRunning {
