--- a/dispatch/preference.go
+++ b/dispatch/preference.go
@@ -234,7 +234,7 @@
 
 // expectedRun is a run on a rack with its expected end.
 type expectedRun struct {
-	end  time.Duration // from now; locality.Never if it is unknown
+	end  locality.Times
 	step *submission.Step
 }
 
@@ -387,13 +387,15 @@
 				continue
 			}
 			sub, _ := p.store.Submission(st.Run.Task.Submission)
-			w.Ends = append(w.Ends, locality.End{In: p.expectedEnd(sub, st.Run, n.Incarnation, p.at.Log), Frees: p.freedFor(&sub.Steps[st.Run.Task.Step])})
+			if end, ok := p.expectedEnd(sub, st.Run, n.Incarnation, p.at.Log, len(w.Ends)); ok {
+				w.Ends = append(w.Ends, locality.End{In: end, Frees: p.freedFor(&sub.Steps[st.Run.Task.Step])})
+			}
 		}
 	}
 	for _, a := range p.rackWaiters[n] {
 		freed := p.freedFor(a.step)
 		w.Free = w.Free.Sub(freed)
-		w.Ends = append(w.Ends, locality.End{In: a.in + a.runs, Frees: freed})
+		w.Ends = append(w.Ends, locality.End{In: locality.Constant(a.in + a.runs), Frees: freed})
 	}
 	return w
 }
@@ -406,16 +408,13 @@
 	}
 	var out []expectedRun
 	if u := r.store.Usage(n.Incarnation); u != nil {
-		for id, sub := range u.Runs {
-			step := &sub.Steps[id.Task.Step]
-			if end := r.expectedEnd(sub, id, n.Incarnation, runStartTime(sub, id)); end != locality.Never {
-				out = append(out, expectedRun{end: end, step: step})
+		for i, id := range slices.SortedFunc(maps.Keys(u.Runs), compareRuns) { // equal inputs give equal decisions
+			sub := u.Runs[id]
+			if end, ok := r.expectedEnd(sub, id, n.Incarnation, runStartTime(sub, id), i+n.rackIndex); ok {
+				out = append(out, expectedRun{end: end, step: &sub.Steps[id.Task.Step]})
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b expectedRun) int { // equal inputs give equal decisions
-		return cmp.Or(cmp.Compare(a.end, b.end), cmp.Compare(a.step.Needs.CPU, b.step.Needs.CPU), cmp.Compare(a.step.Needs.Memory, b.step.Needs.Memory))
-	})
 	if r.rackRuns == nil {
 		r.rackRuns = make(map[*node][]expectedRun)
 	}
@@ -423,18 +422,19 @@
 	return out
 }
 
-// expectedEnd returns the expected time until a run ends, or locality.Never.
-func (r *round) expectedEnd(sub *submission.Submission, run submission.RunID, incarnation string, started time.Time) time.Duration {
+// expectedEnd returns the time until a run ends, the index-th of its worker, and false if
+// that is not known.
+func (r *round) expectedEnd(sub *submission.Submission, run submission.RunID, incarnation string, started time.Time, index int) (locality.Times, bool) {
 	status, limited := r.mover.statuses[run]
 	if sub.Steps[run.Task.Step].LongRunning || status.Stalled {
-		return locality.Never
+		return locality.Times{}, false
 	}
 	runTime, deviation := r.times.Submission(r.at.Now, sub).Step(run.Task.Step)
 	factor := r.slowdown(sub, run.Task, incarnation)
 	if limited {
 		factor *= 100 / float64(max(status.Share, _minExpectedShare))
 	}
-	return locality.Remaining(time.Duration(min(float64(runTime)*factor, float64(locality.MaxRunTime))), deviation, r.at.Log.Sub(started))
+	return locality.Remaining(time.Duration(min(float64(runTime)*factor, float64(locality.MaxRunTime))), deviation, r.at.Log.Sub(started), index)
 }
 
 // searchedRack returns the rack with which the search for workers begins.
@@ -569,8 +569,9 @@
 		Penalty: f.penalty, RestartLikely: restartLikely, Expected: locality.Never,
 		Used: w.usedAt(p.at.Now), Bound: w.bound, StartWithin: p.startWithin(),
 	}
-	in.RunTime, in.Deviation = e.Step(p.ws.step)
-	in.TimeLeft = p.timeLeft(in.RunTime, e)
+	median, deviation := e.Step(p.ws.step)
+	in.RunTime, in.Deviation = locality.Mean(median, deviation), deviation
+	in.TimeLeft = p.timeLeft(median, e)
 	if len(slots) >= count {
 		in.Expected = slots[count-1].In
 	}
--- a/locality/locality.go
+++ b/locality/locality.go
@@ -139,53 +139,93 @@
 	return time.Duration(min(float64(d)*factor, float64(MaxRunTime)))
 }
 
-// Remaining returns the expected time until a run ends that has run for elapsed. The
-// logarithm of its run time is normally distributed around that of the estimate. A run that
-// has exceeded its estimate is expected to last at least as long again as it has exceeded
-// it: the estimate was wrong, and so may the deviation be. Without a usable estimate the
-// result is Never.
-func Remaining(estimate time.Duration, deviation float64, elapsed time.Duration) time.Duration {
+// Samples is the number of samples of the course of the runs on a rack. The first of many
+// runs with uncertain ends is expected to end much earlier than each of them.
+const Samples = 5
+
+// Times are the time until an event in each sample.
+type Times [Samples]time.Duration
+
+// Constant returns an event whose time is known.
+func Constant(d time.Duration) (t Times) {
+	for i := range t {
+		t[i] = d
+	}
+	return t
+}
+
+// Remaining returns the time until a run ends that has run for elapsed, and false if it is
+// not known because there is no usable estimate. The logarithm of the run time is normally
+// distributed around that of the estimate. A run that has exceeded its estimate is expected
+// to last at least as long again as it has exceeded it: the estimate was wrong, and so may
+// the deviation be. Runs with successive indexes get different samples of their
+// distributions, so that the samples of several runs are independent.
+func Remaining(estimate time.Duration, deviation float64, elapsed time.Duration, index int) (t Times, ok bool) {
 	if estimate <= 0 || !(deviation <= _maxDeviation) {
-		return Never
+		return t, false
 	}
 	deviation = max(deviation, 0.01)
-	mean := estimate.Seconds() * math.Exp(deviation*deviation/2)
-	if elapsed <= 0 {
-		return scale(time.Second, mean)
-	}
-	z := math.Log(elapsed.Seconds()/estimate.Seconds()) / deviation
+	elapsed = max(elapsed, 0)
 	overrun := max(elapsed-estimate, 0)
-	survival := math.Erfc(z / math.Sqrt2)
-	if survival < 1e-9 { // the quotient below loses its precision
-		return min(overrun, MaxRunTime)
+	survival := 1.0
+	if elapsed > 0 {
+		survival = math.Erfc(math.Log(elapsed.Seconds()/estimate.Seconds())/deviation/math.Sqrt2) / 2
+	}
+	for i := range t {
+		// Each run takes the samples of the distribution in another order.
+		above := 1 - (float64((i*(1+index%(Samples-1))+index/(Samples-1))%Samples)+0.5)/Samples
+		if q := above * survival; q > 1e-12 { // otherwise the quantile below loses its precision
+			runTime := scale(estimate, math.Exp(deviation*math.Sqrt2*math.Erfcinv(2*q)))
+			t[i] = max(runTime-elapsed, 0)
+		}
+		t[i] = min(max(t[i], scale(overrun, -math.Log(above))), MaxRunTime)
 	}
-	left := mean*math.Erfc((z-deviation)/math.Sqrt2)/survival - elapsed.Seconds()
-	return max(scale(time.Second, max(left, 0)), min(overrun, MaxRunTime))
+	return t, true
+}
+
+// Mean returns the expected run time of a task with the given estimate, which is the median.
+func Mean(estimate time.Duration, deviation float64) time.Duration {
+	return scale(estimate, math.Exp(min(deviation, _maxDeviation)*min(deviation, _maxDeviation)/2))
 }
 
 // Worker is a worker of the preferred rack.
 type Worker struct {
 	Free     submission.Resources // less what waits for the rack ahead; may be negative
-	Ends     []End                // of runs
+	Ends     []End                // of the runs that are expected to end
 	MaxTasks int                  // tasks of the step that it may still get; negative for no limit
 }
 
-// End is the expected end of a run.
+// End is the end of a run.
 type End struct {
-	In    time.Duration // from now
+	In    Times // from now
 	Frees submission.Resources
 }
 
-// Slot is the expected time at which a worker has room for one more task.
+// Slot is the expected time at which the rack has room for one more task.
 type Slot struct {
 	In     time.Duration
-	Worker int // index
+	Worker int // index of the worker that probably has it
 }
 
 // Slots returns when the workers are expected to have room for the next tasks with the
 // given needs, the earliest first, for at most count tasks. It orders the ends of the
 // workers' runs.
 func Slots(workers []Worker, needs submission.Resources, count int) []Slot {
+	var out []Slot
+	for sample := Samples - 1; sample >= 0; sample-- {
+		slots := sampleSlots(workers, needs, count, sample)
+		if out == nil {
+			out = make([]Slot, len(slots))
+		}
+		for i, s := range slots { // each sample has the same number of slots
+			out[i].In += s.In / Samples
+			out[i].Worker = s.Worker
+		}
+	}
+	return out
+}
+
+func sampleSlots(workers []Worker, needs submission.Resources, count, sample int) []Slot {
 	var out []Slot
 	for i := range workers {
 		w := &workers[i]
@@ -200,13 +240,15 @@
 			}
 		}
 		add(0)
-		slices.SortFunc(w.Ends, func(a, b End) int { return cmp.Compare(a.In, b.In) })
+		if fitting < limit && len(w.Ends) > 0 {
+			slices.SortFunc(w.Ends, func(a, b End) int { return cmp.Compare(a.In[sample], b.In[sample]) })
+		}
 		for _, e := range w.Ends {
-			if e.In == Never || fitting >= limit {
+			if fitting >= limit {
 				break
 			}
 			free = free.Add(e.Frees)
-			add(e.In)
+			add(e.In[sample])
 		}
 	}
 	slices.SortStableFunc(out, func(a, b Slot) int { return cmp.Compare(a.In, b.In) })
