--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -176,3 +176,16 @@
 		})
 	}
 }
+
+// BenchmarkForecast measures a forecast, during which the leader does nothing else.
+func BenchmarkForecast(b *testing.B) {
+	for _, workers := range []int{60, 5900} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			s, store := newFullPool(b, workers)
+			sub := submission.Submission{Spec: submission.Spec{ID: "a", Queue: "q0", Steps: []submission.Step{plainStep}}, Service: "s", Slack: 2}
+			for b.Loop() {
+				s.Forecast(clocksAt(testNow), store, sub)
+			}
+		})
+	}
+}
--- a/dispatch/preference.go
+++ b/dispatch/preference.go
@@ -386,7 +386,7 @@
 			if st.Worker != n.Incarnation {
 				continue
 			}
-			sub, _ := p.store.Submission(st.Run.Task.Submission)
+			sub := p.submissionOf(st)
 			if end, ok := p.expectedEnd(sub, st.Run, n.Incarnation, p.at.Log, len(w.Ends)); ok {
 				w.Ends = append(w.Ends, locality.End{In: end, Frees: p.freedFor(&sub.Steps[st.Run.Task.Step])})
 			}
@@ -400,6 +400,15 @@
 	return w
 }
 
+// submissionOf returns the submission of a start of the round.
+func (r *round) submissionOf(st submission.Start) *submission.Submission {
+	if id := st.Run.Task.Submission; r.trial == nil || id != r.trial.ID {
+		sub, _ := r.store.Submission(id)
+		return sub
+	}
+	return r.trial
+}
+
 // expectedRuns returns the recorded runs of a worker with their expected ends. They are
 // collected once in a round.
 func (r *round) expectedRuns(n *node) []expectedRun {
@@ -587,14 +596,10 @@
 	}
 	if w.since.IsZero() {
 		w.used, w.since = in.Used, p.at.Now
-		if !p.isTrial {
-			f.counts.Waits++
-		}
+		f.counts.Waits++
 	}
 	w.rack, w.bound, w.reason, w.expected, w.until = rack, d.Bound, d.Reason, in.Expected, p.at.Now.Add(d.Wait)
-	if !p.isTrial {
-		f.record(id, w)
-	}
+	f.record(id, w)
 	if p.rackWaiters == nil {
 		p.rackWaiters = make(map[*node][]rackWaiter)
 	}
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -56,7 +56,7 @@
 	changed         []*node // workers with starts in this round
 	rackRuns        map[*node][]expectedRun
 	rackWaiters     map[*node][]rackWaiter // tasks that wait for a worker, those of the most urgent steps first
-	isTrial         bool                   // nothing is recorded of the decisions
+	trial           *submission.Submission // of a forecast, not in the store; nil for none
 }
 
 func (s *Scheduler) newRound(at Clocks, store *submission.Store) *round {
--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/gentianrail/gentianrail/submission"
@@ -248,3 +249,24 @@
 		}
 	}
 }
+
+// Clone returns an independent copy.
+func (t *RunTimes) Clone() RunTimes {
+	c := RunTimes{
+		queues: make(map[string]*queueTimes, len(t.queues)), steps: make(map[Step]*sampleMean, len(t.steps)), submissions: make(map[string]*Submission, len(t.submissions)),
+	}
+	for name, q := range t.queues {
+		copied := *q
+		c.queues[name] = &copied
+	}
+	for id, m := range t.steps {
+		copied := *m
+		c.steps[id] = &copied
+	}
+	for id, e := range t.submissions {
+		copied := *e
+		copied.steps, copied.spreads, copied.paths = slices.Clone(e.steps), slices.Clone(e.spreads), slices.Clone(e.paths)
+		c.submissions[id] = &copied
+	}
+	return c
+}
--- a/internal/control/submissions.go
+++ b/internal/control/submissions.go
@@ -26,14 +26,16 @@
 	Cancel
 	// Count returns how many of the queue's submissions have not started.
 	Count
+	// Explain returns where the tasks of a submission would start now, without submitting it.
+	Explain
 )
 
 // String returns the verb in lower case.
 func (v Verb) String() string {
-	if v < Submit || v > Count {
+	if v < Submit || v > Explain {
 		return "unknown"
 	}
-	return [...]string{"submit", "describe", "cancel", "count"}[v-Submit]
+	return [...]string{"submit", "describe", "cancel", "count", "explain"}[v-Submit]
 }
 
 // Call is a caller's request at a queue's path.
@@ -41,14 +43,15 @@
 	Host      string
 	Path      string
 	Verb      Verb
-	Spec      submission.Spec // of a Submit
+	Spec      submission.Spec // of a Submit or an Explain
 	Malformed string          // why the body of a Submit could not be decoded; empty if it could
 }
 
 // CallAnswer is the answer to a Call that succeeded.
 type CallAnswer struct {
-	State   submission.State // of a Describe
-	Pending int              // of a Count
+	State    submission.State // of a Describe
+	Pending  int              // of a Count
+	Forecast *pb.Forecast     // of an Explain
 }
 
 // Call sends a caller's request to the leader. If no leader answers, the error is
@@ -57,7 +60,7 @@
 // been accepted.
 func (c *Client) Call(ctx context.Context, call Call) (CallAnswer, error) {
 	in := &pb.CallRequest{Host: call.Host, Path: call.Path, Verb: uint32(call.Verb), Malformed: call.Malformed}
-	if call.Verb == Submit {
+	if call.Verb == Submit || call.Verb == Explain {
 		in.Spec = wire.EncodeSubmissionSpec(call.Spec)
 	}
 	var out *pb.CallReply
@@ -87,7 +90,7 @@
 		}
 		return CallAnswer{}, fault.New(code, "%s", out.GetMessage()).WithRetryAfter(time.Duration(out.GetRetryAfter()))
 	}
-	return CallAnswer{State: submission.State(out.GetState()), Pending: int(out.GetPending())}, nil
+	return CallAnswer{State: submission.State(out.GetState()), Pending: int(out.GetPending()), Forecast: out.GetForecast()}, nil
 }
 
 // ReplaceQueues replaces the table of queues.
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -29,7 +29,7 @@
 			return
 		}
 		cmd = c.handleCall(in, out)
-		if out.GetCode() != 0 {
+		if out.GetCode() != 0 && control.Verb(in.GetVerb()) != control.Explain {
 			c.log.Emit(event.SubmissionRejected, event.Fields{
 				"submission": path.Base(in.GetPath()), "verb": control.Verb(in.GetVerb()).String(),
 				"code": fault.Code(out.GetCode()).Name(), "reason": out.GetMessage(),
@@ -90,6 +90,12 @@
 			return nil // a retry of an accepted submission
 		}
 		return c.handleSubmit(in, out, q.Name, id)
+	case control.Explain:
+		if exists {
+			out.Forecast = c.repeatedForecast()
+			return nil
+		}
+		c.forecast(out, c.handleSubmit(in, out, q.Name, id))
 	default:
 		setFault(out, fault.New(fault.BadRequest, "unsupported verb %d", in.GetVerb()))
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -97,6 +97,7 @@
 		{Method: http.MethodPut, Path: "/v1/queues", Handler: o.putQueues},
 		{Method: http.MethodGet, Path: "/v1/submissions", Handler: o.listSubmissions},
 		{Method: http.MethodPost, Path: "/v1/submissions", Handler: o.postSubmission},
+		{Method: http.MethodPost, Path: "/v1/explain/submissions", Handler: o.explainSubmission},
 		{Method: http.MethodGet, Path: "/v1/submissions/{id}", Handler: o.getSubmission},
 		{Method: http.MethodDelete, Path: "/v1/submissions/{id}", Handler: o.cancelSubmission},
 		{Method: http.MethodGet, Path: "/v1/report/burn", Handler: o.getBurnReport},
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -65,7 +65,7 @@
 		},
 		Commands: []*cli.Command{
 			applyCommand(), diffCommand(), getCommand(), describeCommand(), deleteCommand(), validateCommand(),
-			statusCommand(), workersCommand(), tasksCommand(), jobsCommand(), queuesCommand(), submissionsCommand(), logsCommand(), drainCommand(), reportCommand(),
+			statusCommand(), workersCommand(), tasksCommand(), jobsCommand(), queuesCommand(), submissionsCommand(), explainCommand(), logsCommand(), drainCommand(), reportCommand(),
 			loadCommand(), experimentCommand(), versionCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/state/machine.go
+++ b/state/machine.go
@@ -212,14 +212,24 @@
 	if _, ok := m.submissions.Submission(s.ID); ok {
 		return Result{Outcome: Outcome{Repeated: true}}
 	}
+	s, err := m.NewSubmission(s)
+	if err != nil {
+		return errorResult(err)
+	}
+	return Result{Outcome: Outcome{Repeated: m.submissions.Submit(s, m.now)}}
+}
+
+// NewSubmission returns a submission with the settings of its queue, as it would be
+// accepted, or the reason why it is rejected.
+func (m *Machine) NewSubmission(s submission.Submission) (submission.Submission, error) {
 	if err := s.Validate(); err != nil {
-		return errorResult(fault.Wrap(fault.BadRequest, err, "submission %q", s.ID))
+		return s, fault.Wrap(fault.BadRequest, err, "submission %q", s.ID)
 	}
 	if _, ok := m.queues.Queue(s.Queue); !ok {
-		return errorResult(fault.New(fault.EntryNotFound, "no queue %q", s.Queue))
+		return s, fault.New(fault.EntryNotFound, "no queue %q", s.Queue)
 	}
 	m.applyQueueSettings(&s)
-	return Result{Outcome: Outcome{Repeated: m.submissions.Submit(s, m.now)}}
+	return s, nil
 }
 
 // errorResult returns a result that carries only err, which may be nil.
