--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,233 @@
+package intake
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var _testLimits = Limits{
+	Budget: 1 << 20, Reserve: 256 << 10, SmallBody: 16 << 10, ClientShare: 512 << 10,
+	Stall: 300 * time.Millisecond, Grace: time.Second, MinRate: 16 << 10, MaxWait: time.Second, BodyTimeout: 30 * time.Second,
+}
+
+// sender is a simulated client that sends one body.
+type sender struct {
+	body      *Body
+	address   string
+	size      int64
+	rate      int64 // bytes of one step of 10 ms; 0 for a client that has come to a halt
+	haltAt    int64 // received bytes at which the client halts
+	started   time.Time
+	processed time.Time
+	end       time.Time
+}
+
+const _step = 10 * time.Millisecond
+
+// simulation runs senders against a ledger in steps of 10 ms.
+type simulation struct {
+	t       *testing.T
+	ledger  *Ledger
+	now     time.Time
+	senders map[*Body]*sender
+	done    []*sender
+	cut     []*sender
+}
+
+func newSimulation(t *testing.T) *simulation {
+	return &simulation{t: t, ledger: New(_testLimits), now: time.Unix(0, 0), senders: make(map[*Body]*sender)}
+}
+
+func (s *simulation) start(w sender) *sender {
+	w.started = s.now
+	w.body = s.ledger.Open(s.now, w.address)
+	s.senders[w.body] = &w
+	s.carryOut(s.ledger.Acquire(s.now, w.body, w.size))
+	return &w
+}
+
+// moves reports whether the client keeps making progress.
+func (w *sender) moves() bool { return w.rate > 0 && w.body.received < w.haltAt }
+
+func (s *simulation) carryOut(a Actions) {
+	for _, b := range a.Cut {
+		w := s.senders[b]
+		if w == nil {
+			s.t.Fatal("a body was cut off twice, or after its end")
+		}
+		if !w.processed.IsZero() {
+			s.t.Fatal("a body in processing was cut off")
+		}
+		if b.reason == Stalled && w.moves() && w.rate*100 >= _testLimits.MinRate {
+			s.t.Fatalf("a body of %d bytes a second was cut off for being stalled after %s", w.rate*100, s.now.Sub(w.started))
+		}
+		s.cut = append(s.cut, w)
+		delete(s.senders, b)
+		defer func() { s.carryOut(s.ledger.Close(s.now, b)) }()
+	}
+	s.check()
+}
+
+func (s *simulation) check() {
+	var held int64
+	clients := make(map[string]int64)
+	for b := range s.ledger.bodies {
+		held += b.held
+		clients[b.client] += b.held
+		if b.Waiting() && s.now.Sub(b.waitSince) > _testLimits.MaxWait+_step {
+			s.t.Fatalf("a body has waited for %s", s.now.Sub(b.waitSince))
+		}
+	}
+	if held != s.ledger.held || held > _testLimits.Budget {
+		s.t.Fatalf("the bodies hold %d bytes, the ledger has %d, the budget is %d", held, s.ledger.held, _testLimits.Budget)
+	}
+	for address, n := range clients {
+		if s.ledger.byClient[address].held != n {
+			s.t.Fatalf("address %s holds %d bytes, the ledger has %d", address, n, s.ledger.byClient[address].held)
+		}
+	}
+}
+
+func (s *simulation) step() {
+	s.now = s.now.Add(_step)
+	for b, w := range s.senders {
+		switch {
+		case !w.processed.IsZero():
+			if !s.now.Before(w.processed) {
+				delete(s.senders, b)
+				w.end = s.now
+				s.done = append(s.done, w)
+				s.carryOut(s.ledger.Close(s.now, b))
+			}
+		case b.Waiting() || b.reason != NoReason:
+		case b.received >= w.size:
+			a, ok := s.ledger.Complete(s.now, b)
+			if !ok {
+				s.t.Fatal("a body that was not cut off is incomplete")
+			}
+			w.processed = s.now.Add(50 * time.Millisecond)
+			s.carryOut(a)
+		case w.moves():
+			s.ledger.Receive(s.now, b, min(w.rate, w.haltAt-b.received))
+		}
+	}
+	s.carryOut(s.ledger.Advance(s.now))
+}
+
+// TestBudgetUnderRandomClients guards against a budget that is exceeded or leaks,
+// a body in processing or in progress that is cut off, and a wait without a bound.
+func TestBudgetUnderRandomClients(t *testing.T) {
+	for seed := range uint64(60) {
+		s := newSimulation(t)
+		r := rand.New(rand.NewPCG(seed, 1))
+		for range 400 {
+			for range r.IntN(4) {
+				size := int64(1 + r.IntN(200_000))
+				w := sender{address: string(rune('a' + r.IntN(4))), size: size, rate: int64(200 + r.IntN(20_000)), haltAt: size}
+				if r.IntN(2) == 0 {
+					w.haltAt = r.Int64N(size)
+				}
+				s.start(w)
+			}
+			s.step()
+		}
+		for range 4000 {
+			s.step()
+		}
+		if s.ledger.held != 0 || len(s.ledger.bodies) != 0 || len(s.ledger.byClient) != 0 || s.ledger.releasing != 0 || s.ledger.waiting != 0 || s.ledger.reading != 0 {
+			t.Fatalf("seed %d: after the end of all clients the ledger has %+v", seed, s.ledger)
+		}
+	}
+}
+
+// TestStalledClientsAreCutOffForOthers guards against clients that stop just short
+// of the end and keep the budget.
+func TestStalledClientsAreCutOffForOthers(t *testing.T) {
+	s := newSimulation(t)
+	for range 100 {
+		s.start(sender{address: "a", size: 100_000, rate: 50_000, haltAt: 99_993})
+	}
+	for range 20 {
+		s.step()
+	}
+	w := s.start(sender{address: "b", size: 100_000, rate: 20_000, haltAt: 100_000})
+	for range 200 {
+		s.step()
+	}
+	if w.body.reason != NoReason || len(s.done) != 1 {
+		t.Errorf("the body of another address was cut off (%s); %d are done", w.body.reason, len(s.done))
+	}
+}
+
+// TestSmallBodyPassesLargeOnes guards against large bodies that keep ordinary
+// requests waiting.
+func TestSmallBodyPassesLargeOnes(t *testing.T) {
+	s := newSimulation(t)
+	for range 100 {
+		s.start(sender{address: "a", size: 200_000, rate: 50_000, haltAt: 199_000})
+	}
+	w := s.start(sender{address: "a", size: 1000, rate: 1000, haltAt: 1000})
+	if w.body.Waiting() {
+		t.Error("a small body waits beside large ones")
+	}
+}
+
+// TestOneAddressCannotTakeEverything guards against an address whose bodies, all in
+// progress, leave nothing to others.
+func TestOneAddressCannotTakeEverything(t *testing.T) {
+	s := newSimulation(t)
+	for range 50 {
+		s.start(sender{address: "a", size: 100_000, rate: 200, haltAt: 100_000})
+	}
+	if w := s.start(sender{address: "b", size: 100_000, rate: 200, haltAt: 100_000}); w.body.Waiting() {
+		t.Error("a body of another address waits")
+	}
+}
+
+// TestNothingIsCutOffWithoutNeed guards against a slow client that is cut off
+// before the time for a body although the budget has room.
+func TestNothingIsCutOffWithoutNeed(t *testing.T) {
+	s := newSimulation(t)
+	s.start(sender{address: "a", size: 100_000, rate: 1, haltAt: 10})
+	for range 2990 {
+		s.step()
+	}
+	if len(s.cut) != 0 {
+		t.Fatalf("cut off as %s", s.cut[0].body.reason)
+	}
+	for range 20 {
+		s.step()
+	}
+	if len(s.cut) != 1 || s.cut[0].body.reason != TooSlow {
+		t.Error("not cut off at the end of its time")
+	}
+}
+
+// TestBodiesThatWaitForEachOtherEnd guards against bodies of unknown size that all
+// hold a part of the budget and wait for more.
+func TestBodiesThatWaitForEachOtherEnd(t *testing.T) {
+	s := newSimulation(t)
+	for range 40 {
+		s.start(sender{address: "a", size: 10_000, rate: 10_000, haltAt: 10_000})
+	}
+	var wait []*sender
+	for _, w := range s.senders {
+		if w.body.Waiting() {
+			continue
+		}
+		s.ledger.Receive(s.now, w.body, 10_000)
+		w.size = 200_000
+		w.haltAt = w.size
+		wait = append(wait, w)
+	}
+	for _, w := range wait {
+		s.carryOut(s.ledger.Acquire(s.now, w.body, 190_000))
+	}
+	for range 400 {
+		s.step()
+	}
+	if len(s.done) == 0 {
+		t.Error("none of the bodies was received completely")
+	}
+}
