web: bound the bodies and connections of uncontrolled clients

Each listener for callers, operators and workers gets the limits of the package intake: a budget for bodies, deadlines, a limit on connections and bounded receive buffers. Lists are limited while they are decoded.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -64,9 +64,11 @@
 		}
 		s.cut = append(s.cut, w)
 		delete(s.senders, b)
-		defer func() { s.carryOut(s.ledger.Close(s.now, b)) }()
 	}
 	s.check()
+	for _, b := range a.Cut {
+		s.carryOut(s.ledger.Close(s.now, b))
+	}
 }
 
 func (s *simulation) check() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,8 +4,9 @@
 import (
 	"context"
 	"errors"
-	"net/http"
+	"math"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -21,6 +22,7 @@
 	"github.com/gentianrail/gentianrail/internal/sample"
 	"github.com/gentianrail/gentianrail/internal/settings"
 	"github.com/gentianrail/gentianrail/internal/telemetry"
+	"github.com/gentianrail/gentianrail/internal/web"
 )
 
 // _forceQuitDelay is the time after a signal at which go-zero ends the process.
@@ -44,6 +46,7 @@
 	log          event.Log
 	drainTimeout time.Duration
 	metrics      metrics.Registry
+	gate         *web.Gate
 	core         *controller.Core  // nil without the controller role
 	clients      []*control.Client // get new seeds when the settings change
 }
@@ -57,6 +60,7 @@
 	registry := metrics.NewRegistry()
 	log = log.WithCounter(telemetry.EventCounter(registry))
 	d := &Daemon{log: log, drainTimeout: time.Duration(s.DrainTimeout), metrics: registry}
+	d.gate = newGate(s, log, registry)
 	if err := d.startRoles(s); err != nil {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -66,11 +70,42 @@
 	return d, nil
 }
 
+// Bounds of the receive buffers of all connections together.
+const (
+	_memoryPerReceiveBuffers = 4 // memory_limit by their sum; the kernel takes up to twice as much
+	_minReceiveBuffer        = 16 << 10
+	_maxReceiveBuffer        = 256 << 10
+	_assumedDescriptors      = 1024 // if the limit is unknown
+)
+
+// newGate returns the gate of the process's listeners.
+func newGate(s *settings.Settings, log event.Log, registry metrics.Registry) *web.Gate {
+	descriptors := _assumedDescriptors
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < math.MaxInt32 {
+		descriptors = int(limit.Cur)
+	}
+	l := s.IntakeLimits(descriptors)
+	buffer := int64(s.MemoryLimit) / _memoryPerReceiveBuffers / int64(l.Connections)
+	return web.NewGate(web.GateConfig{
+		BodyBudget:    int64(l.BodyBudget),
+		Connections:   l.Connections,
+		ReceiveBuffer: int(min(max(buffer, _minReceiveBuffer), _maxReceiveBuffer)),
+		BodyTimeout:   time.Duration(l.BodyTimeout),
+		HeaderTimeout: time.Duration(l.HeaderTimeout),
+		IdleTimeout:   time.Duration(l.IdleTimeout),
+		Log:           log,
+		Metrics:       registry,
+	})
+}
+
 func (d *Daemon) startRoles(s *settings.Settings) error {
 	if s.MetricsAddress != "" && (s.Controller == nil || s.Controller.OperatorAddress != s.MetricsAddress) {
-		if err := d.startServers(nil, map[string]http.Handler{s.MetricsAddress: telemetry.Handler(d.metrics)}); err != nil {
+		server, err := d.gate.ListenSmall(s.MetricsAddress, telemetry.Handler(d.metrics))
+		if err != nil {
 			return err
 		}
+		d.components = append(d.components, &serverGroup{servers: []*web.Server{server}})
 	}
 	if s.Sample != nil {
 		t, err := sample.Start(s.Sample.Address)
@@ -89,7 +124,7 @@
 		if s.Controller.OperatorAddress == "" {
 			return d.startOtherRoles(s)
 		}
-		o, err := operator.Start(s, c.Core(), d.newClient(s), d.metrics)
+		o, err := operator.Start(s, c.Core(), d.newClient(s), d.metrics, d.gate)
 		if err != nil {
 			return err
 		}
@@ -111,7 +146,7 @@
 		d.components = append(d.components, a)
 	}
 	if s.Entry != nil {
-		e, err := entry.Start(s, d.log.With("role", settings.RoleEntry), d.newClient(s), d.metrics)
+		e, err := entry.Start(s, d.log.With("role", settings.RoleEntry), d.newClient(s), d.metrics, d.gate)
 		if err != nil {
 			return err
 		}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -24,8 +24,13 @@
 	servers    []*web.Server
 }
 
-func (s *serverGroup) listen(address string, h http.Handler) error {
-	server, err := web.Listen(address, h)
+// listen serves a handler. Small listeners serve probes.
+func (s *serverGroup) listen(gate *web.Gate, address string, h http.Handler, small bool) error {
+	listen := gate.Listen
+	if small {
+		listen = gate.ListenSmall
+	}
+	server, err := listen(address, h)
 	if err != nil {
 		return err
 	}
@@ -98,7 +103,7 @@
 		client.SetLeaderHint(d.core.LeaderAddress)
 		d.components = append(d.components, clientComponent{client})
 		queues := loggedQueues{client: client, log: d.log.With("role", settings.RoleController)}
-		if err := d.startServers(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.OperatorHandler(queues)}); err != nil {
+		if err := d.startServers(nil, "", map[string]http.Handler{s.Platform.ControlPlane: platform.OperatorHandler(queues)}); err != nil {
 			return err
 		}
 	}
@@ -107,14 +112,14 @@
 			platform.NewWorkerClient(s.Platform.Worker, d.metrics), time.Duration(s.Platform.MaxLease), time.Duration(s.Platform.MaxCallDelay),
 			d.newClient(s), d.metrics)
 		d.components = append(d.components, r)
-		if err := d.startServers(nil, map[string]http.Handler{s.Platform.ControlPlane: platform.RegistryHandler(r)}); err != nil {
+		if err := d.startServers(nil, "", map[string]http.Handler{s.Platform.ControlPlane: platform.RegistryHandler(r)}); err != nil {
 			return err
 		}
 	}
 	if s.HasRole(settings.RoleEntry) {
 		f := frontend.Start(d.log.With("role", settings.RoleEntry), d.newClient(s), d.metrics)
 		d.components = append(d.components, f)
-		return d.startServers(f.Drain, map[string]http.Handler{
+		return d.startServers(f.Drain, s.Platform.Readiness, map[string]http.Handler{
 			s.Platform.Frontend:  platform.CallerHandler(f),
 			s.Platform.Readiness: platform.ReadyHandler(f),
 		})
@@ -129,11 +134,11 @@
 	return c
 }
 
-func (d *Daemon) startServers(beforeStop func(context.Context), handlers map[string]http.Handler) error {
+func (d *Daemon) startServers(beforeStop func(context.Context), probes string, handlers map[string]http.Handler) error {
 	group := &serverGroup{beforeStop: beforeStop}
 	d.components = append(d.components, group)
 	for address, h := range handlers {
-		if err := group.listen(address, h); err != nil {
+		if err := group.listen(d.gate, address, h, address == probes); err != nil {
 			return err
 		}
 	}
--- a/internal/declaration/queues.go
+++ b/internal/declaration/queues.go
@@ -4,17 +4,33 @@
 	"time"
 
 	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 
 	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/limited"
 	"github.com/gentianrail/gentianrail/internal/unit"
 	"github.com/gentianrail/gentianrail/queue"
 )
 
 // QueuesDocument is the JSON form of a table of queues.
 type QueuesDocument struct {
-	Version  uint64            `json:"version"` // the highest version is effective
-	Services []serviceDocument `json:"services"`
-	Queues   []queueDocument   `json:"queues"`
+	Version  uint64      `json:"version"` // the highest version is effective
+	Services serviceList `json:"services"`
+	Queues   queueList   `json:"queues"`
+}
+
+type serviceList []serviceDocument
+
+// UnmarshalJSONFrom implements json.UnmarshalerFrom.
+func (l *serviceList) UnmarshalJSONFrom(d *jsontext.Decoder) error {
+	return limited.UnmarshalList(d, (*[]serviceDocument)(l), queue.MaxQueues)
+}
+
+type queueList []queueDocument
+
+// UnmarshalJSONFrom implements json.UnmarshalerFrom.
+func (l *queueList) UnmarshalJSONFrom(d *jsontext.Decoder) error {
+	return limited.UnmarshalList(d, (*[]queueDocument)(l), queue.MaxQueues)
 }
 
 type serviceDocument struct {
--- a/internal/declaration/submission.go
+++ b/internal/declaration/submission.go
@@ -4,20 +4,38 @@
 	"time"
 
 	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 
 	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/limited"
 	"github.com/gentianrail/gentianrail/internal/unit"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
 type submissionDocument struct {
-	ID       string         `json:"id"`
-	Queue    string         `json:"queue"`
-	Text     string         `json:"text,omitempty"`
-	Steps    []stepDocument `json:"steps"`
-	Repeat   int            `json:"repeat,omitzero"`
-	StartAt  time.Time      `json:"start_at,omitzero"` // of the first occurrence; RFC 3339
-	Interval unit.Duration  `json:"interval,omitzero"`
+	ID       string        `json:"id"`
+	Queue    string        `json:"queue"`
+	Text     string        `json:"text,omitempty"`
+	Steps    stepList      `json:"steps"`
+	Repeat   int           `json:"repeat,omitzero"`
+	StartAt  time.Time     `json:"start_at,omitzero"` // of the first occurrence; RFC 3339
+	Interval unit.Duration `json:"interval,omitzero"`
+}
+
+// stepList is the list of steps of a submission.
+type stepList []stepDocument
+
+// UnmarshalJSONFrom implements json.UnmarshalerFrom.
+func (s *stepList) UnmarshalJSONFrom(d *jsontext.Decoder) error {
+	return limited.UnmarshalList(d, (*[]stepDocument)(s), submission.MaxSteps)
+}
+
+// stepNumbers are the numbers of other steps.
+type stepNumbers []int
+
+// UnmarshalJSONFrom implements json.UnmarshalerFrom.
+func (s *stepNumbers) UnmarshalJSONFrom(d *jsontext.Decoder) error {
+	return limited.UnmarshalList(d, (*[]int)(s), submission.MaxSteps)
 }
 
 type stepDocument struct {
@@ -26,7 +44,7 @@
 	Memory         unit.Bytes    `json:"memory,omitzero"`
 	Accelerators   int64         `json:"accelerators,omitzero"`
 	Estimate       unit.Duration `json:"estimate,omitzero"`
-	DependsOn      []int         `json:"depends_on,omitempty"`
+	DependsOn      stepNumbers   `json:"depends_on,omitempty"`
 	Checkpointing  bool          `json:"checkpointing,omitzero"`
 	Gang           bool          `json:"gang,omitzero"`
 	RackLocal      bool          `json:"rack_local,omitzero"`
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,7 +61,7 @@
 }
 
 // Start starts an entry instance.
-func Start(s *settings.Settings, log event.Log, controllers *control.Client, registry metrics.Registry) (*Entry, error) {
+func Start(s *settings.Settings, log event.Log, controllers *control.Client, registry metrics.Registry, gate *web.Gate) (*Entry, error) {
 	e := &Entry{
 		name:        s.Name,
 		zone:        s.Zone,
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if e.web, err = web.Listen(s.Entry.Address, handler); err != nil {
+	if e.web, err = gate.Listen(s.Entry.Address, handler); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -162,20 +162,20 @@
 	if c.key != "" && !c.idempotent {
 		maxBuffered = _maxKeyedBody // the fingerprint needs the complete body
 	}
-	buffered, err := io.ReadAll(io.LimitReader(c.r.Body, min(maxBuffered, limit)+1))
+	buffered, complete, err := web.ReadPrefix(c.w, c.r, min(maxBuffered, limit))
 	if err != nil {
-		return fault.Wrap(fault.BadRequest, err, "read the body")
+		return err
 	}
 	c.body.buffered = buffered
-	if int64(len(buffered)) > limit {
-		return fault.New(fault.BodyTooLarge, "body exceeds the %d bytes that entry %q allows", limit, c.decl.Name())
-	}
-	if int64(len(buffered)) <= maxBuffered {
+	switch {
+	case complete:
 		return nil
-	}
-	if maxBuffered == _maxKeyedBody {
+	case maxBuffered >= limit:
+		return fault.New(fault.BodyTooLarge, "body exceeds the %d bytes that entry %q allows", limit, c.decl.Name())
+	case maxBuffered == _maxKeyedBody:
 		return fault.New(fault.BodyTooLarge, "body of a request with an idempotency key exceeds %d bytes", _maxKeyedBody)
 	}
+	web.StreamRest(c.r)
 	c.body.rest = c.r.Body
 	return nil
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -27,6 +27,7 @@
 	Reloaded           Number = 108
 	ReloadFailed       Number = 109
 	CallPanicked       Number = 110
+	ClientsLimited     Number = 111
 	RoleChanged        Number = 201
 	SnapshotSaved      Number = 202
 	DiskFailed         Number = 203
@@ -103,6 +104,7 @@
 	{Reloaded, "reloaded", logrus.InfoLevel},
 	{ReloadFailed, "reload_failed", logrus.WarnLevel},
 	{CallPanicked, "call_panicked", logrus.ErrorLevel},
+	{ClientsLimited, "clients_limited", logrus.WarnLevel},
 	{RoleChanged, "role_changed", logrus.InfoLevel},
 	{SnapshotSaved, "snapshot_saved", logrus.InfoLevel},
 	{DiskFailed, "disk_failed", logrus.ErrorLevel},
--- a/internal/jobsapi/jobs.go
+++ b/internal/jobsapi/jobs.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -106,9 +105,9 @@
 		web.WriteFault(w, err)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, job.MaxBodyBytes))
+	body, err := web.ReadBody(w, r, job.MaxBodyBytes)
 	if err != nil {
-		web.WriteFault(w, fault.New(fault.BodyTooLarge, "read the body of at most %d bytes: %s", job.MaxBodyBytes, err))
+		web.WriteFault(w, err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), _controllersTimeout)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -57,13 +56,13 @@
 }
 
 // Start serves the operator API of a controller.
-func Start(s *settings.Settings, core *controller.Core, client *control.Client, registry metrics.Registry) (*Server, error) {
+func Start(s *settings.Settings, core *controller.Core, client *control.Client, registry metrics.Registry, gate *web.Gate) (*Server, error) {
 	o := &operator{id: s.Controller.ID, core: core, client: client, members: s.Controller.Members, metrics: registry}
 	handler, err := web.Handler("operator", o.routes())
 	if err != nil {
 		return nil, err
 	}
-	server, err := web.Listen(s.Controller.OperatorAddress, handler)
+	server, err := gate.Listen(s.Controller.OperatorAddress, handler)
 	if err != nil {
 		return nil, err
 	}
@@ -280,12 +279,14 @@
 
 func (o *operator) putEntry(w http.ResponseWriter, r *http.Request) {
 	name := web.PathValue(r, "name")
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, declaration.MaxBytes))
+	data, err := web.ReadBody(w, r, declaration.MaxBytes)
 	if err != nil {
-		web.WriteFault(w, fault.New(fault.BodyTooLarge, "read the declaration of at most %d bytes: %s", declaration.MaxBytes, err))
+		web.WriteFault(w, err)
 		return
 	}
+	end := web.BeginDecoding(r, len(data))
 	spec, err := declaration.Parse(name, data)
+	end()
 	if err == nil && spec.Name != name {
 		err = fault.New(fault.BadDeclaration, "%s: name: found %q, allowed is the name in the path", name, spec.Name)
 	}
--- a/internal/operator/queues.go
+++ b/internal/operator/queues.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/gentianrail/gentianrail/fault"
@@ -17,11 +16,11 @@
 // parseBody reads and parses a request's body. If that fails, it answers the
 // request with the error and returns false.
 func parseBody[T any](w http.ResponseWriter, r *http.Request, maxBytes int64, parse func([]byte) (T, error)) (out T, ok bool) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	if err != nil {
-		err = fault.New(fault.BodyTooLarge, "read the body of at most %d bytes: %s", maxBytes, err)
-	} else {
+	data, err := web.ReadBody(w, r, maxBytes)
+	if err == nil {
+		end := web.BeginDecoding(r, len(data))
 		out, err = parse(data)
+		end()
 	}
 	if err != nil {
 		web.WriteFault(w, err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,6 +101,16 @@
 	MaxCallDelay unit.Duration `json:"max_call_delay,omitempty"`
 }
 
+// Intake holds the limits on what clients can make the process hold. A value that
+// the file omits is derived by IntakeLimits.
+type Intake struct {
+	BodyBudget    unit.Bytes    `json:"body_budget,omitzero"`
+	Connections   int           `json:"connections,omitzero"`
+	BodyTimeout   unit.Duration `json:"body_timeout,omitzero"`
+	HeaderTimeout unit.Duration `json:"header_timeout,omitzero"`
+	IdleTimeout   unit.Duration `json:"idle_timeout,omitzero"`
+}
+
 // Settings holds the contents of a settings file. The settings of a role are nil
 // if the file has none.
 type Settings struct {
@@ -117,6 +127,7 @@
 	Platform        *Platform     `json:"platform,omitempty"`
 	ControllersPort int           `json:"controllers_port,omitempty"`
 
+	Intake         Intake        `json:"intake,omitzero"`
 	MetricsAddress string        `json:"metrics_address,omitempty"`
 	Log            Log           `json:"log"`
 	DrainTimeout   unit.Duration `json:"drain_timeout"`
@@ -145,6 +156,58 @@
 	_memoryLimit      = unit.Bytes(512 << 20)
 )
 
+// Bounds of the derived limits of intake.
+const (
+	// _minBodyBudget holds the largest body, a configuration of 8 MiB, beside the
+	// quarter that is reserved for small ones.
+	_minBodyBudget     = unit.Bytes(12 << 20)
+	_memoryPerBudget   = 8        // memory_limit by the budget of bodies: a body may exist decoded and encoded, too
+	_memoryPerConn     = 96 << 10 // memory_limit by connections; one takes about 40 KiB and its receive buffer
+	_ownDescriptors    = 256      // kept back for files and the process's own calls
+	_minConnections    = 16
+	_maxFewConnections = 256 // of a process that serves no callers
+	_bodyTimeout       = unit.Duration(30 * time.Second)
+	_controlTimeout    = unit.Duration(time.Minute)      // for the larger bodies of a controller
+	_headerTimeout     = unit.Duration(5 * time.Second)  // clients send headers within 3 s
+	_idleTimeout       = unit.Duration(30 * time.Second) // clients are idle for at most 15 s
+)
+
+// IntakeLimits returns the limits on what clients can make the process hold. They
+// are derived from the memory limit and from the number of files that the process
+// may open, unless the settings state them.
+func (s *Settings) IntakeLimits(descriptors int) Intake {
+	out := s.Intake
+	setDefault(&out.BodyBudget, max(_minBodyBudget, s.MemoryLimit/_memoryPerBudget))
+	connections := min(int(s.MemoryLimit/_memoryPerConn), (descriptors-_ownDescriptors)/2)
+	if !s.HasRole(RoleEntry) {
+		connections = min(connections, _maxFewConnections)
+	}
+	setDefault(&out.Connections, max(connections, _minConnections))
+	if s.HasRole(RoleController) {
+		setDefault(&out.BodyTimeout, _controlTimeout)
+	}
+	setDefault(&out.BodyTimeout, _bodyTimeout)
+	setDefault(&out.HeaderTimeout, _headerTimeout)
+	setDefault(&out.IdleTimeout, _idleTimeout)
+	return out
+}
+
+func (c *checker) checkIntake(s *Intake) {
+	if s.BodyBudget != 0 && s.BodyBudget < _minBodyBudget {
+		c.addProblem("intake.body_budget", "found %d bytes, allowed are at least %d", s.BodyBudget, _minBodyBudget)
+	}
+	if s.Connections != 0 && s.Connections < _minConnections {
+		c.addProblem("intake.connections", "found %d, allowed are at least %d", s.Connections, _minConnections)
+	}
+	for path, d := range map[string]unit.Duration{
+		"intake.body_timeout": s.BodyTimeout, "intake.header_timeout": s.HeaderTimeout, "intake.idle_timeout": s.IdleTimeout,
+	} {
+		if d != 0 {
+			c.checkDuration(path, d)
+		}
+	}
+}
+
 // Load reads and checks a settings file. The error lists every problem with its
 // path in the file.
 func Load(file string) (Settings, error) {
@@ -341,6 +404,7 @@
 		c.addProblem("log.level", "found %q, allowed are debug, info, warning and error", s.Log.Level)
 	}
 	c.checkDuration("drain_timeout", s.DrainTimeout)
+	c.checkIntake(&s.Intake)
 	if s.MetricsAddress != "" {
 		c.checkAddress("metrics_address", s.MetricsAddress)
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -14,6 +14,10 @@
 	"github.com/gentianrail/gentianrail/fault"
 )
 
+// MaxQueues is the maximum number of queues or services of a table. A deployment has up
+// to 10,000; each takes hundreds of bytes, also one that is written with two.
+const MaxQueues = 32_768
+
 // Bounds that keep sums and products in the range of their types.
 const (
 	_maxSlack    = 1_000_000
