--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -44,6 +44,9 @@
 		err = o.Err
 	}
 	if fault.CodeOf(err) == fault.NoLeader {
+		if submit, ok := cmd.(state.Submit); ok {
+			s.releaseWork(ctx, submissionName(submit.Submission.ID))
+		}
 		return &pb.CallReply{NotLeader: true, LeaderAddress: s.leaderAddress(ctx)}, nil
 	}
 	setFault(out, err)
@@ -111,6 +114,10 @@
 		setFault(out, fault.New(fault.BadRequest, "%s", err))
 		return nil
 	}
+	if err := c.admitWork(submissionName(id), submissionWork(&spec)); err != nil {
+		setFault(out, err)
+		return nil
+	}
 	return state.Submit{Submission: submission.Submission{Spec: spec}}
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -91,6 +91,7 @@
 		Replicas:        cfg.Replicas,
 		OnMembersChange: func(members []replica.Member) { c.peers.UpdateMembers(id, members) },
 		Address:         c.peers.Address,
+		Accepted:        newAcceptedLimits(int64(s.MemoryLimit)),
 	}, clock.Now())
 	if err != nil {
 		return err
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -71,6 +71,7 @@
 	stopped        chan struct{}
 
 	snapshotEntries  int
+	accepted         accepted
 	pendingProposals map[uint64]pendingProposal // by log index
 	hardState        replica.HardState
 	lastApplied      replica.Entry
@@ -116,6 +117,7 @@
 	Replicas        int                     // voters that the group should have; 0 for a fixed group
 	OnMembersChange func([]replica.Member)  // called when the members change
 	Address         func(replica.ID) string // returns a replica's address; "" if unknown
+	Accepted        AcceptedLimits          // on what accepted work makes the controller hold
 }
 
 // NewCore loads the state from disk and returns a core that is not running yet.
@@ -141,6 +143,7 @@
 		diskFailed:       make(chan struct{}),
 		leadership:       leadership{changed: make(chan struct{})},
 		snapshotEntries:  cfg.SnapshotEntries,
+		accepted:         accepted{limits: cfg.Accepted},
 		pendingProposals: make(map[uint64]pendingProposal),
 		hardState:        restored.State,
 		holders:          make(map[string]Holder),
@@ -421,6 +424,7 @@
 
 func (c *Core) applyEntry(e replica.Entry) {
 	c.lastApplied = e
+	c.accepted.sinceSnapshot += int64(len(e.Data))
 	var r state.Result
 	if e.Kind == replica.KindMembers {
 		c.members = e.Members
@@ -433,6 +437,7 @@
 			r.Outcome.Err = err
 		} else {
 			r = c.machine.Apply(e.Index, e.Time, cmd)
+			c.accepted.recordApplied(cmd)
 			c.sched.handleAppliedCommand(c.machine, cmd, r)
 			c.handleAppliedCommand(e.Term, cmd, r)
 			c.logCommand(cmd, r)
@@ -480,6 +485,7 @@
 	c.log.Emit(event.RoleChanged, event.Fields{
 		"from": c.role.String(), "to": role.String(), "term": c.replica.Term(), "leader": string(c.replica.Leader()),
 	}, "controller role changed")
+	c.accepted.reset()
 	if role == replica.Leader {
 		c.sched.startLeading(clock.Now(), c.machine)
 		c.sessions.reset(clock.Now())
@@ -492,12 +498,16 @@
 	c.role = role
 }
 
-// maybeSnapshot starts a snapshot when the log has grown by snapshotEntries. It
-// copies the state; the writer encodes and writes the copy.
+// maybeSnapshot starts a snapshot when the log has grown by snapshotEntries or by
+// the limit of its bytes. It copies the state; the writer encodes and writes the copy.
 func (c *Core) maybeSnapshot() {
-	if c.diskErr != nil || c.writing || int(c.lastApplied.Index-c.snapshotIndex) < c.snapshotEntries {
+	limit := c.accepted.limits.SnapshotBytes
+	isLong := int(c.lastApplied.Index-c.snapshotIndex) >= c.snapshotEntries
+	isLarge := limit > 0 && c.accepted.sinceSnapshot >= limit && c.lastApplied.Index > c.snapshotIndex
+	if c.diskErr != nil || c.writing || !isLong && !isLarge {
 		return
 	}
+	c.accepted.sinceSnapshot = 0
 	c.writing = true
 	c.writer.requests <- writeRequest{reply: c.writeResults, snapshot: &snapshotRequest{
 		index:     c.lastApplied.Index,
@@ -512,8 +522,12 @@
 func (c *Core) handleSnapshotWritten(s replica.Snapshot) {
 	c.latestSnapshot = s
 	c.snapshotIndex = s.Index
-	if s.Index > _retainedEntries {
-		c.replica.Compact(s.Index - _retainedEntries)
+	from := s.Index - min(s.Index, _retainedEntries)
+	if limit := c.accepted.limits.RetainedBytes; limit > 0 {
+		from = max(from, c.replica.RetainedFrom(s.Index, limit))
+	}
+	if from > 0 {
+		c.replica.Compact(from)
 	}
 	c.log.Emit(event.SnapshotSaved, event.Fields{"index": s.Index, "bytes": len(s.Data)}, "snapshot saved")
 }
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -42,11 +42,29 @@
 	if err != nil {
 		return &pb.ProposeReply{Outcome: wire.EncodeOutcome(state.Outcome{Err: err})}, nil
 	}
+	submit, isJob := cmd.(state.SubmitJob)
+	if _, isTable := cmd.(state.ReplaceQueues); isTable || isJob {
+		var rejection error
+		err := s.core.Do(ctx, func(c *Core, now time.Time) {
+			if c.diskErr == nil && c.replica.HoldsLease(now) {
+				rejection = c.admitCommand(cmd)
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+		if rejection != nil {
+			return &pb.ProposeReply{Outcome: wire.EncodeOutcome(state.Outcome{Err: rejection})}, nil
+		}
+	}
 	o, err := s.core.Propose(ctx, cmd)
 	switch fault.CodeOf(err) {
 	case fault.OK:
 		return &pb.ProposeReply{Outcome: wire.EncodeOutcome(o)}, nil
 	case fault.NoLeader:
+		if isJob {
+			s.releaseWork(ctx, jobName(&submit.Job))
+		}
 		return &pb.ProposeReply{NotLeader: true, LeaderAddress: s.leaderAddress(ctx)}, nil
 	default:
 		return &pb.ProposeReply{MaybeApplied: true, LeaderAddress: s.leaderAddress(ctx)}, nil
--- a/job/store.go
+++ b/job/store.go
@@ -22,6 +22,7 @@
 	running         map[string]*Job
 	runningByEntry  map[string]int             // number of running jobs, by entry
 	runningByWorker map[string]map[string]*Job // running jobs, by worker and job identifier
+	unendedBytes    int64                      // of the bodies of unended jobs, and an overhead
 	ended           []string                   // identifiers of ended jobs, oldest end first
 	nextSequence    uint64                     // sequence number of the next submission
 }
@@ -35,6 +36,12 @@
 	return *j, true
 }
 
+// _jobBytes is about how much memory a job takes beside its body.
+const _jobBytes = 512
+
+// UnendedBytes returns about how much memory the jobs take that have not ended.
+func (s *Store) UnendedBytes() int64 { return s.unendedBytes }
+
 // Len returns the number of stored jobs.
 func (s *Store) Len() int { return len(s.jobs) }
 
@@ -148,6 +155,9 @@
 }
 
 func (s *Store) addToIndexes(j *Job) {
+	if !j.State.Ended() {
+		s.unendedBytes += _jobBytes + int64(len(j.Body))
+	}
 	switch j.State {
 	case Queued:
 		s.queued[j.ID] = j
@@ -165,6 +175,9 @@
 
 // setState changes a job's state and updates the indexes.
 func (s *Store) setState(j *Job, to State, now time.Time) {
+	if !j.State.Ended() {
+		s.unendedBytes -= _jobBytes + int64(len(j.Body))
+	}
 	delete(s.queued, j.ID)
 	if j.State == Running {
 		delete(s.running, j.ID)
--- a/replica/flow_test.go
+++ b/replica/flow_test.go
@@ -215,3 +215,31 @@
 		t.Errorf("the voter has applied %d entries, want %d", g.applied, want)
 	}
 }
+
+// TestLogBytesMatchEntries guards against a sum of the log's bytes that drifts from
+// its entries when some are replaced or dropped.
+func TestLogBytesMatchEntries(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	var log logTail
+	for range 5000 {
+		switch from, last := log.base+1, log.lastIndex(); r.IntN(4) {
+		case 0:
+			log.compact(log.base + r.Uint64N(last-log.base+1))
+		case 1:
+			if r.IntN(20) == 0 {
+				log.reset(last, 1)
+			}
+		default:
+			index := from + r.Uint64N(last-from+2)
+			var entries []Entry
+			for range 1 + r.IntN(4) {
+				entries = append(entries, Entry{Index: index, Data: make([]byte, r.IntN(100))})
+				index++
+			}
+			log.append(entries)
+		}
+		if want := dataBytes(log.entries); log.bytes != want {
+			t.Fatalf("the log counts %d bytes, its entries have %d", log.bytes, want)
+		}
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -289,6 +289,20 @@
 // LogSize returns the number of entries in the log after the snapshot.
 func (r *Replica) LogSize() int { return len(r.log.entries) }
 
+// LogBytes returns the bytes of the data of the log's entries in memory.
+func (r *Replica) LogBytes() int64 { return r.log.bytes }
+
+// RetainedFrom returns the lowest index from which the entries up to index hold at
+// most limit bytes. The log has the entries after it.
+func (r *Replica) RetainedFrom(index uint64, limit int64) uint64 {
+	for ; index > r.log.base && index <= r.log.lastIndex(); index-- {
+		if limit -= int64(len(r.log.entries[index-r.log.base-1].Data)); limit < 0 {
+			break
+		}
+	}
+	return index
+}
+
 // HoldsLease reports whether this replica is the only possible leader at now
 // and knows the commit of every entry that earlier leaders committed. The
 // result is correct if clocks drift by less than 1/leaseDriftDivisor.
--- a/replica/tail.go
+++ b/replica/tail.go
@@ -5,10 +5,19 @@
 	base     uint64  // index of the entry before entries[0]
 	baseTerm uint64  // term of that entry
 	entries  []Entry // contiguous from base+1
+	bytes    int64   // of the entries' data
 }
 
 func (t *logTail) reset(index, term uint64) {
-	t.base, t.baseTerm, t.entries = index, term, nil
+	t.base, t.baseTerm, t.entries, t.bytes = index, term, nil, 0
+}
+
+func dataBytes(entries []Entry) int64 {
+	var n int64
+	for i := range entries {
+		n += int64(len(entries[i].Data))
+	}
+	return n
 }
 
 func (t *logTail) lastIndex() uint64 { return t.base + uint64(len(t.entries)) }
@@ -31,6 +40,7 @@
 		return
 	}
 	retained := entries[0].Index - t.base - 1
+	t.bytes += dataBytes(entries) - dataBytes(t.entries[retained:])
 	if retained == uint64(len(t.entries)) {
 		t.entries = append(t.entries, entries...)
 		return
@@ -53,6 +63,7 @@
 	}
 	term := t.termAt(index)
 	rest := t.entries[index-t.base:]
+	t.bytes -= dataBytes(t.entries[:index-t.base])
 	t.entries = append(make([]Entry, 0, len(rest)), rest...)
 	t.base, t.baseTerm = index, term
 }
--- a/submission/store.go
+++ b/submission/store.go
@@ -110,6 +110,7 @@
 	waiting      map[string]*Submission // not ended, with waiting tasks
 	usage        map[string]*Usage      // by worker incarnation
 	lastSequence uint64
+	unendedBytes int64            // about what the unended submissions take in memory
 	serviceCPU   map[string]int64 // that the service tasks of unended submissions request, by service; thousandths of a core
 }
 
@@ -147,6 +148,22 @@
 // UnendedCount returns the number of submissions that have not ended.
 func (store *Store) UnendedCount() int { return len(store.unended) }
 
+// UnendedBytes returns about how much memory the submissions take that have not
+// ended.
+func (store *Store) UnendedBytes() int64 { return store.unendedBytes }
+
+// LargeBytes returns about how much memory the stored submissions take that take
+// more than least each.
+func (store *Store) LargeBytes(least int64) int64 {
+	var n int64
+	for _, s := range store.all {
+		if b := s.Bytes(); b > least {
+			n += b
+		}
+	}
+	return n
+}
+
 // Unended returns the submissions that have not ended, in order of acceptance.
 func (store *Store) Unended() []*Submission {
 	return slices.SortedFunc(maps.Values(store.unended), compareAcceptance)
@@ -260,6 +277,7 @@
 	store.lastSequence = max(store.lastSequence, s.Sequence)
 	if !s.State.Ended() {
 		store.unended[s.ID] = s
+		store.unendedBytes += s.Bytes()
 		store.addServiceCPU(s, 1)
 	}
 	s.activeRuns, s.waitingTasks, s.failingTasks = 0, 0, 0
@@ -371,6 +389,7 @@
 	s.State = state
 	s.EndedAt = now
 	delete(store.unended, s.ID)
+	store.unendedBytes -= s.Bytes()
 	store.addServiceCPU(s, -1)
 	store.updateWaiting(s)
 }
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -104,6 +104,34 @@
 	Interval time.Duration // between occurrences
 }
 
+// Sizes of what a submission holds in memory beside its texts.
+const (
+	_submissionBytes = 1024
+	_stepBytes       = 256
+	_taskBytes       = 96
+)
+
+// TextBytes returns the bytes of the texts of the specification, and a few for each
+// step: about what its record in the log takes.
+func (s *Spec) TextBytes() int64 {
+	n := len(s.ID) + len(s.Queue) + len(s.Text)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		n += 64 + 8*len(step.DependsOn) + len(step.Requirement) + len(step.DataRack) + len(step.Image)
+	}
+	return int64(n)
+}
+
+// Bytes returns about how much memory a submission takes with the records of its
+// tasks.
+func (s *Spec) Bytes() int64 {
+	n := s.TextBytes() + _submissionBytes + int64(len(s.Steps))*_stepBytes
+	for i := range s.Steps {
+		n += int64(s.Steps[i].Count) * int64(s.Occurrences()) * _taskBytes
+	}
+	return n
+}
+
 // Occurrences returns how many times the steps run.
 func (s *Spec) Occurrences() int { return max(s.Repeat, 1) }
 
