--- a/internal/web/body.go
+++ b/internal/web/body.go
@@ -156,8 +156,11 @@
 func (b *bodyReader) finish() {
 	g := b.gate
 	b.conn.unread.Store(false)
-	if b.err != io.EOF {
+	if b.err == io.EOF {
+		b.conn.setState(_connAnswered)
+	} else {
 		_ = b.conn.SetReadDeadline(time.Now().Add(_leftBodyTimeout))
+		b.conn.setState(_connHeaders)
 	}
 	if b.account == nil {
 		return
--- a/internal/web/gate.go
+++ b/internal/web/gate.go
@@ -39,6 +39,7 @@
 	_timeoutSlack     = 2 * time.Second  // from a body's timeout to that of its connection
 	_concurrentDecode = 2                // bodies that are not small
 	_smallListener    = 64               // connections of a listener for probes or metrics
+	_answerTimeout    = 2 * time.Second  // for sending the rest of an answer to a client that reads it
 	_gateMaxHeader    = 20 << 10         // clients send at most 16,384 bytes
 	_rejectTimeout    = time.Millisecond // for the answer to a connection beyond the limit
 )
@@ -142,6 +143,7 @@
 	_connHeaders  int32 = iota + 1 // no complete headers of the current request yet
 	_connIdle                      // between requests
 	_connHandling                  // the handler runs
+	_connAnswered                  // the handler has returned; the answer may not have been sent completely
 )
 
 // gateConn is an accepted connection.
@@ -218,10 +220,15 @@
 		victim := l.longestWithoutRequest()
 		l.mu.Unlock()
 		if victim == nil {
-			l.gate.mu.Lock()
-			l.gate.carryOut(l.gate.ledger.CutStalled(time.Now()))
-			l.gate.mu.Unlock()
-			return false
+			if !l.gate.cutStalled() {
+				return false
+			}
+			// The connection of the body that was cut off is closed after its answer.
+			l.mu.Lock()
+			l.conns[c] = struct{}{}
+			l.mu.Unlock()
+			l.gate.open.Update(l.gate.count.Add(1))
+			return true
 		}
 		l.gate.evicted.Inc(1)
 		l.gate.report("connections", victim.client)
@@ -229,13 +236,23 @@
 	}
 }
 
+// cutStalled cuts off a body that has come to a halt, if there is one.
+func (g *Gate) cutStalled() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := g.ledger.CutStalled(time.Now())
+	g.carryOut(a)
+	return len(a.Cut) > 0
+}
+
 func (l *gateListener) longestWithoutRequest() *gateConn {
 	var victim *gateConn
 	var victimState int32
-	stalledBefore := time.Now().Add(-_bodyStall).UnixNano()
+	now := time.Now()
+	stalledBefore, sentBefore := now.Add(-_bodyStall).UnixNano(), now.Add(-_answerTimeout).UnixNano()
 	for c := range l.conns {
 		state, since := c.state.Load(), c.since.Load()
-		if state == _connHandling && (!c.unread.Load() || since > stalledBefore) {
+		if state == _connHandling && (!c.unread.Load() || since > stalledBefore) || state == _connAnswered && since > sentBefore {
 			continue
 		}
 		if victim == nil || state < victimState || state == victimState && since < victim.since.Load() {
@@ -304,8 +321,8 @@
 			return
 		}
 		c.setState(_connHandling)
-		defer c.setState(_connHeaders)
 		if r.Body == nil || r.Body == http.NoBody {
+			defer c.setState(_connAnswered)
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/internal/web/gate_test.go
+++ b/internal/web/gate_test.go
@@ -235,6 +235,19 @@
 	}
 }
 
+// TestStalledBodiesGiveWayToConnections guards against clients that take all
+// connections with small bodies, for which the budget has room.
+func TestStalledBodiesGiveWayToConnections(t *testing.T) {
+	s := startGateServer(t, nil)
+	for range 8 {
+		s.dial(post("/", 100, 7))
+	}
+	time.Sleep(2 * _bodyStall)
+	for range 8 {
+		s.expect(s.dial(post("/", 10, 0)), 200, "10", true)
+	}
+}
+
 // TestConnectionsInProcessingAreKept guards against a request in processing that is
 // closed for a new connection: the new one is rejected.
 func TestConnectionsInProcessingAreKept(t *testing.T) {
