disk: reopen a folder after its disk was full, and rewrite the log at each start

Open leaves out a torn frame by rewriting the log to a new segment, instead of truncating and appending to the old one: after a failed sync, Linux may return written data that a later sync does not write to the disk, so what was read must not count as durable. A segment that starts with a whole log replaces the earlier ones, whatever their end. Temporary and replaced files are removed before the first write.

--- a/internal/disk/files.go
+++ b/internal/disk/files.go
@@ -13,8 +13,6 @@
 	io.Closer
 	// Sync makes written data durable.
 	Sync() error
-	// Truncate shortens the file to size bytes.
-	Truncate(size int64) error
 }
 
 // Files is the file layer below a Store. Tests replace it with one that fails
@@ -24,8 +22,6 @@
 	List() ([]string, error)
 	// Create makes an empty file and replaces an existing one of that name.
 	Create(name string) (File, error)
-	// Append opens an existing file for writing at its end.
-	Append(name string) (File, error)
 	// Read returns a file's contents.
 	Read(name string) ([]byte, error)
 	// Rename moves a file over another.
@@ -74,11 +70,6 @@
 	return os.OpenFile(f.join(name), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 }
 
-// Append implements Files.
-func (f Folder) Append(name string) (File, error) {
-	return os.OpenFile(f.join(name), os.O_RDWR|os.O_APPEND, 0o600)
-}
-
 // Read implements Files.
 func (f Folder) Read(name string) ([]byte, error) { return os.ReadFile(f.join(name)) }
 
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -2,9 +2,12 @@
 //
 // The log is a sequence of segments, files of checksummed frames. Each frame is
 // written with one write and synced before the next, so a crash can tear only
-// the last frame of the last segment. Open removes that frame. Open rejects
-// damage anywhere else, since it means that acknowledged data is lost. A
+// the last frame of the last segment. Open leaves out that frame, and rewrites the
+// log to a new segment. Open rejects damage anywhere else, since it means that acknowledged data is lost. A
 // snapshot is written to a temporary file, synced and renamed.
+//
+// A full disk (see IsFull) may reject any change of the folder. Open and Reopen
+// may then be called again until they succeed: they lose nothing.
 package disk
 
 import (
@@ -30,44 +33,93 @@
 	openSegment   File
 	segmentNumber uint64 // of openSegment
 	failure       error  // first failed write; later writes return it
+	failedSize    int    // bytes of that write
 	snapshot      replica.Snapshot
 	commit        uint64 // highest commit index that was saved
 	buf           []byte
 }
 
-// Open restores the state from the folder and makes all of it durable. It removes
-// a torn last frame and returns the number of removed bytes.
+// Open restores the state from the folder and makes all of it durable. It leaves out
+// a torn last frame and returns the number of its bytes.
 func Open(files Files) (*Store, replica.RestoredState, int, error) {
 	s := &Store{files: files}
-	names, err := files.List()
+	restored, torn, err := s.open()
 	if err != nil {
-		return nil, replica.RestoredState{}, 0, fault.Wrap(fault.DataUnusable, err, "list the data folder")
+		return nil, replica.RestoredState{}, 0, err
 	}
+	return s, restored, torn, nil
+}
+
+func (s *Store) open() (replica.RestoredState, int, error) {
+	names, err := s.files.List()
+	if err != nil {
+		return replica.RestoredState{}, 0, fault.Wrap(fault.DataUnusable, err, "list the data folder")
+	}
+	s.removeObsoleteFiles(temporaryFiles(names))
 	var restored replica.RestoredState
 	if restored.Snapshot, err = s.readSnapshot(names); err != nil {
-		return nil, replica.RestoredState{}, 0, err
+		return replica.RestoredState{}, 0, err
 	}
 	s.snapshot = restored.Snapshot
 	segments := fileNumbers(names, _segmentPrefix)
-	truncated := 0
-	for i, n := range segments {
-		if truncated, err = s.readSegment(n, i == len(segments)-1, &restored); err != nil {
-			return nil, replica.RestoredState{}, 0, err
-		}
+	torn, err := s.readLog(segments, &restored)
+	if err != nil {
+		return replica.RestoredState{}, 0, err
 	}
 	restored.Commit = max(restored.Commit, restored.Snapshot.Index)
 	s.commit = restored.Commit
 	if err := checkEntriesContiguous(restored); err != nil {
-		return nil, replica.RestoredState{}, 0, err
+		return replica.RestoredState{}, 0, err
 	}
-	if err := s.openLastSegment(segments); err != nil {
-		return nil, replica.RestoredState{}, 0, fault.Wrap(fault.DataUnusable, err, "open the log")
+	if err := s.removeReplacedFiles(names); err != nil {
+		return replica.RestoredState{}, 0, fault.Wrap(fault.DataUnusable, err, "sync the data folder")
 	}
-	if err := s.syncRestored(); err != nil {
-		return nil, replica.RestoredState{}, 0, fault.Wrap(fault.DataUnusable, err, "sync the log")
+	if err := s.rewriteLog(restored); err != nil {
+		return replica.RestoredState{}, 0, fault.Wrap(fault.DataUnusable, err, "rewrite the log")
 	}
 	s.removeObsoleteFiles(names)
-	return s, restored, truncated, nil
+	return restored, torn, nil
+}
+
+// Reopen opens the folder again after IsFull errors. It first removes obsolete
+// files, and checks that headroom bytes can be written and synced.
+func Reopen(files Files, headroom int) (*Store, replica.RestoredState, int, error) {
+	names, err := files.List()
+	if err != nil {
+		return nil, replica.RestoredState{}, 0, fault.Wrap(fault.DataUnusable, err, "list the data folder")
+	}
+	s := &Store{files: files}
+	if all := fileNumbers(names, _snapshotPrefix); len(all) > 0 {
+		s.snapshot.Index = all[len(all)-1]
+	}
+	if all := fileNumbers(names, _segmentPrefix); len(all) > 0 {
+		s.segmentNumber = all[len(all)-1]
+	}
+	s.removeObsoleteFiles(temporaryFiles(names))
+	if err := s.removeReplacedFiles(names); err != nil {
+		return nil, replica.RestoredState{}, 0, fault.Wrap(fault.DataUnusable, err, "sync the data folder")
+	}
+	if err := writeProbe(files, headroom); err != nil {
+		return nil, replica.RestoredState{}, 0, fault.Wrap(fault.DataUnusable, err, "write a probe")
+	}
+	return Open(files)
+}
+
+// writeProbe writes and syncs a file of the size, and removes it.
+func writeProbe(files Files, size int) error {
+	const name = _temporaryPrefix + "probe"
+	f, err := files.Create(name)
+	if err != nil {
+		return err
+	}
+	err = writeAndSync(f, make([]byte, size))
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if removeErr := files.Remove(name); err == nil {
+		err = removeErr
+	}
+	return err
 }
 
 func fileName(prefix string, n uint64) string { return fmt.Sprintf("%s%016d", prefix, n) }
@@ -105,17 +157,51 @@
 	return wire.UnmarshalSnapshot(payload)
 }
 
-func (s *Store) readSegment(n uint64, last bool, out *replica.RestoredState) (truncated int, err error) {
-	file := fileName(_segmentPrefix, n)
-	data, err := s.files.Read(file)
+// readLog adds the segments' records to out. Segments before the last one that
+// starts with a whole log are replaced, and may have an end that was never synced.
+// readLog returns the number of bytes after the last segment's complete frames.
+func (s *Store) readLog(segments []uint64, out *replica.RestoredState) (torn int, err error) {
+	var contents [][]byte // from the last segment on
+	for i := len(segments) - 1; i >= 0; i-- {
+		file := fileName(_segmentPrefix, segments[i])
+		data, err := s.files.Read(file)
+		if err != nil {
+			return 0, fault.Wrap(fault.DataUnusable, err, "read %s", file)
+		}
+		contents = append(contents, data)
+		if startsWithLog(data) {
+			break
+		}
+	}
+	for i := len(contents) - 1; i >= 0; i-- {
+		s.segmentNumber = segments[len(segments)-1-i]
+		if torn, err = readSegment(fileName(_segmentPrefix, s.segmentNumber), contents[i], i == 0, out); err != nil {
+			return 0, err
+		}
+	}
+	return torn, nil
+}
+
+// startsWithLog reports whether a segment's first record holds the whole log after
+// the snapshot, as in all segments but the first one of a folder. That record has
+// the hard state.
+func startsWithLog(data []byte) bool {
+	payload, _, err := nextFrame(data)
 	if err != nil {
-		return 0, fault.Wrap(fault.DataUnusable, err, "read %s", file)
+		return false
 	}
+	record, err := wire.UnmarshalLogRecord(payload)
+	return err == nil && record.State != nil
+}
+
+// readSegment adds a segment's records to out. It returns the number of bytes after
+// the complete frames, which only the last segment may have.
+func readSegment(file string, data []byte, last bool, out *replica.RestoredState) (torn int, err error) {
 	offset := 0
 	for offset < len(data) {
 		payload, size, err := nextFrame(data[offset:])
 		if errors.Is(err, errTorn) && last {
-			return len(data) - offset, s.truncate(file, int64(offset))
+			return len(data) - offset, nil
 		}
 		if err != nil {
 			return 0, fault.Wrap(fault.DataDamaged, err, "%s at byte %d", file, offset)
@@ -134,21 +220,6 @@
 	return 0, nil
 }
 
-func (s *Store) truncate(file string, size int64) error {
-	f, err := s.files.Append(file)
-	if err != nil {
-		return fault.Wrap(fault.DataUnusable, err, "open %s", file)
-	}
-	defer f.Close()
-	if err := f.Truncate(size); err != nil {
-		return fault.Wrap(fault.DataUnusable, err, "truncate %s", file)
-	}
-	if err := f.Sync(); err != nil {
-		return fault.Wrap(fault.DataUnusable, err, "sync %s", file)
-	}
-	return nil
-}
-
 // mergeEntries adds a record's entries. They replace the existing entries from
 // the index of the first one on. Entries that the snapshot covers are skipped.
 func mergeEntries(out *replica.RestoredState, entries []replica.Entry) {
@@ -174,26 +245,19 @@
 	return nil
 }
 
-func (s *Store) openLastSegment(segments []uint64) error {
-	if len(segments) == 0 {
+// rewriteLog starts a segment with the restored log. What has been read need not
+// be durable: an earlier process may have been killed before its sync, and after a
+// failed sync the operating system may return written data that a later sync does
+// not write to the disk.
+func (s *Store) rewriteLog(restored replica.RestoredState) error {
+	if s.segmentNumber == 0 {
 		return s.startSegment(1, nil)
 	}
-	s.segmentNumber = segments[len(segments)-1]
-	f, err := s.files.Append(fileName(_segmentPrefix, s.segmentNumber))
+	payload, err := wire.MarshalLogRecord(replica.LogRecord{State: &restored.State, Entries: restored.Entries, Commit: restored.Commit})
 	if err != nil {
 		return err
 	}
-	s.openSegment = f
-	return nil
-}
-
-// syncRestored syncs what an earlier process wrote. If it was killed before its
-// sync, this process has read what a loss of power would take away.
-func (s *Store) syncRestored() error {
-	if err := s.openSegment.Sync(); err != nil {
-		return err
-	}
-	return s.files.SyncFolder()
+	return s.startSegment(s.segmentNumber+1, appendFrame(nil, payload))
 }
 
 // startSegment creates a segment that starts with the given frames and makes
@@ -204,19 +268,20 @@
 	if err != nil {
 		return err
 	}
-	if err := writeAndSync(f, frames); err != nil {
-		return err
+	err = writeAndSync(f, frames)
+	if err == nil {
+		err = s.files.Rename(_temporaryPrefix+file, file)
 	}
-	if err := s.files.Rename(_temporaryPrefix+file, file); err != nil {
-		return err
+	if err == nil {
+		err = s.files.SyncFolder()
 	}
-	if err := s.files.SyncFolder(); err != nil {
-		return err
+	if err == nil && s.openSegment != nil {
+		err = s.openSegment.Close()
+		s.openSegment = nil
 	}
-	if s.openSegment != nil {
-		if err := s.openSegment.Close(); err != nil {
-			return err
-		}
+	if err != nil {
+		_ = f.Close()
+		return err
 	}
 	s.openSegment = f
 	s.segmentNumber = number
@@ -245,35 +310,41 @@
 	s.commit = max(s.commit, r.Commit)
 	payload, err := wire.MarshalLogRecord(r)
 	if err != nil {
-		return s.recordFailure(err, "encode a log record")
+		return s.recordFailure(err, 0, "encode a log record")
 	}
 	s.buf = appendFrame(s.buf[:0], payload)
 	if err := writeAndSync(s.openSegment, s.buf); err != nil {
-		return s.recordFailure(err, "write the log")
+		return s.recordFailure(err, len(s.buf), "write the log")
 	}
 	return nil
 }
 
-func (s *Store) recordFailure(err error, operation string) error {
+func (s *Store) recordFailure(err error, size int, operation string) error {
 	s.failure = fault.Wrap(fault.DataUnusable, err, "%s", operation)
+	s.failedSize = size
 	return s.failure
 }
 
+// FailedSize returns the number of bytes of the first write that failed; 0 if none
+// has.
+func (s *Store) FailedSize() int { return s.failedSize }
+
 // SaveSnapshot makes a snapshot durable and starts a new segment with the
 // hard state and the entries after the snapshot. It then removes older files.
 func (s *Store) SaveSnapshot(snap replica.Snapshot, state replica.HardState, tail []replica.Entry) error {
 	if s.failure != nil {
 		return s.failure
 	}
-	if err := s.writeSnapshot(snap); err != nil {
-		return s.recordFailure(err, "write a snapshot")
-	}
 	payload, err := wire.MarshalLogRecord(replica.LogRecord{State: &state, Entries: tail, Commit: max(s.commit, snap.Index)})
 	if err != nil {
-		return s.recordFailure(err, "encode a log record")
+		return s.recordFailure(err, 0, "encode a log record")
+	}
+	size := len(snap.Data) + len(payload)
+	if err := s.writeSnapshot(snap); err != nil {
+		return s.recordFailure(err, size, "write a snapshot")
 	}
 	if err := s.startSegment(s.segmentNumber+1, appendFrame(nil, payload)); err != nil {
-		return s.recordFailure(err, "start a log segment")
+		return s.recordFailure(err, size, "start a log segment")
 	}
 	s.snapshot = snap
 	if names, err := s.files.List(); err == nil {
@@ -307,6 +378,26 @@
 	return s.files.SyncFolder()
 }
 
+func temporaryFiles(names []string) []string {
+	var out []string
+	for _, file := range names {
+		if strings.HasPrefix(file, _temporaryPrefix) {
+			out = append(out, file)
+		}
+	}
+	return out
+}
+
+// removeReplacedFiles deletes obsolete files after making the names of the files
+// that replace them durable.
+func (s *Store) removeReplacedFiles(names []string) error {
+	if err := s.files.SyncFolder(); err != nil {
+		return err
+	}
+	s.removeObsoleteFiles(names)
+	return nil
+}
+
 // removeObsoleteFiles deletes files that the newest snapshot and segment
 // replace. If a removal fails, the next call retries it.
 func (s *Store) removeObsoleteFiles(names []string) {
@@ -334,4 +425,9 @@
 func (s *Store) Snapshot() replica.Snapshot { return s.snapshot }
 
 // Close closes the open segment.
-func (s *Store) Close() error { return s.openSegment.Close() }
+func (s *Store) Close() error {
+	if s.openSegment == nil {
+		return nil
+	}
+	return s.openSegment.Close()
+}
