controller: wait for space when the disk is full

ENOSPC and EDQUOT no longer end the process. The replica stops as with any disk failure, the core gives up leadership and the agents' streams at once, and tries every 500 ms to open the store again. Replica and state machine are then restored from the files as at a start of the process. The feed of the view keeps its revision until the state has caught up. A process that starts with a full disk waits in the same way. Other failures end the process as before.

--- a/cmd/gentianraild/main.go
+++ b/cmd/gentianraild/main.go
@@ -13,7 +13,9 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/gentianrail/gentianrail/internal/clock"
 	"github.com/gentianrail/gentianrail/internal/daemon"
+	"github.com/gentianrail/gentianrail/internal/disk"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/settings"
 	"github.com/gentianrail/gentianrail/internal/version"
@@ -60,8 +62,8 @@
 	log := event.NewLog(sink, format, s.Level()).With("name", s.Name)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	d, err := daemon.Start(&s, log)
-	if err != nil {
+	d, err := start(func() (*daemon.Daemon, error) { return daemon.Start(&s, log) }, log, signals)
+	if d == nil {
 		return err
 	}
 	if !watchSettings(d, cmd.String("config"), signals) {
@@ -80,6 +82,35 @@
 	return d.Stop(ctx)
 }
 
+// _fullDiskRetryInterval is the time between attempts to start with a full disk.
+const _fullDiskRetryInterval = 500 * time.Millisecond
+
+// start calls startRoles, again and again while a full disk prevents the start. It returns
+// nil without an error on a signal to stop.
+func start(startRoles func() (*daemon.Daemon, error), log event.Log, signals <-chan os.Signal) (*daemon.Daemon, error) {
+	since := clock.Now()
+	for isFull := false; ; {
+		d, err := startRoles()
+		if err == nil && isFull {
+			log.Emit(event.DiskAvailable, event.Fields{"ms": clock.Now().Sub(since).Milliseconds()}, "disk has space; started")
+		}
+		if err == nil || !disk.IsFull(err) {
+			return d, err
+		}
+		if !isFull {
+			isFull = true
+			log.Emit(event.DiskFull, event.Fields{"error": err.Error()}, "disk full; starting when there is space")
+		}
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return nil, nil
+			}
+		case <-time.After(_fullDiskRetryInterval):
+		}
+	}
+}
+
 // _settingsPollInterval is how often the settings file is read. The file may
 // change without a signal.
 const _settingsPollInterval = 5 * time.Second
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -23,7 +23,7 @@
 	out := &pb.CallReply{}
 	var cmd state.Command
 	err := s.core.Do(ctx, func(c *Core, now time.Time) {
-		if c.diskErr != nil || !c.replica.HoldsLease(now) {
+		if !c.holdsLease(now) {
 			out.NotLeader = true
 			out.LeaderAddress = c.leaderAddress()
 			return
@@ -128,7 +128,7 @@
 func (s *rpcService) Queues(ctx context.Context, _ *pb.Empty) (*pb.QueuesReply, error) {
 	out := &pb.QueuesReply{}
 	err := s.core.Do(ctx, func(c *Core, now time.Time) {
-		if c.diskErr != nil || !c.replica.HoldsLease(now) {
+		if !c.holdsLease(now) {
 			out.NotLeader = true
 			out.LeaderAddress = c.leaderAddress()
 			return
@@ -144,7 +144,7 @@
 	err := s.core.Do(ctx, func(c *Core, now time.Time) {
 		out.LeaderAddress = c.leaderAddress()
 		out.Controllers = c.memberAddresses()
-		if c.diskErr != nil || !c.replica.HoldsLease(now) {
+		if !c.holdsLease(now) {
 			out.NotLeader = true
 			return
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -51,7 +51,11 @@
 		return nil, fault.Wrap(fault.DataUnusable, err, "open the data folder")
 	}
 	lock := flock.New(filepath.Join(cfg.DataFolder, "lock"))
-	if ok, err := lock.TryLock(); err != nil || !ok {
+	ok, err := lock.TryLock()
+	if disk.IsFull(err) {
+		return nil, fault.Wrap(fault.DataUnusable, err, "lock the data folder")
+	}
+	if err != nil || !ok {
 		return nil, fault.New(fault.DataLocked, "the data folder is in use by another process")
 	}
 	c := &Controller{lock: lock, adviceClient: adviceClient, controllers: controllers, registry: registry}
@@ -137,7 +141,7 @@
 	for ctx.Err() == nil {
 		leads := false
 		err := c.core.Do(ctx, func(c *Core, now time.Time) {
-			leads = c.replica.Role() == replica.Leader
+			leads = c.leads()
 			if leads && !started {
 				started = c.replica.TransferLeadership(now) == nil
 				leads = started
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -55,9 +55,10 @@
 // Core owns a controller's state. Only the goroutine that executes Run accesses
 // the replica and the state machine.
 type Core struct {
+	cfg            CoreConfig
 	log            event.Log
 	replica        *replica.Replica
-	store          *disk.Store // the core uses it only while no write is in progress
+	store          *disk.Store // the core uses it only while no write is in progress; nil while the disk is full
 	writer         *writer
 	writeResults   chan writeResult // size one
 	writing        bool             // a write is in progress
@@ -89,8 +90,10 @@
 	firstStarts      metrics.Timer   // from a submission to the first start of its first task
 	advice           advice
 	holders          map[string]Holder
-	diskErr          error         // disk failure; the core rejects every later proposal
-	diskFailed       chan struct{} // closed when the disk fails
+	diskErr          error         // disk failure; the core rejects every proposal while it is set
+	outage           outage        // of a full disk, or as of a disk failure
+	diskFull         metrics.Gauge // 1 while the disk is full
+	diskFailed       chan struct{} // closed when the disk fails for another reason than lack of space
 }
 
 // Holder is the latest report of a process that holds a copy of the view.
@@ -118,21 +121,18 @@
 	Address         func(replica.ID) string // returns a replica's address; "" if unknown
 }
 
-// NewCore loads the state from disk and returns a core that is not running yet.
+// NewCore loads the state from disk and returns a core that is not running yet. If the
+// disk is full, the core loads the state when there is space.
 func NewCore(cfg CoreConfig, now time.Time) (*Core, error) {
-	store, restored, cut, err := disk.Open(cfg.Files)
-	if err != nil {
-		return nil, err
-	}
-	if cut > 0 {
-		cfg.Log.Emit(event.LogEndCut, event.Fields{"bytes": cut}, "incomplete record at the end of the log removed")
+	restored, openErr := openStore(cfg.Files)
+	if openErr != nil && !disk.IsFull(openErr) {
+		return nil, openErr
 	}
 	c := &Core{
+		cfg:              cfg,
 		log:              cfg.Log,
-		store:            store,
-		writer:           newWriter(store),
+		writer:           newWriter(restored.store),
 		writeResults:     make(chan writeResult, 1),
-		latestSnapshot:   restored.Snapshot,
 		send:             cfg.Send,
 		messages:         make(chan replica.Message),
 		propose:          make(chan proposal),
@@ -142,18 +142,9 @@
 		leadership:       leadership{changed: make(chan struct{})},
 		snapshotEntries:  cfg.SnapshotEntries,
 		pendingProposals: make(map[uint64]pendingProposal),
-		hardState:        restored.State,
-		holders:          make(map[string]Holder),
+		feed:             feed.New(0),
 		role:             replica.Follower,
 	}
-	if err := c.loadSnapshot(now, restored.Snapshot); err != nil {
-		return nil, err
-	}
-	for _, e := range restored.Entries {
-		if e.Kind == replica.KindCommand {
-			c.logClock.advance(now, e.Time)
-		}
-	}
 	c.sched.lease = cfg.WorkerLease
 	c.sessions.lease = cfg.RunLease
 	c.sessions.lateStarts.window = cfg.LateStartWindow
@@ -166,10 +157,15 @@
 	c.tasksGivenUp = metrics.NewRegisteredCounter("controller.tasks_given_up", registry)
 	c.strayRuns = metrics.NewRegisteredCounter("controller.stray_runs", registry)
 	c.firstStarts = metrics.NewRegisteredTimer("controller.first_starts", registry)
+	c.diskFull = metrics.NewRegisteredGauge("controller.disk_full", registry)
 	c.advice = advice{client: cfg.AdviceClient, results: make(chan adviceResult, 1)}
 	c.group = group{replicas: cfg.Replicas, onMembersChange: cfg.OnMembersChange, address: cfg.Address}
-	c.replica = replica.New(cfg.Replica, restored, func() replica.Snapshot { return c.latestSnapshot }, now)
-	c.feed = feed.New(c.machine.Revision())
+	if err := c.restore(now, restored); err != nil {
+		return nil, err
+	}
+	if c.diskErr = openErr; openErr != nil {
+		c.startOutage(now, 0)
+	}
 	return c, nil
 }
 
@@ -207,7 +203,9 @@
 		c.processReady()
 	}
 	if c.writing {
-		<-c.writeResults
+		if w := <-c.writeResults; w.reopened.store != nil {
+			c.store = w.reopened.store
+		}
 	}
 	stopWriter()
 	writer.Wait()
@@ -255,9 +253,13 @@
 }
 
 func (c *Core) tick(now time.Time) {
+	if c.diskErr != nil {
+		c.retryDisk(now)
+		return
+	}
 	c.replica.Tick(now)
 	c.proposeMemberChange(now)
-	c.feed.SetLeaderContact(c.diskErr == nil && c.replica.HasRecentContact(now))
+	c.feed.SetLeaderContact(c.replica.HasRecentContact(now) && c.isCaughtUp())
 	for index, p := range c.pendingProposals {
 		if now.Sub(p.since) >= _proposalTimeout {
 			delete(c.pendingProposals, index)
@@ -337,12 +339,18 @@
 		}
 		c.send(ready.Immediate)
 		c.persist(ready)
+		if c.diskErr != nil {
+			break
+		}
 		for _, e := range ready.Committed {
 			c.applyEntry(e)
 		}
 	}
 	c.updateRole()
 	c.updateLeadership(clock.Now())
+	if c.diskErr != nil {
+		return
+	}
 	c.reportMembers()
 	c.maybeSnapshot()
 }
@@ -353,7 +361,7 @@
 	switch {
 	case ready.Snapshot != nil:
 		if err := c.installSnapshot(&ready); err != nil {
-			c.handleDiskFailure(err)
+			c.handleDiskFailure(clock.Now(), err)
 			return
 		}
 		c.send(ready.AfterSync)
@@ -392,8 +400,12 @@
 // handleWriteResult handles the end of a write.
 func (c *Core) handleWriteResult(w writeResult) {
 	c.writing = false
+	if w.isReopening {
+		c.handleReopened(clock.Now(), w.reopened, w.err)
+		return
+	}
 	if w.err != nil {
-		c.handleDiskFailure(w.err)
+		c.handleDiskFailure(clock.Now(), w.err)
 		return
 	}
 	if w.snapshot != nil {
@@ -404,21 +416,6 @@
 	c.replica.RecordSynced(w.ready.DurableWrite())
 }
 
-// handleDiskFailure stops the replica: it no longer votes or answers, so that it
-// acknowledges only what is on its disk.
-func (c *Core) handleDiskFailure(err error) {
-	if c.diskErr != nil {
-		return
-	}
-	c.diskErr = err
-	close(c.diskFailed)
-	c.log.Emit(event.DiskFailed, event.Fields{"error": err.Error()}, "data folder failed; controller stopped until restart")
-	for index, p := range c.pendingProposals {
-		delete(c.pendingProposals, index)
-		p.resolve(result{err: fault.New(fault.MaybeApplied, "the disk failed before the change was confirmed")})
-	}
-}
-
 func (c *Core) applyEntry(e replica.Entry) {
 	c.lastApplied = e
 	var r state.Result
@@ -474,11 +471,15 @@
 
 func (c *Core) updateRole() {
 	role := c.replica.Role()
+	if c.diskErr != nil {
+		role = replica.Follower
+	}
 	if role == c.role {
 		return
 	}
+	leader, _ := c.leaderContact(clock.Now())
 	c.log.Emit(event.RoleChanged, event.Fields{
-		"from": c.role.String(), "to": role.String(), "term": c.replica.Term(), "leader": string(c.replica.Leader()),
+		"from": c.role.String(), "to": role.String(), "term": c.replica.Term(), "leader": string(leader),
 	}, "controller role changed")
 	if role == replica.Leader {
 		c.sched.startLeading(clock.Now(), c.machine)
@@ -495,7 +496,7 @@
 // maybeSnapshot starts a snapshot when the log has grown by snapshotEntries. It
 // copies the state; the writer encodes and writes the copy.
 func (c *Core) maybeSnapshot() {
-	if c.diskErr != nil || c.writing || int(c.lastApplied.Index-c.snapshotIndex) < c.snapshotEntries {
+	if c.writing || int(c.lastApplied.Index-c.snapshotIndex) < c.snapshotEntries {
 		return
 	}
 	c.writing = true
@@ -524,13 +525,16 @@
 	}
 	c.sched.reset()
 	c.sessions.reset(clock.Now())
+	if c.store == nil {
+		return
+	}
 	if err := c.store.Close(); err != nil {
 		c.log.Emit(event.DiskFailed, event.Fields{"error": err.Error()}, "failed to close the log")
 	}
 }
 
-// DiskFailed returns a channel that is closed when the disk has failed. The content
-// of the disk is unknown until a restart reads it.
+// DiskFailed returns a channel that is closed when the disk has failed for another
+// reason than lack of space. The content of the disk is unknown until a restart reads it.
 func (c *Core) DiskFailed() <-chan struct{} { return c.diskFailed }
 
 // Propose proposes a command, if this controller leads, and waits until it is
--- a/internal/controller/driven_test.go
+++ b/internal/controller/driven_test.go
@@ -73,7 +73,9 @@
 	l.Cleanup(func() {
 		cancel()
 		writer.Wait()
-		_ = c.store.Close()
+		if c.store != nil {
+			_ = c.store.Close()
+		}
 	})
 }
 
--- a/internal/controller/group.go
+++ b/internal/controller/group.go
@@ -60,10 +60,10 @@
 // leaderAddress returns the address of the known leader, or "". It omits an
 // unresponsive leader, since callers would wait for that leader.
 func (c *Core) leaderAddress() string {
-	if c.replica.SinceLeaderContact(clock.Now()) > _leaderAddressTTL {
+	id, since := c.leaderContact(clock.Now())
+	if since > _leaderAddressTTL {
 		return ""
 	}
-	id := c.replica.Leader()
 	for _, m := range c.replica.Members() {
 		if m.ID == id {
 			return m.Address
@@ -128,11 +128,11 @@
 // proposeMemberChange proposes the next change of the members, if this replica
 // leads.
 func (c *Core) proposeMemberChange(now time.Time) {
-	if c.diskErr != nil || c.group.replicas == 0 || now.Sub(c.group.lastCheck) < _memberCheckInterval {
+	if c.group.replicas == 0 || now.Sub(c.group.lastCheck) < _memberCheckInterval {
 		return
 	}
 	c.group.lastCheck = now
-	if !c.replica.HoldsLease(now) {
+	if !c.holdsLease(now) {
 		c.group.voters = shortage{}
 		return
 	}
--- a/internal/controller/join.go
+++ b/internal/controller/join.go
@@ -27,9 +27,11 @@
 	for ctx.Err() == nil {
 		clock.Sleep(ctx, _joinInterval)
 		var addresses []string
-		leaderless, member := false, false
+		leaderless, member, full := false, false, false
 		err := c.core.Do(ctx, func(core *Core, now time.Time) {
-			if core.replica.HasRecentContact(now) {
+			// The leader must not wait for entries that this replica cannot write.
+			full = core.diskErr != nil
+			if full || core.replica.HasRecentContact(now) {
 				lastContact = now
 			}
 			leaderless = now.Sub(lastContact) >= _joinDelay
@@ -41,7 +43,7 @@
 		}
 		c.controllers.SetMembers(addresses)
 		joined = joined || member
-		if joined && !leaderless {
+		if full || joined && !leaderless {
 			continue
 		}
 		joinCtx, cancel := context.WithTimeout(ctx, _joinDelay)
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -21,10 +21,8 @@
 
 // updateLeadership wakes those who wait for a leader.
 func (c *Core) updateLeadership(now time.Time) {
-	next := leadership{
-		leader: c.replica.Leader(), leads: c.replica.Role() == replica.Leader, holdsLease: c.diskErr == nil && c.replica.HoldsLease(now),
-		changed: c.leadership.changed,
-	}
+	leader, _ := c.leaderContact(now)
+	next := leadership{leader: leader, leads: c.leads(), holdsLease: c.holdsLease(now), changed: c.leadership.changed}
 	if next == c.leadership {
 		return
 	}
--- a/internal/controller/query.go
+++ b/internal/controller/query.go
@@ -56,8 +56,12 @@
 	c.log.Emit(event.CallPanicked, event.Fields{"call": call, "error": fmt.Sprint(value), "stack": stack}, "a call failed unexpectedly")
 }
 
-// step passes another replica's message to the replica.
+// step passes another replica's message to the replica, unless the disk has failed.
 func (c *Core) step(now time.Time, m replica.Message) {
+	if c.diskErr != nil {
+		c.observe(now, m)
+		return
+	}
 	if err := c.replica.Step(now, m); err != nil {
 		c.log.Emit(event.PeerMessageRefused, event.Fields{"from": string(m.From), "term": m.Term, "error": err.Error()}, "malformed message from a replica was refused")
 	}
--- a/internal/controller/read.go
+++ b/internal/controller/read.go
@@ -1,9 +1,11 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"time"
 
+	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/placement"
 	"github.com/gentianrail/gentianrail/replica"
@@ -41,10 +43,15 @@
 func (r ReadOnlyState) Nodes() []placement.Node { return r.core.nodes() }
 
 // Read runs a function on the state if the state includes the revision.
-// Otherwise it returns false.
+// Otherwise it returns false. It returns NotReady while the disk is full or has failed.
 func (c *Core) Read(ctx context.Context, revision uint64, run func(ReadOnlyState)) (bool, error) {
 	done := false
+	var diskErr error
 	err := c.Do(ctx, func(c *Core, now time.Time) {
+		if c.diskErr != nil {
+			diskErr = fault.Wrap(fault.NotReady, c.diskErr, "this controller takes no part in the group")
+			return
+		}
 		if c.lastApplied.Index < revision {
 			return
 		}
@@ -60,7 +67,7 @@
 			core:     c,
 		})
 	})
-	return done, err
+	return done, cmp.Or(err, diskErr)
 }
 
 // ChangesSince returns the changes of the view after a revision. ok is false if
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -17,7 +17,7 @@
 		c.endExpiredRuns(now)
 		c.recordSettledRuns(now)
 	}
-	if !c.sessions.startsProposedAt.IsZero() && now.Sub(c.sessions.startsProposedAt) < _proposalRetryDelay || !c.replica.HoldsLease(now) {
+	if !c.sessions.startsProposedAt.IsZero() && now.Sub(c.sessions.startsProposedAt) < _proposalRetryDelay || !c.holdsLease(now) {
 		return
 	}
 	if !c.sessions.changed && now.Before(c.sessions.nextRound) {
--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -7,7 +7,6 @@
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/job"
 	"github.com/gentianrail/gentianrail/placement"
-	"github.com/gentianrail/gentianrail/replica"
 	"github.com/gentianrail/gentianrail/state"
 	"github.com/gentianrail/gentianrail/worker"
 )
@@ -132,7 +131,7 @@
 // schedule dispatches tasks, retires workers whose leases have expired and places
 // queued jobs.
 func (c *Core) schedule(now time.Time) {
-	if c.diskErr != nil || c.replica.Role() != replica.Leader || now.Sub(c.sched.lastSchedule) < _scheduleInterval {
+	if !c.leads() || now.Sub(c.sched.lastSchedule) < _scheduleInterval {
 		return
 	}
 	c.sched.lastSchedule = now
@@ -220,7 +219,7 @@
 func (c *Core) recordRenewal(now time.Time, in *pb.SyncRequest) bool {
 	id, agentIncarnation := in.GetWorker().GetId(), in.GetWorker().GetIncarnation()
 	w, ok := c.machine.Workers().Worker(id)
-	if c.diskErr != nil || !c.replica.HoldsLease(now) || !ok || w.AgentIncarnation < agentIncarnation {
+	if !c.holdsLease(now) || !ok || w.AgentIncarnation < agentIncarnation {
 		return false
 	}
 	if w.AgentIncarnation > agentIncarnation {
--- a/internal/controller/service.go
+++ b/internal/controller/service.go
@@ -58,7 +58,7 @@
 	out := &pb.BarrierReply{NotLeader: true}
 	err := s.core.Do(ctx, func(c *Core, now time.Time) {
 		out.LeaderAddress = c.leaderAddress()
-		if c.diskErr == nil && c.replica.HoldsLease(now) {
+		if c.holdsLease(now) {
 			out.NotLeader = false
 			out.Revision = c.replica.Commit()
 		}
@@ -73,7 +73,7 @@
 	leads, registered := false, false
 	w := wire.DecodeWorker(in.GetWorker())
 	err := s.core.Do(ctx, func(c *Core, now time.Time) {
-		leads = c.diskErr == nil && c.replica.HoldsLease(now)
+		leads = c.holdsLease(now)
 		known, ok := c.machine.Workers().Worker(w.ID)
 		registered = ok && known.SameAnnouncement(w)
 	})
@@ -139,7 +139,7 @@
 		return reply, nil
 	}
 	err = s.core.Do(ctx, func(c *Core, now time.Time) {
-		if c.replica.HoldsLease(now) {
+		if c.holdsLease(now) {
 			reply, _ = c.syncReply(in)
 			return
 		}
@@ -222,7 +222,7 @@
 	out := &pb.JobAnswer{}
 	var woken <-chan struct{}
 	err := s.core.Do(ctx, func(c *Core, now time.Time) {
-		if c.diskErr != nil || !c.replica.HoldsLease(now) {
+		if !c.holdsLease(now) {
 			out.NotLeader = true
 			out.LeaderAddress = c.leaderAddress()
 			return
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -171,7 +171,7 @@
 // attach handles an agent's first report and returns the session with its first
 // orders, or nil if this controller cannot be sure that it leads.
 func (c *Core) attach(now time.Time, in *pb.AgentReport) *session {
-	if c.diskErr != nil || !c.replica.HoldsLease(now) || in.GetTerm() > c.replica.Term() {
+	if !c.holdsLease(now) || in.GetTerm() > c.replica.Term() {
 		return nil
 	}
 	incarnation := in.GetWorker().GetLife()
@@ -323,7 +323,7 @@
 // its worker lists, and that it takes several listings until all ends are recorded.
 func (c *Core) renewLease(now time.Time, sess *session, in *pb.AgentReport, order *pb.AgentOrder) {
 	incarnation := sess.worker.Incarnation
-	if _, expiring := c.sessions.expiring[incarnation]; expiring || in.GetGone() || !c.replica.HoldsLease(now) {
+	if _, expiring := c.sessions.expiring[incarnation]; expiring || in.GetGone() || !c.holdsLease(now) {
 		return
 	}
 	if !sess.hasLists && !in.GetComplete() && len(in.GetEnds()) == 0 {
--- a/internal/controller/settledruns.go
+++ b/internal/controller/settledruns.go
@@ -47,7 +47,7 @@
 
 // recordSettledRuns proposes to record which runs are settled now.
 func (c *Core) recordSettledRuns(now time.Time) {
-	if !c.replica.HoldsLease(now) {
+	if !c.holdsLease(now) {
 		return // a proposal may fail, which closes the agents' streams
 	}
 	checksAll := now.Sub(c.sessions.settlements.lastCheck) >= _settledCheckInterval
--- a/internal/controller/writer.go
+++ b/internal/controller/writer.go
@@ -9,14 +9,22 @@
 	"github.com/gentianrail/gentianrail/state"
 )
 
-// writeRequest is one disk write: either a part of the log or a snapshot of the
-// state, which the writer encodes.
+// writeRequest is one disk operation: a write of a part of the log, a write of a
+// snapshot of the state, which the writer encodes, or an attempt to open the store of
+// a full disk.
 type writeRequest struct {
-	ready    replica.Ready      // its State and Entries are written
-	snapshot *snapshotRequest   // nil for a part of the log
+	ready    replica.Ready // its State and Entries are written
+	snapshot *snapshotRequest
+	reopen   *reopenRequest
 	reply    chan<- writeResult // size one
 }
 
+// reopenRequest asks to open the store again.
+type reopenRequest struct {
+	files    disk.Files
+	headroom int // bytes that the disk must accept
+}
+
 // snapshotRequest is a snapshot of the controller's own state.
 type snapshotRequest struct {
 	index     uint64
@@ -29,16 +37,18 @@
 
 // writeResult is the result of a writeRequest.
 type writeResult struct {
-	ready    replica.Ready
-	snapshot *replica.Snapshot // the written snapshot; nil for a part of the log
-	err      error
+	ready       replica.Ready
+	snapshot    *replica.Snapshot // the written snapshot; nil for another operation
+	isReopening bool
+	reopened    restoredStore
+	err         error
 }
 
 // writer writes to the disk. It handles one request at a time in its own
 // goroutine, so that a slow disk delays neither the core's messages nor its
 // heartbeats.
 type writer struct {
-	store    *disk.Store
+	store    *disk.Store       // nil while the disk is full
 	requests chan writeRequest // size one
 }
 
@@ -59,6 +69,11 @@
 }
 
 func (w *writer) write(req writeRequest) writeResult {
+	if r := req.reopen; r != nil {
+		out, err := reopenStore(r.files, r.headroom)
+		w.store = out.store
+		return writeResult{isReopening: true, reopened: out, err: err}
+	}
 	if req.snapshot == nil {
 		return writeResult{ready: req.ready, err: w.store.Save(req.ready.LogRecord())}
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -58,6 +58,8 @@
 	TaskGivenUp        Number = 229
 	StrayRun           Number = 230
 	VotersMissing      Number = 231
+	DiskFull           Number = 241
+	DiskAvailable      Number = 242
 	AgentJoined        Number = 301
 	ControllerLost     Number = 302
 	TaskStarted        Number = 303
@@ -134,6 +136,8 @@
 	{TaskGivenUp, "task_given_up", logrus.WarnLevel},
 	{StrayRun, "stray_run", logrus.WarnLevel},
 	{VotersMissing, "voters_missing", logrus.WarnLevel},
+	{DiskFull, "disk_full", logrus.ErrorLevel},
+	{DiskAvailable, "disk_available", logrus.InfoLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -36,10 +36,15 @@
 	return &Feed{base: revision, revision: revision, updated: make(chan struct{})}
 }
 
-// Advance sets the revision of the state and appends the events that led to it.
+// Advance sets the revision of the state and appends the events that led to it. It
+// ignores revisions that the feed has: a controller applies them again when it has
+// restored its state.
 func (f *Feed) Advance(revision uint64, events []state.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if revision <= f.revision {
+		return
+	}
 	f.revision = revision
 	if len(events) == 0 {
 		return
@@ -54,16 +59,24 @@
 	f.notifyReaders()
 }
 
-// Reset discards all changes, since a snapshot has replaced the state.
+// Reset discards all changes, since a snapshot has replaced the state. The revision
+// does not go back.
 func (f *Feed) Reset(revision uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.base = revision
-	f.revision = revision
+	f.revision = max(f.revision, revision)
+	f.base = f.revision
 	f.changes = nil
 	f.notifyReaders()
 }
 
+// Revision returns the latest revision.
+func (f *Feed) Revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
 func (f *Feed) notifyReaders() {
 	close(f.updated)
 	f.updated = make(chan struct{})
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -119,6 +119,9 @@
 	}
 	for {
 		done, err := o.core.Read(ctx, revision, run)
+		if fault.CodeOf(err) == fault.NotReady {
+			return err
+		}
 		if err != nil {
 			return fault.Wrap(fault.NoLeader, err, "this controller is behind its leader")
 		}
