--- a/internal/controller/evacuations.go
+++ b/internal/controller/evacuations.go
@@ -66,7 +66,7 @@
 // order whose sender has gone may have been overtaken by a later one.
 func (s *rpcService) checkOrder(ctx context.Context, zone string) (reply *pb.ProposeReply, err error) {
 	err = s.core.Do(ctx, func(c *Core, now time.Time) {
-		if c.diskErr != nil || !c.replica.HoldsLease(now) {
+		if !c.holdsLease(now) {
 			reply = &pb.ProposeReply{NotLeader: true, LeaderAddress: c.leaderAddress()}
 			return
 		}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -61,6 +61,8 @@
 	VotersMissing      Number = 231
 	EvacuationStarted  Number = 234
 	EvacuationFinished Number = 235
+	DiskFull           Number = 241
+	DiskAvailable      Number = 242
 	AgentJoined        Number = 301
 	ControllerLost     Number = 302
 	TaskStarted        Number = 303
@@ -141,6 +143,8 @@
 	{VotersMissing, "voters_missing", logrus.WarnLevel},
 	{EvacuationStarted, "evacuation_started", logrus.WarnLevel},
 	{EvacuationFinished, "evacuation_finished", logrus.InfoLevel},
+	{DiskFull, "disk_full", logrus.ErrorLevel},
+	{DiskAvailable, "disk_available", logrus.InfoLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
