--- a/internal/controller/modelworker_test.go
+++ b/internal/controller/modelworker_test.go
@@ -419,11 +419,14 @@
 func (w *modelWorker) announcement() runner.Announcement {
 	w.sequence++
 	return runner.Announcement{
-		ID: w.id(), StartTimeMS: w.startedMS, Sequence: w.sequence, Address: w.machine, Service: "s", Zone: "z", Rack: "r",
+		ID: w.id(), StartTimeMS: w.startedMS, Sequence: w.sequence, Address: w.machine, Service: "s", Zone: modelZone(w.machine), Rack: "r",
 		Machine: w.machine, Capacity: w.capacity(), Draining: w.draining, Remaining: time.Second,
 	}
 }
 
+// modelZone returns the zone of a machine: "z0" or "z1".
+func modelZone(machine string) string { return fmt.Sprint("z", (machine[len(machine)-1]-'0')%2) }
+
 // model is what the workers of a group see together, and the check of it.
 type model struct {
 	mu         sync.Mutex
--- a/internal/controller/soakgroup_test.go
+++ b/internal/controller/soakgroup_test.go
@@ -41,6 +41,11 @@
 	nodes     map[replica.ID]*soakNode // controllers that run
 	cut       replica.ID               // controller without a connection to the others
 	agents    []*soakAgent
+
+	// Plays besides the others; nil for nothing.
+	playMore func(rnd *rand.Rand, sleep func(time.Duration) bool)
+	// Called when an agent begins to call a worker to start a run; nil for nothing.
+	onStartCall func(machine string)
 }
 
 // soakNode is a running controller.
@@ -344,6 +349,9 @@
 }
 
 func (a agentCalls) Start(ctx context.Context, id string, o runner.StartOrder) (runner.StartAnswer, time.Duration, error) {
+	if a.onStartCall != nil {
+		a.onStartCall(a.worker.machine)
+	}
 	out := a.pass(ctx, func(ctx context.Context, sentToMS int64) reply {
 		return a.worker.do(ctx, id, sentToMS, fmt.Sprintf("start %v token %x", o.Run, o.Token), func() reply { return a.worker.start(o, sentToMS) })
 	})
