--- a/dispatch/evacuationmoves.go
+++ b/dispatch/evacuationmoves.go
@@ -17,6 +17,9 @@
 	_minSteadyTime          = 6 * time.Second // for which all other tasks of a step have run before one of its tasks is moved
 	_evacuationMoveInterval = 500 * time.Millisecond
 	_maxEvacuationMoves     = 8 // in one _evacuationMoveInterval
+	// _evacuationMoveTTL is the time for which the destination of a task is reserved. It is
+	// longer than the lease of runs, 4 s, with which a run ends whose agent does not answer.
+	_evacuationMoveTTL = 8 * time.Second
 )
 
 // stopsInEvacuatedZones returns long-running runs in evacuated zones to move: those for which
@@ -110,6 +113,9 @@
 		}
 		stop := r.beginMove(serviceTask{run: run.Run, sub: sub, step: p.step}, r.pool.evacuatedNodes[run.Worker], to)
 		stop.Reason = Evacuating
+		v := r.mover.moves[run.Run.Task]
+		v.until = r.at.Now.Add(_evacuationMoveTTL)
+		r.mover.moves[run.Run.Task] = v
 		r.mover.recordMove(r.at.Now, run.Run)
 		r.markChanged(to)
 		to.addRuns(p.step, 1)
--- a/dispatch/evacuationmoves_test.go
+++ b/dispatch/evacuationmoves_test.go
@@ -250,3 +250,29 @@
 		t.Errorf("%d tasks run in the evacuated zones, want 3 for which there is no worker elsewhere", got)
 	}
 }
+
+// TestDestinationStaysReservedUntilSlowStop guards against a long-running task that is stopped
+// and finds no capacity, because other work has taken its destination while the stop took its
+// time.
+func TestDestinationStaysReservedUntilSlowStop(t *testing.T) {
+	for _, delay := range []time.Duration{100 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
+		workers := newZonedWorkers(2, 8000, 64000)
+		sim := newEvacuationSim(t, workers)
+		sim.stopDelay = func() time.Duration { return delay }
+		long := submission.Step{Count: 1, Needs: submission.Resources{CPU: 6000, Memory: 8000}, LongRunning: true}
+		submitSteps(&sim.store, "long", 0, long)
+		st := submission.Start{Run: submission.RunID{Task: submission.TaskID{Submission: "long"}, Number: 1}, Worker: "w00"}
+		sim.store.Start([]submission.Start{st}, sim.now)
+		sim.scheduler.RecordStart(sim.now, &sim.store, st)
+		sim.run(_minSteadyTime)
+		sim.evacuate("z0")
+		for end := sim.now.Add(30 * time.Second); sim.moves == 0 && sim.now.Before(end); {
+			sim.run(100 * time.Millisecond)
+		}
+		submitSteps(&sim.store, "short", 0, submission.Step{Count: 8, Needs: submission.Resources{CPU: 2000, Memory: 1000}, Estimate: time.Hour})
+		sim.run(delay + 300*time.Millisecond)
+		if got := sim.longRunningIn("z1"); sim.moves != 1 || got != 1 {
+			t.Errorf("with a stop that takes %s, %d moves, and %d tasks run in the other zone, want 1 and 1", delay, sim.moves, got)
+		}
+	}
+}
