--- a/e2e/tool_test.go
+++ b/e2e/tool_test.go
@@ -269,6 +269,27 @@
 	}
 }
 
+// getStatus sends a request and returns the status of the answer.
+func getStatus(path string) (int, error) {
+	resp, err := _client.Get(_entries[0] + path)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// awaitStatus repeats a request until the answer has the status.
+func (s *singleProcess) awaitStatus(status int) {
+	s.t.Helper()
+	last, err := 0, error(nil)
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if last, err = getStatus("/v1/services/quotes/price"); last == status {
+			return
+		}
+	}
+	s.t.Fatalf("the latest request was answered %d, %v, want %d", last, err, status)
+}
+
 // TestEvacuationOfProduct guards against requests and jobs that are given to the workers of an
 // evacuated zone, against one in flight that an evacuation ends, and against work that does
 // not go on afterwards.
@@ -277,34 +298,17 @@
 	if exit, out := s.runTool("apply", "-f", "examples/catalogue"); exit != 0 {
 		t.Fatal(out)
 	}
-	get := func(path string) (int, error) {
-		resp, err := _client.Get(_entries[0] + path)
-		if err != nil {
-			return 0, err
-		}
-		return resp.StatusCode, resp.Body.Close()
-	}
-	await := func(status int) {
-		t.Helper()
-		last, err := 0, error(nil)
-		for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-			if last, err = get("/v1/services/quotes/price"); last == status {
-				return
-			}
-		}
-		t.Fatalf("the latest request was answered %d, %v, want %d", last, err, status)
-	}
-	await(http.StatusOK)
+	s.awaitStatus(http.StatusOK)
 	inFlight := make(chan int, 1)
 	go func() {
-		status, _ := get("/v1/services/quotes/price?delay_ms=1500")
+		status, _ := getStatus("/v1/services/quotes/price?delay_ms=1500")
 		inFlight <- status
 	}()
 	time.Sleep(300 * time.Millisecond)
 	if exit, out := s.runTool("evacuate", "zone_a"); exit != 0 {
 		t.Fatal(out)
 	}
-	await(http.StatusServiceUnavailable)
+	s.awaitStatus(http.StatusServiceUnavailable)
 	if status := <-inFlight; status != http.StatusOK {
 		t.Errorf("a request in flight was answered %d", status)
 	}
@@ -326,7 +330,7 @@
 	if exit, out := s.runTool("evacuate", "--undo", "zone_a"); exit != 0 {
 		t.Fatal(out)
 	}
-	await(http.StatusOK)
+	s.awaitStatus(http.StatusOK)
 	if exit, out := s.runTool("jobs", "result", "--wait", "20s", strings.TrimSpace(job)); exit != 0 {
 		t.Errorf("the job has no result after the evacuation: exit code %d\n%s", exit, out)
 	}
