--- a/internal/disk/full_test.go
+++ b/internal/disk/full_test.go
@@ -139,6 +139,39 @@
 	}
 }
 
+// TestOpenRewritesLargeLog guards against a large log that is rewritten in part, or in one
+// record that takes several times its memory.
+func TestOpenRewritesLargeLog(t *testing.T) {
+	m := newMemoryFiles()
+	s, _, _, err := Open(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for index := uint64(1); index <= 30; index++ {
+		e := replica.Entry{Index: index, Term: 1, Kind: replica.KindCommand, Data: make([]byte, 200_000)}
+		if err := s.Save(replica.LogRecord{State: &replica.HardState{Term: 1}, Entries: []replica.Entry{e}, Commit: index - 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 2 {
+		_, r, _, err := Open(m)
+		if err != nil || len(r.Entries) != 30 || r.Commit != 29 || r.State.Term != 1 {
+			t.Fatalf("%v, %d entries, commit %d, %v", err, len(r.Entries), r.Commit, r.State)
+		}
+		m = m.afterCrash(tearNone, 0)
+		names, _ := m.List()
+		for _, name := range names {
+			start := 0
+			for _, end := range frameEnds(m.files[name].written) {
+				if end-start > _rewriteBytes+250_000 {
+					t.Errorf("%s has a record of %d bytes", name, end-start)
+				}
+				start = end
+			}
+		}
+	}
+}
+
 // TestReopenFreesSpaceFirst fills the disk with a snapshot that does not fit. The retry must
 // remove what is left of it and of earlier logs, and not report space that the next attempt
 // at the snapshot lacks.
--- a/internal/disk/store.go
+++ b/internal/disk/store.go
@@ -25,6 +25,7 @@
 	_segmentPrefix   = "log_"
 	_snapshotPrefix  = "snapshot_"
 	_temporaryPrefix = "new_"
+	_rewriteBytes    = 1 << 20 // entry data in one record when Open rewrites the log
 )
 
 // Store is the durable state of one replica. One goroutine owns it.
@@ -182,9 +183,9 @@
 	return torn, nil
 }
 
-// startsWithLog reports whether a segment's first record holds the whole log after
-// the snapshot, as in all segments but the first one of a folder. That record has
-// the hard state.
+// startsWithLog reports whether a segment starts with the whole log after the
+// snapshot, as all but the first one of a folder do. Its first record then has the
+// hard state, and what follows was synced before the segment got its name.
 func startsWithLog(data []byte) bool {
 	payload, _, err := nextFrame(data)
 	if err != nil {
@@ -253,11 +254,34 @@
 	if s.segmentNumber == 0 {
 		return s.startSegment(1, nil)
 	}
-	payload, err := wire.MarshalLogRecord(replica.LogRecord{State: &restored.State, Entries: restored.Entries, Commit: restored.Commit})
+	frames, err := appendLog(nil, restored)
 	if err != nil {
 		return err
 	}
-	return s.startSegment(s.segmentNumber+1, appendFrame(nil, payload))
+	return s.startSegment(s.segmentNumber+1, frames)
+}
+
+// appendLog appends the frames of a whole log. Each has about _rewriteBytes of entries, so
+// that encoding them takes little memory beside the result.
+func appendLog(frames []byte, restored replica.RestoredState) ([]byte, error) {
+	record := replica.LogRecord{State: &restored.State, Commit: restored.Commit}
+	for rest := restored.Entries; ; {
+		n, bytes := 0, 0
+		for n < len(rest) && bytes < _rewriteBytes {
+			bytes += len(rest[n].Data)
+			n++
+		}
+		record.Entries, rest = rest[:n], rest[n:]
+		payload, err := wire.MarshalLogRecord(record)
+		if err != nil {
+			return nil, err
+		}
+		frames = appendFrame(frames, payload)
+		if len(rest) == 0 {
+			return frames, nil
+		}
+		record = replica.LogRecord{}
+	}
 }
 
 // startSegment creates a segment that starts with the given frames and makes
