web: limit the connections that wait to be accepted; controller: press the soak with large work

Ten times the clients of TestEntry held 140 MB unread in connections that were not accepted yet. New cases: the largest requests and a watch while clients press.

--- a/internal/controller/modelworker_test.go
+++ b/internal/controller/modelworker_test.go
@@ -453,9 +453,13 @@
 	// strayCopy: the same, and the call was a second one for a run that was done, on an
 	// incarnation that knew of nothing and that no call could reach before.
 	strayCopy
+	// limitedWork: an answer on work beyond the limits was wrong; no run was started.
+	limitedWork
 )
 
-func (c cause) String() string { return [...]string{"ordered", "stray order", "stray copy"}[c-ordered] }
+func (c cause) String() string {
+	return [...]string{"ordered", "stray order", "stray copy", "limited work"}[c-ordered]
+}
 
 func causeOf(isCopy, isStray bool) cause {
 	switch {
--- a/internal/controller/runs_soak_test.go
+++ b/internal/controller/runs_soak_test.go
@@ -320,6 +320,9 @@
 	}
 	begin(0, func(rnd *rand.Rand) { s.submit(ctx, rnd, sleep) })
 	begin(1, func(rnd *rand.Rand) { s.playLeader(rnd, sleep) })
+	if s.pressed() {
+		begin(99, func(rnd *rand.Rand) { s.press(ctx, rnd, sleep) })
+	}
 	for i, a := range s.agents {
 		playing.Go(func() { a.announce(sleep) })
 		begin(uint64(2+2*i), func(rnd *rand.Rand) { a.playAgent(rnd, sleep) })
--- a/internal/controller/soakgroup_test.go
+++ b/internal/controller/soakgroup_test.go
@@ -182,6 +182,7 @@
 		},
 		Files: files, Log: s.logOf("controller " + string(id)), Send: func(m []replica.Message) { s.send(ctx, id, m) },
 		SnapshotEntries: 1000, WorkerLease: time.Second, RunLease: 4 * time.Second, LateStartWindow: _modelMaxCallDelay + _modelMaxLease,
+		Accepted: s.acceptedLimits(),
 	}, clock.Now())
 	if err != nil {
 		panic(err)
--- a/internal/web/gate.go
+++ b/internal/web/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -39,6 +40,7 @@
 	_timeoutSlack     = 2 * time.Second  // from a body's timeout to that of its connection
 	_concurrentDecode = 2                // bodies that are not small
 	_smallListener    = 64               // connections of a listener for probes or metrics
+	_backlog          = 256              // connections that wait to be accepted
 	_answerTimeout    = 2 * time.Second  // for sending the rest of an answer to a client that reads it
 	_gateMaxHeader    = 20 << 10         // clients send at most 16,384 bytes
 	_rejectTimeout    = time.Millisecond // for the answer to a connection beyond the limit
@@ -288,6 +290,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := limitBacklog(l); err != nil {
+		_ = l.Close()
+		return nil, err
+	}
 	limit := g.cfg.Connections
 	if small {
 		limit = min(limit, _smallListener)
@@ -295,6 +301,21 @@
 	return &gateListener{Listener: l, gate: g, limit: limit, conns: make(map[*gateConn]struct{})}, nil
 }
 
+// limitBacklog limits the connections that wait to be accepted. With the default of
+// some thousands their unread bytes alone filled the memory of a machine.
+func limitBacklog(l net.Listener) error {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil
+	}
+	c, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := c.Control(func(fd uintptr) { err = syscall.Listen(int(fd), _backlog) })
+	return errors.Join(controlErr, err)
+}
+
 type gateConnKey struct{}
 
 // configure makes a server track its connections and limit the bodies of requests.
