--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,8 +7,10 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/gentianrail/gentianrail/fault"
+	"github.com/gentianrail/gentianrail/internal/unit"
 )
 
 const _validSettings = `{"name": "n", "zone": "z", "roles": ["controller", "entry", "agent"],
@@ -45,6 +47,9 @@
 		{`"memory": "1GiB"`, `"memory": "1 gig"`, "agent.memory"},
 		{`"data_folder": "d"`, `"data_folder": "d", "heartbeat": "1s"`, "controller.election_timeout"},
 		{`"data_folder": "d"`, `"data_folder": "d", "members": {"c2": "127.0.0.1:9"}`, "controller.members"},
+		{`"name": "n"`, `"name": "n", "intake": {"body_budget": "1MiB"}`, "intake.body_budget"},
+		{`"name": "n"`, `"name": "n", "intake": {"connections": 1}`, "intake.connections"},
+		{`"name": "n"`, `"name": "n", "intake": {"idle_timeout": "-1s"}`, "intake.idle_timeout"},
 		{`"name": "n"`, `"name": 5`, "name: found a JSON number, allowed is a string"},
 		{`{"name"`, `["name"`, "the document: found a JSON list, allowed is an object"},
 		{`{"name"`, `{name`, "not JSON at byte"},
@@ -56,6 +61,43 @@
 	}
 }
 
+// TestIntakeLimitsLeaveRoomForClients guards against derived limits that a client within
+// its own limits reaches, or that exceed the machine of a role on the users' platform.
+func TestIntakeLimitsLeaveRoomForClients(t *testing.T) {
+	const descriptors, largestBody = 4100, 8 << 20
+	for _, tc := range []struct {
+		roles       []string
+		memory      unit.Bytes
+		connections int
+		bodyTimeout time.Duration
+	}{
+		{[]string{RoleEntry}, 64 << 20, 682, 30 * time.Second},
+		{[]string{RoleAgent}, 64 << 20, 256, 30 * time.Second},
+		{[]string{RoleController}, 128 << 20, 256, time.Minute},
+		{[]string{RoleAgent}, 14 << 20, 149, 30 * time.Second},
+		{[]string{RoleController, RoleAgent, RoleEntry}, 512 << 20, 1922, time.Minute},
+	} {
+		s := Settings{Roles: tc.roles, MemoryLimit: tc.memory}
+		l := s.IntakeLimits(descriptors)
+		if l.Connections != tc.connections || time.Duration(l.BodyTimeout) != tc.bodyTimeout {
+			t.Errorf("%v: got %+v, want %d connections and %s for a body", tc.roles, l, tc.connections, tc.bodyTimeout)
+		}
+		if large := l.BodyBudget / 4 * 3; large <= largestBody {
+			t.Errorf("%v: large bodies have %d bytes, which don't hold one of %d", tc.roles, large, largestBody)
+		}
+		if time.Duration(l.HeaderTimeout) <= 3*time.Second || time.Duration(l.IdleTimeout) <= 15*time.Second {
+			t.Errorf("%v: clients reach the timeouts %+v", tc.roles, l)
+		}
+	}
+	s := Settings{Roles: []string{RoleEntry}, MemoryLimit: 64 << 20, Intake: Intake{Connections: 20, IdleTimeout: unit.Duration(time.Hour)}}
+	if l := s.IntakeLimits(descriptors); l.Connections != 20 || time.Duration(l.IdleTimeout) != time.Hour {
+		t.Errorf("settings were replaced: %+v", l)
+	}
+	if l := (&Settings{Roles: []string{RoleEntry}, MemoryLimit: 64 << 20}).IntakeLimits(100); l.Connections != _minConnections {
+		t.Errorf("with 100 descriptors: %+v", l)
+	}
+}
+
 func TestParseReportsAllProblems(t *testing.T) {
 	_, err := Parse("f", []byte(`{"roles": ["entry"], "entry": {"address": "x"}}`))
 	for _, want := range []string{"name: missing", "zone: missing", "entry.address", "controllers: missing"} {
