--- a/intake/intake.go
+++ b/intake/intake.go
@@ -93,11 +93,16 @@
 	sequence  uint64
 }
 
+// client is the account of a client address.
 type client struct {
-	bodies int
-	held   int64
+	bodies    int
+	held      int64
+	releasing int64 // held by bodies that were cut off
 }
 
+// anyAddress stands for all client addresses.
+const anyAddress = "*"
+
 // New returns a ledger without bodies.
 func New(limits Limits) *Ledger {
 	return &Ledger{limits: limits, bodies: make(map[*Body]struct{}), byClient: make(map[string]*client)}
@@ -132,6 +137,7 @@
 	l.stopReading(b)
 	if b.reason != NoReason {
 		l.releasing -= b.held
+		l.byClient[b.client].releasing -= b.held
 	}
 	delete(l.bodies, b)
 	l.release(b, b.held)
@@ -236,7 +242,7 @@
 // there is one that may be cut off. It makes room for a new connection.
 func (l *Ledger) CutStalled(now time.Time) Actions {
 	var a Actions
-	if b := l.stalled(now, false); b != nil {
+	if b := l.stalled(now, anyAddress, false); b != nil {
 		l.cut(b, Stalled, &a)
 	}
 	return a
@@ -246,6 +252,7 @@
 	l.stopReading(b)
 	b.reason = r
 	l.releasing += b.held
+	l.byClient[b.client].releasing += b.held
 	a.Cut = append(a.Cut, b)
 }
 
@@ -261,13 +268,16 @@
 	return limit - l.held
 }
 
-func (l *Ledger) fits(b *Body) bool { return b.wants <= l.free(b) && l.withinShare(b) }
+func (l *Ledger) fits(b *Body) bool { return b.wants <= l.free(b) && l.shareExcess(b) <= 0 }
 
-// withinShare reports whether the client address may hold what the body waits for.
-// One body is always within the share.
-func (l *Ledger) withinShare(b *Body) bool {
-	others := l.byClient[b.client].held - b.held
-	return others == 0 || l.isSmall(b) || others+b.held+b.wants <= l.limits.ClientShare
+// shareExcess returns by how many bytes the client address would exceed its share with
+// what the body waits for. One body and small bodies are always within the share.
+func (l *Ledger) shareExcess(b *Body) int64 {
+	held := l.byClient[b.client].held
+	if held == b.held || l.isSmall(b) {
+		return 0
+	}
+	return held + b.wants - l.limits.ClientShare
 }
 
 func (l *Ledger) grant(now time.Time, b *Body) {
@@ -321,25 +331,25 @@
 	return best
 }
 
-// makeRoom cuts off bodies until what they hold is enough for b.
+// makeRoom cuts off bodies until what they hold is enough for b. If the client address
+// of b exceeds its share, its own bodies give way.
 func (l *Ledger) makeRoom(now time.Time, b *Body, a *Actions) {
-	share := !l.withinShare(b)
-	for l.releasing < b.wants-l.free(b) || share {
-		victim, reason := l.stalled(now, true), Stalled
-		if share && victim != nil && victim.client != b.client {
-			return // the address waits for its own bodies
+	for {
+		address := anyAddress
+		if l.shareExcess(b) > l.byClient[b.client].releasing {
+			address = b.client
+		} else if l.releasing >= b.wants-l.free(b) {
+			return
 		}
+		victim, reason := l.stalled(now, address, true), Stalled
 		if victim == nil && l.reading == l.waiting && l.held == l.heldByWaiting()+l.releasing && now.Sub(b.waitSince) >= l.limits.Stall {
 			// Each body waits for what the others hold, so none makes progress.
-			victim, reason = l.leastReceived(b), NoBudget
+			victim, reason = l.leastReceived(b, address), NoBudget
 		}
 		if victim == nil {
 			return
 		}
 		l.cut(victim, reason, a)
-		if share {
-			return
-		}
 	}
 }
 
@@ -353,12 +363,12 @@
 	return n
 }
 
-// leastReceived returns the waiting body other than except that holds something and
-// has received least; on ties the latest.
-func (l *Ledger) leastReceived(except *Body) *Body {
+// leastReceived returns the waiting body of a client address, other than except, that
+// holds something and has received least; on ties the latest.
+func (l *Ledger) leastReceived(except *Body, address string) *Body {
 	var worst *Body
 	for b := range l.bodies {
-		if b == except || b.wants == 0 || b.held == 0 {
+		if b == except || b.wants == 0 || b.held == 0 || address != anyAddress && b.client != address {
 			continue
 		}
 		if worst == nil || b.received < worst.received || b.received == worst.received && b.sequence > worst.sequence {
@@ -382,14 +392,14 @@
 	return halt
 }
 
-// stalled returns the body that has made the least progress for its time, if it may
-// be cut off; on ties, the one that holds most. With holding, bodies that hold
-// nothing don't count.
-func (l *Ledger) stalled(now time.Time, holding bool) *Body {
+// stalled returns the body of a client address that has made the least progress for
+// its time, if it may be cut off; on ties, the one that holds most. With holding, bodies
+// that hold nothing don't count.
+func (l *Ledger) stalled(now time.Time, address string, holding bool) *Body {
 	var worst *Body
 	var worstExpiry time.Time
 	for b := range l.bodies {
-		if !b.reading || b.wants > 0 || holding && b.held == 0 {
+		if !b.reading || b.wants > 0 || holding && b.held == 0 || address != anyAddress && b.client != address {
 			continue
 		}
 		e := l.expiry(b)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -233,3 +233,63 @@
 		t.Error("none of the bodies was received completely")
 	}
 }
+
+// TestOnlyAsManyAreCutOffAsNeeded guards against a body that drives out all stalled
+// ones, and against the order in which they are cut off: the least progress first, on
+// ties the one that holds most.
+func TestOnlyAsManyAreCutOffAsNeeded(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := New(_testLimits)
+	open := func(address string, size int64) *Body {
+		b := l.Open(now, address)
+		l.Acquire(now, b, size)
+		return b
+	}
+	var bodies []*Body
+	for i, size := range []int64{100_000, 120_000, 110_000, 200_000, 190_000} {
+		bodies = append(bodies, open(string(rune('a'+i)), size))
+	}
+	now = now.Add(200 * time.Millisecond)
+	l.Receive(now, bodies[3], 1) // later progress than the others
+	now = now.Add(250 * time.Millisecond)
+	waiter := open("z", 150_000)
+	if !waiter.Waiting() || bodies[4].Reason() != Stalled {
+		t.Errorf("the waiting body drove out %q of the body that holds most without progress", bodies[4].Reason())
+	}
+	for i, b := range bodies[:4] {
+		if b.Reason() != NoReason {
+			t.Errorf("body %d was cut off as well", i)
+		}
+	}
+	if a := l.Advance(now.Add(time.Millisecond)); len(a.Cut) != 0 {
+		t.Errorf("%d more bodies were cut off while the first one is being closed", len(a.Cut))
+	}
+	if a := l.Close(now, bodies[4]); len(a.Granted) != 1 || a.Granted[0] != waiter {
+		t.Errorf("the waiting body was not granted: %+v", a)
+	}
+}
+
+// TestAddressBeyondItsShareCutsOffItsOwn guards against an address that drives out the
+// bodies of others for its own.
+func TestAddressBeyondItsShareCutsOffItsOwn(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := New(_testLimits)
+	var own []*Body
+	other := l.Open(now, "b")
+	l.Acquire(now, other, 100_000)
+	for range 5 {
+		b := l.Open(now, "a")
+		l.Acquire(now, b, 100_000)
+		own = append(own, b)
+	}
+	now = now.Add(time.Second)
+	b := l.Open(now, "a")
+	a := l.Acquire(now, b, 100_000)
+	if len(a.Cut) != 1 || a.Cut[0] == other || other.Reason() != NoReason {
+		t.Errorf("cut off: %d, the other address's body: %q", len(a.Cut), other.Reason())
+	}
+	l.Close(now, a.Cut[0])
+	if b.Waiting() || len(own) != 5 {
+		t.Error("the body still waits")
+	}
+}
