--- a/internal/controller/runs_soak_test.go
+++ b/internal/controller/runs_soak_test.go
@@ -323,6 +323,9 @@
 	if s.playMore != nil {
 		begin(99, func(rnd *rand.Rand) { s.playMore(rnd, sleep) })
 	}
+	if s.pressed() {
+		begin(98, func(rnd *rand.Rand) { s.press(ctx, rnd, sleep) })
+	}
 	for i, a := range s.agents {
 		playing.Go(func() { a.announce(sleep) })
 		begin(uint64(2+2*i), func(rnd *rand.Rand) { a.playAgent(rnd, sleep) })
