--- a/dispatch/preference_test.go
+++ b/dispatch/preference_test.go
@@ -325,6 +325,32 @@
 	}
 }
 
+// TestStateOfWaitsIsDropped guards against a leader that keeps something of each submission
+// that has waited.
+func TestStateOfWaitsIsDropped(t *testing.T) {
+	m := newRackSim(3, rackWorkers(6, 4, 8), 3)
+	play := boundCheck{rackSim: m, beside: make(map[submission.TaskID]time.Duration), idle: make(map[string]time.Duration)}
+	f := &m.s.preferences
+	for range 400 {
+		if len(f.waits) == 0 || len(f.stepRacks) == 0 || len(f.idleSince) == 0 {
+			play.step()
+		}
+	}
+	if len(f.waits) == 0 || len(f.stepRacks) == 0 || len(f.idleSince) == 0 {
+		t.Fatal("nothing has waited")
+	}
+	for _, sub := range m.store.Unended() {
+		if err := m.store.Cancel(sub.ID, m.now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.now = m.now.Add(_preferencesPruneInterval)
+	m.round()
+	if len(f.waits)+len(f.idleSince)+len(f.stepRacks) > 0 {
+		t.Errorf("%d waits, %d submissions and %d steps are left", len(f.waits), len(f.idleSince), len(f.stepRacks))
+	}
+}
+
 // TestEstimatesIgnoreTheRemotePenalty guards against estimates and health that count runs
 // away from their data as slow.
 func TestEstimatesIgnoreTheRemotePenalty(t *testing.T) {
