--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -165,3 +166,20 @@
 		}
 	}
 }
+
+// TestScenarioFilesAreValid guards against a scenario file that the tool rejects.
+func TestScenarioFilesAreValid(t *testing.T) {
+	names, err := filepath.Glob("../../docs/experiments/*.json")
+	if err != nil || len(names) == 0 {
+		t.Fatalf("%d scenario files: %v", len(names), err)
+	}
+	for _, name := range names {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ParseScenario(data); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/emulator/score.go
+++ b/internal/emulator/score.go
@@ -15,8 +15,9 @@
 	_causedFactor    = 4               // weight of a missed target that batch tasks cause
 	_window          = 2 * time.Second // over which the worst times are judged
 	_worstWindows    = 2
-	_minServed       = 0.05 // share of a service's tasks at work from which an interval counts as served
-	_goodServed      = 0.9  // share from which it counts as in time
+	_longMiss        = 4 * time.Second // of a missed target, from which a promise to the service is broken
+	_minServed       = 0.05            // share of a service's tasks at work from which an interval counts as served
+	_goodServed      = 0.9             // share from which it counts as in time
 )
 
 // outcome is what a caller got.
@@ -56,6 +57,9 @@
 	MissedSeconds float64 // of service tasks over their target because of batch tasks
 	Moves         int     // service tasks that were moved
 	BatchCores    float64 // mean CPU that batch tasks used, in cores
+	LongMisses    int     // service tasks over their target for _longMiss on end because of batch tasks
+	IdleCores     float64 // mean CPU of the workers that nothing used, in cores
+	LostCores     float64 // mean CPU of batch tasks whose submissions have lost their value, in cores
 	ticks         int
 }
 
@@ -86,13 +90,20 @@
 	}
 	type tally struct{ atWork, missed, caused int }
 	tallies := make(map[string]*tally)
-	used := 0.0
+	used, idle, lost := 0.0, 0.0, 0.0
 	for _, w := range e.workers {
+		if e.now >= w.lostUntil {
+			idle += float64(w.capacity.CPU)
+		}
 		for _, r := range w.runs {
+			idle -= r.used
 			if !r.step.LongRunning {
 				if r.step.UnreservedCPU {
 					used += r.used
 				}
+				if e.now > r.request.at+_lateFactor*r.request.objective {
+					lost += r.used
+				}
 				continue
 			}
 			t := tallies[r.id.Task.Submission]
@@ -104,6 +115,13 @@
 				continue
 			}
 			t.atWork++
+			if r.percent > 100 && r.caused {
+				if r.missed += _tick; r.missed == _longMiss {
+					e.usage.LongMisses++
+				}
+			} else {
+				r.missed = 0
+			}
 			switch {
 			case r.percent > 100 && r.caused:
 				t.caused++
@@ -114,6 +132,8 @@
 		}
 	}
 	e.usage.BatchCores += used / 1000
+	e.usage.IdleCores += idle / 1000
+	e.usage.LostCores += lost / 1000
 	e.usage.ticks++
 	if e.now >= e.scenario.Lead+e.scenario.Length {
 		return
@@ -168,6 +188,8 @@
 	res := Result{Kinds: make(map[string]KindResult), Class: 1, Usage: e.usage}
 	if e.usage.ticks > 0 {
 		res.Usage.BatchCores /= float64(e.usage.ticks)
+		res.Usage.IdleCores /= float64(e.usage.ticks)
+		res.Usage.LostCores /= float64(e.usage.ticks)
 	}
 	var earned, owed float64
 	var unserved int
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -70,11 +70,12 @@
 	share    int           // percent, in force
 	newShare int           // percent, in force from paceAt on
 	paceAt   time.Duration
-	percent  float64   // tail latency of a service task, in percent of the target
-	backlog  float64   // of a service task, in seconds
-	samples  []float64 // tail latencies of the latest _statsPeriod
-	used     float64   // CPU in use, thousandths of a core
-	caused   bool      // a service task misses its target because of batch tasks
+	percent  float64       // tail latency of a service task, in percent of the target
+	backlog  float64       // of a service task, in seconds
+	samples  []float64     // tail latencies of the latest _statsPeriod
+	used     float64       // CPU in use, thousandths of a core
+	caused   bool          // a service task misses its target because of batch tasks
+	missed   time.Duration // for which it has missed its target on end because of batch tasks
 }
 
 // worker is one worker of the pool.
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -82,6 +82,9 @@
 	Worst      Sample // credit of the worst windows
 	Missed     Sample // seconds of service tasks over their target because of batch tasks
 	BatchCores Sample // mean CPU of batch tasks
+	IdleCores  Sample // mean CPU that nothing used
+	LostCores  Sample // mean CPU of batch tasks whose submissions have lost their value
+	LongMisses Sample // service tasks that missed their target so long that a promise is broken
 	Kinds      map[string]*KindFigures
 }
 
@@ -96,12 +99,13 @@
 	Unproved Difference = "no difference shown"
 )
 
-// credit returns the credit of a kind; a policy may lack it.
-func (p *PolicyFigures) credit(kind string) Sample {
+// KindOf returns the figures of a kind; those of a kind that the policy lacks are zero.
+func (p *PolicyFigures) KindOf(kind string) *KindFigures {
 	if k := p.Kinds[kind]; k != nil {
-		return k.Credit
+		return k
 	}
-	return make(Sample, len(p.Score))
+	none := make(Sample, len(p.Score))
+	return &KindFigures{Credit: none, InTime: none, Late: none, Failed: none, Rejected: none}
 }
 
 // Compare compares the score with that of another policy.
@@ -153,6 +157,8 @@
 	for i := range results {
 		r := &results[i]
 		f.Score, f.Whole, f.Worst = append(f.Score, r.Score), append(f.Whole, r.Whole), append(f.Worst, r.Worst)
+		f.IdleCores, f.LostCores = append(f.IdleCores, r.Usage.IdleCores), append(f.LostCores, r.Usage.LostCores)
+		f.LongMisses = append(f.LongMisses, float64(r.Usage.LongMisses))
 		f.Missed, f.BatchCores = append(f.Missed, r.Usage.MissedSeconds), append(f.BatchCores, r.Usage.BatchCores)
 		for name, k := range r.Kinds {
 			if f.Kinds[name] == nil {
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -55,7 +55,7 @@
 		{title: "credit in the worst windows", value: func(p *PolicyFigures) Sample { return p.Worst }},
 	}
 	for _, kind := range slices.Sorted(maps.Keys(policies[0].Kinds)) {
-		plots = append(plots, barPlot{title: "credit of kind " + kind, value: func(p *PolicyFigures) Sample { return p.credit(kind) }})
+		plots = append(plots, barPlot{title: "credit of kind " + kind, value: func(p *PolicyFigures) Sample { return p.KindOf(kind).Credit }})
 	}
 	var pictures []template.HTML
 	for _, b := range plots {
--- a/internal/tool/experiment.go
+++ b/internal/tool/experiment.go
@@ -70,6 +70,12 @@
 		d, outcome := f.Compare(figures[0])
 		fmt.Fprintf(t, "%s\t%s\t%+.3f ± %.3f\t%s\t%s\t%s\n", f.Policy, interval(f.Score), d.Mean(), d.HalfWidth(), outcome, interval(f.Whole), interval(f.Worst))
 	}
+	fmt.Fprintln(t, "\nPOLICY\tBATCH IN TIME\tLATE\tNEVER\tSHORT IN TIME\tBATCH CORES\tIDLE\tWITHOUT VALUE\tMISSED SECONDS\tLONG MISSES")
+	for _, f := range figures {
+		batch, short := f.KindOf("batch"), f.KindOf("short")
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\n", f.Policy, interval(batch.InTime), interval(batch.Late), interval(batch.Failed),
+			interval(short.InTime), f.BatchCores.Mean(), f.IdleCores.Mean(), f.LostCores.Mean(), f.Missed.Mean(), f.LongMisses.Mean())
+	}
 	return t.Flush()
 }
 
