--- a/internal/emulator/score.go
+++ b/internal/emulator/score.go
@@ -90,20 +90,10 @@
 	}
 	type tally struct{ atWork, missed, caused int }
 	tallies := make(map[string]*tally)
-	used, idle, lost := 0.0, 0.0, 0.0
+	e.sumUse()
 	for _, w := range e.workers {
-		if e.now >= w.lostUntil {
-			idle += float64(w.capacity.CPU)
-		}
 		for _, r := range w.runs {
-			idle -= r.used
 			if !r.step.LongRunning {
-				if r.step.UnreservedCPU {
-					used += r.used
-				}
-				if e.now > r.request.at+_lateFactor*r.request.objective {
-					lost += r.used
-				}
 				continue
 			}
 			t := tallies[r.id.Task.Submission]
@@ -115,13 +105,7 @@
 				continue
 			}
 			t.atWork++
-			if r.percent > 100 && r.caused {
-				if r.missed += _tick; r.missed == _longMiss {
-					e.usage.LongMisses++
-				}
-			} else {
-				r.missed = 0
-			}
+			e.updateMiss(r)
 			switch {
 			case r.percent > 100 && r.caused:
 				t.caused++
@@ -131,10 +115,6 @@
 			}
 		}
 	}
-	e.usage.BatchCores += used / 1000
-	e.usage.IdleCores += idle / 1000
-	e.usage.LostCores += lost / 1000
-	e.usage.ticks++
 	if e.now >= e.scenario.Lead+e.scenario.Length {
 		return
 	}
@@ -156,6 +136,37 @@
 	}
 }
 
+// sumUse adds the present use of the workers to the sums.
+func (e *emulation) sumUse() {
+	for _, w := range e.workers {
+		if e.now >= w.lostUntil {
+			e.usage.IdleCores += float64(w.capacity.CPU) / 1000
+		}
+		for _, r := range w.runs {
+			e.usage.IdleCores -= r.used / 1000
+			if r.step.UnreservedCPU && !r.step.LongRunning {
+				e.usage.BatchCores += r.used / 1000
+			}
+			if !r.step.LongRunning && e.now > r.request.at+_lateFactor*r.request.objective {
+				e.usage.LostCores += r.used / 1000
+			}
+		}
+	}
+	e.usage.ticks++
+}
+
+// updateMiss updates for how long a service task has missed its target on end because of
+// batch tasks.
+func (e *emulation) updateMiss(r *run) {
+	if r.percent <= 100 || !r.caused {
+		r.missed = 0
+		return
+	}
+	if r.missed += _tick; r.missed == _longMiss {
+		e.usage.LongMisses++
+	}
+}
+
 // credits returns all judgements.
 func (e *emulation) credits() (out []credit, rejected map[kind]int) {
 	rejected = make(map[kind]int)
