controller: log disk_failed before the process is told to end

TestOtherFailureOfFullDiskEndsProcess failed once under the race detector at a load average of 72 on 7 cores, since it looked for the event at once.

--- a/internal/controller/outage.go
+++ b/internal/controller/outage.go
@@ -89,8 +89,8 @@
 
 // reportDiskFailure reports that the disk has failed for good.
 func (c *Core) reportDiskFailure() {
-	close(c.diskFailed)
 	c.log.Emit(event.DiskFailed, event.Fields{"error": c.diskErr.Error()}, "data folder failed; controller stopped until restart")
+	close(c.diskFailed) // after the event: the process may end
 }
 
 // startOutage begins the attempts to open the store of a full disk. No write is in
