dispatch: clearer names in preferred placement

Types, methods and fields of the waits for a rack say what they hold or do, and comments name the clocks, the units and what undoStarts leaves. The behavior is unchanged.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -172,7 +172,7 @@
 			for b.Loop() {
 				s.Starts(at, store)
 			}
-			b.ReportMetric(float64(s.preferences.counts.Waits), "waits")
+			b.ReportMetric(float64(s.rackState.counts.Waits), "waits")
 		})
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -53,7 +53,7 @@
 	estimator   interference.Estimator
 	approvals   approvals
 	times       estimate.RunTimes
-	preferences preferences
+	rackState   rackState
 	mover       mover
 	tolerance   *tolerance // of the estimator's coefficients at toleranceAt
 	toleranceAt time.Time
@@ -69,7 +69,7 @@
 // interference and of run times, the approvals and the evacuated zones are kept.
 func (s *Scheduler) Reset() {
 	s.pool, s.health, s.mover, s.lossAt, s.cordons = pool{evacuation: s.pool.evacuation.withoutWorkers()}, health.Tracker{}, mover{}, time.Time{}, nil
-	s.preferences.reset()
+	s.rackState.reset()
 }
 
 // SetWorker adds or updates a worker that can receive tasks now. A worker that is
@@ -127,7 +127,7 @@
 		}
 	}
 	s.mover.endMove(st.Run.Task)
-	s.recordPreferredStart(now, store, st)
+	s.updateRackStateAfterStart(now, store, st)
 	s.pool.refresh(store, st.Worker)
 }
 
@@ -144,7 +144,7 @@
 		return
 	}
 	slowdown := s.slowdown(sub, e.Run.Task, e.Worker)
-	s.recordPreferredEnd(now, sub, e.Run.Task)
+	s.updateRackStateAfterEnd(now, sub, e.Run.Task)
 	if took < 0 {
 		return
 	}
@@ -188,7 +188,7 @@
 // newStartRound returns a round that places waiting tasks.
 func (s *Scheduler) newStartRound(at Clocks, store *submission.Store) *round {
 	s.pruneCordons(at)
-	s.preferences.beginRound(at, store)
+	s.rackState.beginRound(at, store)
 	r := s.newRound(at, store)
 	r.absent = s.absences(at, store)
 	return r
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -10,6 +10,8 @@
 // Obstacle is the reason that a worker cannot run a task.
 type Obstacle uint8
 
+const _noObstacle Obstacle = 0 // the worker can run the task
+
 const (
 	// OtherService workers belong to another service.
 	OtherService Obstacle = iota + 1
@@ -90,10 +92,10 @@
 			break
 		}
 		o := r.obstacle(n, ws.sub, p.step, p.onWorker[n.Incarnation])
-		if o == 0 && r.shouldWait(p.step, n) {
+		if o == _noObstacle && r.shouldWait(p.step, n) {
 			o = Deferred
 		}
-		if o == 0 && !r.isApproved(ws, n) {
+		if o == _noObstacle && !r.isApproved(ws, n) {
 			o = Unapproved
 		}
 		w.Obstacles[o]++
@@ -116,7 +118,8 @@
 	return Evacuated
 }
 
-// obstacle returns the reason that the worker cannot run a task of the step, or 0.
+// obstacle returns the reason that the worker cannot run a task of the step, or
+// _noObstacle.
 func (r *round) obstacle(n *node, s *submission.Submission, step *submission.Step, runsOnWorker int) Obstacle {
 	if n.Service != s.Service {
 		return OtherService
@@ -148,7 +151,7 @@
 	case need.GPU > available.GPU:
 		return NoGPU
 	}
-	return 0
+	return _noObstacle
 }
 
 // headroom returns the CPU that a worker keeps for short urgent tasks.
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -91,8 +91,8 @@
 	for id, at := range s.cursors {
 		c.cursors[id] = new(*at)
 	}
-	f := &c.preferences
-	f.waits, f.idleSince, f.stepRacks = maps.Clone(f.waits), maps.Clone(f.idleSince), maps.Clone(f.stepRacks)
+	rs := &c.rackState
+	rs.waits, rs.idleSince, rs.stepRacks = maps.Clone(rs.waits), maps.Clone(rs.idleSince), maps.Clone(rs.stepRacks)
 	return &c
 }
 
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -56,7 +56,7 @@
 	latestStarts  *submission.LatestStarts // of recorded runs; nil until needed
 
 	freeIndex, idleIndex position
-	rackIndex            int
+	rackIndex            int    // in the list of the rack's workers
 	labelIndexes         []int  // parallel to Labels
 	counted              totals // contribution to the totals of the service
 	changed              bool   // the present round has changed the node
--- a/dispatch/preference_load_test.go
+++ b/dispatch/preference_load_test.go
@@ -120,19 +120,19 @@
 	change func(*Scheduler)
 }{
 	{"elsewhere at once (before)", func(s *Scheduler) { s.SetRemotePenalty(0) }},
-	{"elsewhere at once, rack chosen", func(s *Scheduler) { s.preferences.decide = fixedWait(0) }},
-	{"fixed wait of 0.5 s", func(s *Scheduler) { s.preferences.decide = fixedWait(500 * time.Millisecond) }},
-	{"fixed wait of 2 s", func(s *Scheduler) { s.preferences.decide = fixedWait(2 * time.Second) }},
+	{"elsewhere at once, rack chosen", func(s *Scheduler) { s.rackState.decide = fixedWait(0) }},
+	{"fixed wait of 0.5 s", func(s *Scheduler) { s.rackState.decide = fixedWait(500 * time.Millisecond) }},
+	{"fixed wait of 2 s", func(s *Scheduler) { s.rackState.decide = fixedWait(2 * time.Second) }},
 	{"estimate", func(*Scheduler) {}},
 }
 
 // fixedWait returns a decision that does not consider what the rack is expected to do.
 func fixedWait(wait time.Duration) func(locality.Input) locality.Decision {
 	return func(in locality.Input) locality.Decision {
-		if in.LongRunning || in.Used >= wait || in.StartWithin == 0 {
+		if in.LongRunning || in.Waited >= wait || in.StartWithin == 0 {
 			return locality.Decision{Reason: locality.Exhausted}
 		}
-		return locality.Decision{Wait: min(wait-in.Used, in.StartWithin), Bound: wait, Reason: locality.Worthwhile}
+		return locality.Decision{Wait: min(wait-in.Waited, in.StartWithin), WaitLimit: wait, Reason: locality.Worthwhile}
 	}
 }
 
--- a/dispatch/preference_test.go
+++ b/dispatch/preference_test.go
@@ -131,7 +131,7 @@
 			sub.Task(id.Task).Runs[0].Started = m.now // the estimate stays 400 ms from now
 		}
 		begin := m.now
-		m.s.preferences.decide = func(in locality.Input) locality.Decision {
+		m.s.rackState.decide = func(in locality.Input) locality.Decision {
 			d := locality.Decide(in)
 			if m.now.Sub(begin) >= 300*time.Millisecond {
 				d.Wait, d.Reason = 0, locality.TooLong // as if a run took longer
@@ -209,8 +209,8 @@
 	if starts := m.round(); len(starts) > 0 {
 		t.Fatalf("%v start although the rack is expected to have capacity", starts)
 	}
-	w := m.s.preferences.waits[submission.TaskID{Submission: "a", Step: 1}]
-	if w == nil || w.usedAt(m.now) != 0 {
+	w := m.s.rackState.waits[submission.TaskID{Submission: "a", Step: 1}]
+	if w == nil || w.waitedAt(m.now) != 0 {
 		t.Fatalf("the wait under the new leader is %+v", w)
 	}
 	m.now = m.now.Add(locality.MaxWait)
@@ -218,8 +218,8 @@
 		t.Errorf("%d starts at the bound, want 1", len(starts))
 	}
 	// A task of the submission that has not waited under this leader may have waited before.
-	if got := m.s.preferences.wait(clocksAt(m.now), first(m.store.Submission("a")), submission.TaskID{Submission: "a", Step: 7}); got.used != locality.MaxWait {
-		t.Errorf("a task of an older submission has used %s of its bound, want %s", got.used, locality.MaxWait)
+	if got := m.s.rackState.wait(clocksAt(m.now), first(m.store.Submission("a")), submission.TaskID{Submission: "a", Step: 7}); got.waited != locality.MaxWait {
+		t.Errorf("a task of an older submission has used %s of its bound, want %s", got.waited, locality.MaxWait)
 	}
 }
 
@@ -330,13 +330,13 @@
 func TestStateOfWaitsIsDropped(t *testing.T) {
 	m := newRackSim(3, rackWorkers(6, 4, 8), 3)
 	play := boundCheck{rackSim: m, beside: make(map[submission.TaskID]time.Duration), idle: make(map[string]time.Duration)}
-	f := &m.s.preferences
+	rs := &m.s.rackState
 	for range 400 {
-		if len(f.waits) == 0 || len(f.stepRacks) == 0 || len(f.idleSince) == 0 {
+		if len(rs.waits) == 0 || len(rs.stepRacks) == 0 || len(rs.idleSince) == 0 {
 			play.step()
 		}
 	}
-	if len(f.waits) == 0 || len(f.stepRacks) == 0 || len(f.idleSince) == 0 {
+	if len(rs.waits) == 0 || len(rs.stepRacks) == 0 || len(rs.idleSince) == 0 {
 		t.Fatal("nothing has waited")
 	}
 	for _, sub := range m.store.Unended() {
@@ -344,10 +344,10 @@
 			t.Fatal(err)
 		}
 	}
-	m.now = m.now.Add(_preferencesPruneInterval)
+	m.now = m.now.Add(_rackStatePruneInterval)
 	m.round()
-	if len(f.waits)+len(f.idleSince)+len(f.stepRacks) > 0 {
-		t.Errorf("%d waits, %d submissions and %d steps are left", len(f.waits), len(f.idleSince), len(f.stepRacks))
+	if len(rs.waits)+len(rs.idleSince)+len(rs.stepRacks) > 0 {
+		t.Errorf("%d waits, %d submissions and %d steps are left", len(rs.waits), len(rs.idleSince), len(rs.stepRacks))
 	}
 }
 
@@ -544,13 +544,13 @@
 			continue
 		}
 		id := submission.TaskID{Submission: ws.sub.ID, Occurrence: ws.occurrence, Step: ws.step, Index: i}
-		w := b.s.preferences.waits[id]
+		w := b.s.rackState.waits[id]
 		if w == nil {
 			return fmt.Errorf("%s waits beside capacity without a decision: %+v", id, ws.sub.Steps[ws.step])
 		}
 		b.beside[id] += _simRound
-		if limit := w.bound + _simRound; b.beside[id] > limit || limit > 2*time.Second+_simRound {
-			return fmt.Errorf("%s has waited for %s beside capacity, its bound is %s", id, b.beside[id], w.bound)
+		if limit := w.limit + _simRound; b.beside[id] > limit || limit > 2*time.Second+_simRound {
+			return fmt.Errorf("%s has waited for %s beside capacity, its bound is %s", id, b.beside[id], w.limit)
 		}
 		if ws.sub.Steps[ws.step].LongRunning {
 			return fmt.Errorf("long-running %s waits beside capacity", id)
--- a/dispatch/rackcapacity.go
+++ b/dispatch/rackcapacity.go
@@ -12,10 +12,10 @@
 // Bounds of the search for capacity of racks, so that a decision does not become more
 // expensive with the number of workers.
 const (
-	_maxRacks       = 16  // compared for the first task of a rack-local step
-	_maxRackScanned = 256 // workers that are looked at to find these racks
-	_maxRackWorkers = 64  // examined on each rack
-	_maxSlots       = 512 // expected slots of one rack
+	_maxRacks       = 16  // racks that are compared for the first task of a rack-local step
+	_maxRackScanned = 256 // workers that are looked at to find these racks; as many as _maxScanned
+	_maxRackWorkers = 64  // workers of one rack whose capacity is estimated
+	_maxSlots       = 512 // slots of one rack that are estimated; further tasks of a step do not count
 )
 
 // expectedRun is a run on a rack with its expected end.
@@ -24,16 +24,17 @@
 	step *submission.Step
 }
 
-// rackWaiter is a task that waits for a worker ahead of other steps.
-type rackWaiter struct {
-	step *submission.Step
-	in   time.Duration // expected start
-	runs time.Duration // expected run time
+// expectedStart is the expected start of a task that waits for its rack, on a worker. Tasks
+// that are placed later in the round cannot count on its resources.
+type expectedStart struct {
+	step     *submission.Step
+	startsIn time.Duration // from now
+	runTime  time.Duration // expected
 }
 
-// searchRacks returns up to _maxRacks racks of workers on which the step's tasks may run
+// racksToCompare returns up to _maxRacks racks of workers on which the step's tasks may run
 // at some time, those of workers with the most free CPU first.
-func (p *placement) searchRacks() []string {
+func (p *placement) racksToCompare() []string {
 	service := p.pool.services[p.ws.sub.Service]
 	if service == nil {
 		return nil
@@ -64,11 +65,23 @@
 	return out
 }
 
+// freeSlots returns the room that the rack's workers have now for tasks of the step, as
+// rackSlots does.
+func (p *placement) freeSlots(rack string, count int) ([]locality.Slot, []*node) {
+	return p.rackSlots(rack, count, false)
+}
+
+// expectedSlots returns the room that the rack's workers have now or when runs end, as
+// rackSlots does.
+func (p *placement) expectedSlots(rack string, count int) ([]locality.Slot, []*node) {
+	return p.rackSlots(rack, count, true)
+}
+
 // rackSlots returns when the rack's workers are expected to have room for the next tasks
 // of the step, at most count, and the workers by the index in the slots. It takes the tasks
-// into account that started or began to wait earlier in the round. Without later, it
-// returns only the room that there is now.
-func (p *placement) rackSlots(rack string, count int, later bool) ([]locality.Slot, []*node) {
+// into account that started or began to wait earlier in the round. Without withEnds, no run
+// is expected to end.
+func (p *placement) rackSlots(rack string, count int, withEnds bool) ([]locality.Slot, []*node) {
 	service := p.pool.services[p.ws.sub.Service]
 	if service == nil {
 		return nil, nil
@@ -78,20 +91,21 @@
 	workers := make([]locality.Worker, 0, cap(nodes))
 	for _, n := range list[:min(len(list), _maxRackWorkers)] {
 		switch p.obstacle(n, p.ws.sub, p.step, p.onWorker[n.Incarnation]) {
-		case 0, NoCPU, NoMemory, NoGPU:
+		case _noObstacle, NoCPU, NoMemory, NoGPU:
 		default:
 			continue
 		}
 		if p.step.IsBatch() && (n.serviceRuns > 0 && !p.toleratesBatchTask(p.step, n) || p.isKeptForService(n)) || !p.isApproved(p.ws, n) {
 			continue // whether and when that changes is not known
 		}
-		nodes, workers = append(nodes, n), append(workers, p.expectedCapacity(n, later))
+		nodes, workers = append(nodes, n), append(workers, p.expectedCapacity(n, withEnds))
 	}
 	return locality.Slots(workers, p.step.Needs, count), nodes
 }
 
 // freedFor returns the resources that the end of a run of a step makes available to the
-// placement's tasks.
+// placement's tasks. For tasks with unreserved CPU this is the CPU that the run uses, as in
+// node.idleCPU, where service tasks count with the share of their request that they use.
 func (p *placement) freedFor(step *submission.Step) submission.Resources {
 	r := step.Reserved()
 	if p.step.UnreservedCPU {
@@ -104,8 +118,8 @@
 }
 
 // expectedCapacity returns the free resources of a worker for the step's tasks and, with
-// later, the expected ends of its runs.
-func (p *placement) expectedCapacity(n *node, later bool) locality.Worker {
+// withEnds, the expected ends of its runs.
+func (p *placement) expectedCapacity(n *node, withEnds bool) locality.Worker {
 	w := locality.Worker{Free: n.free, MaxTasks: -1}
 	if p.step.UnreservedCPU {
 		w.Free.CPU = n.idleCPU
@@ -115,13 +129,14 @@
 	if p.step.MaxPerWorker > 0 {
 		w.MaxTasks = max(p.step.MaxPerWorker-p.onWorker[n.Incarnation], 0)
 	}
-	if !later {
+	if !withEnds {
 		return w
 	}
 	for _, e := range p.expectedRuns(n) {
 		w.Ends = append(w.Ends, locality.End{In: e.end, Frees: p.freedFor(e.step)})
 	}
 	if len(n.roundStarts) > 0 {
+		// undoStarts leaves n.roundStarts, so only p.starts tells which starts the round has now.
 		for _, st := range p.starts {
 			if st.Worker != n.Incarnation {
 				continue
@@ -132,10 +147,10 @@
 			}
 		}
 	}
-	for _, a := range p.rackWaiters[n] {
-		freed := p.freedFor(a.step)
+	for _, start := range p.expectedStarts[n] {
+		freed := p.freedFor(start.step)
 		w.Free = w.Free.Sub(freed)
-		w.Ends = append(w.Ends, locality.End{In: locality.Constant(a.in + a.runs), Frees: freed})
+		w.Ends = append(w.Ends, locality.End{In: locality.Constant(start.startsIn + start.runTime), Frees: freed})
 	}
 	return w
 }
@@ -152,7 +167,7 @@
 // expectedRuns returns the recorded runs of a worker with their expected ends. They are
 // collected once in a round.
 func (r *round) expectedRuns(n *node) []expectedRun {
-	if out, ok := r.rackRuns[n]; ok {
+	if out, ok := r.expectedRunsOf[n]; ok {
 		return out
 	}
 	var out []expectedRun
@@ -164,15 +179,17 @@
 			}
 		}
 	}
-	if r.rackRuns == nil {
-		r.rackRuns = make(map[*node][]expectedRun)
+	if r.expectedRunsOf == nil {
+		r.expectedRunsOf = make(map[*node][]expectedRun)
 	}
-	r.rackRuns[n] = out
+	r.expectedRunsOf[n] = out
 	return out
 }
 
-// expectedEnd returns the time until a run ends, the index-th of its worker, and false if
-// that is not known.
+// expectedEnd returns the time until a run ends, and false if that is not known. The index
+// selects the order of the run's samples, so that the runs of a worker have different ones.
+// The worker's place on its rack is part of it: otherwise the first runs of all workers
+// would have equal samples.
 func (r *round) expectedEnd(sub *submission.Submission, run submission.RunID, incarnation string, started time.Time, index int) (locality.Times, bool) {
 	status, limited := r.mover.statuses[run]
 	if sub.Steps[run.Task.Step].LongRunning || status.Stalled {
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -54,9 +54,9 @@
 	started         map[string]bool           // submissions with a start in this round
 	starts          []submission.Start
 	changed         []*node // workers with starts in this round
-	rackRuns        map[*node][]expectedRun
-	rackWaiters     map[*node][]rackWaiter // tasks that wait for a worker, those of the most urgent steps first
-	trial           *submission.Submission // of a forecast, not in the store; nil for none
+	expectedRunsOf  map[*node][]expectedRun
+	expectedStarts  map[*node][]expectedStart // of tasks that wait for their rack, those of the most urgent steps first
+	trial           *submission.Submission    // of a forecast, not in the store; nil for none
 }
 
 func (s *Scheduler) newRound(at Clocks, store *submission.Store) *round {
@@ -128,7 +128,7 @@
 	candidates []candidate
 	found      int // candidates that searches have found since the latest start
 	unplaced   int // waiting tasks without a worker; 0 if each one that may start now has one
-	preference preference
+	rackChoice rackChoice
 }
 
 // candidate is a worker that can start a task, with its cost.
@@ -218,9 +218,9 @@
 func (p *placement) beginSearch(rec *submission.StepRecord) {
 	p.countActiveRuns(rec)
 	p.cursor = p.searchCursor(p.ws)
-	p.preference.startedBefore = p.started[p.ws.sub.ID]
-	p.preferRack(rec)
-	p.search = p.newRackSearch(p.ws.sub, p.step, p.cursor, p.searchedRack())
+	p.rackChoice.startedBefore = p.started[p.ws.sub.ID]
+	p.chooseRack(rec)
+	p.search = p.newRackSearch(p.ws.sub, p.step, p.cursor, p.firstSearchedRack())
 }
 
 // start adds the start of a run to the round.
@@ -240,7 +240,7 @@
 		firstOnRack = p.onRack[n.Rack] == 1
 	}
 	if wasStarved || firstOnRack { // which workers fit, or their costs, have changed
-		p.candidates, p.search = nil, p.newRackSearch(p.ws.sub, p.step, p.cursor, p.searchedRack())
+		p.candidates, p.search = nil, p.newRackSearch(p.ws.sub, p.step, p.cursor, p.firstSearchedRack())
 		return
 	}
 	i := slices.IndexFunc(p.candidates, func(c candidate) bool { return c.n == n })
@@ -254,7 +254,10 @@
 	p.candidates[i].cost = p.cost(n)
 }
 
-// undoStarts withdraws the starts of a gang, which begin at index firstStart.
+// undoStarts withdraws the starts of a gang, which begin at index firstStart. redoStarts
+// makes them again. Both leave what start has recorded in roundStarts, in the changed marks,
+// by which the end of the round refreshes the workers, and in r.absent. undoStarts also
+// leaves the submission's mark in p.started.
 func (p *placement) undoStarts(firstStart int) {
 	for _, st := range p.starts[firstStart:] {
 		n := p.pool.nodes[st.Worker]
@@ -267,6 +270,21 @@
 	p.starts = p.starts[:firstStart]
 }
 
+// redoStarts makes the starts again that undoStarts has withdrawn, and marks the submission
+// as started again, since the caller has reset that mark.
+func (p *placement) redoStarts(starts []submission.Start) {
+	p.started[p.ws.sub.ID] = true
+	for _, st := range starts {
+		n := p.pool.nodes[st.Worker]
+		p.starts = append(p.starts, st)
+		n.addRuns(p.step, 1)
+		p.onWorker[st.Worker]++
+		if p.step.RackLocal {
+			p.onRack[n.Rack]++
+		}
+	}
+}
+
 // countActiveRuns counts the active runs of the step by worker and by rack.
 func (p *placement) countActiveRuns(rec *submission.StepRecord) {
 	p.onWorker, p.onRack = make(map[string]int), make(map[string]int)
@@ -349,7 +367,7 @@
 // mayRun reports whether a task of the step may start on the worker now, if its queue
 // needs no ticket.
 func (p *placement) mayRun(n *node) bool {
-	return p.obstacle(n, p.ws.sub, p.step, p.onWorker[n.Incarnation]) == 0 && (!p.shouldWait(p.step, n) || p.isStarved(p.ws.sub))
+	return p.obstacle(n, p.ws.sub, p.step, p.onWorker[n.Incarnation]) == _noObstacle && (!p.shouldWait(p.step, n) || p.isStarved(p.ws.sub))
 }
 
 // isDestinationLost reports whether the destination of a task that is being moved can
@@ -452,7 +470,7 @@
 	cost += costIf(p.isolates(n, p.ws.sub.ID), _costIsolated) + costIf(p.unhealthy[n.Incarnation], _costUnhealthy)
 	cost += costIf(step.DataRack != "" && step.DataRack != n.Rack, _costOffRack)
 	if step.RackLocal && len(p.onRack) == 0 {
-		return cost + costIf(p.preference.rack != "" && n.Rack != p.preference.rack, _costOffRack)
+		return cost + costIf(p.rackChoice.rack != "" && n.Rack != p.rackChoice.rack, _costOffRack)
 	}
 	return cost + costIf(step.RackLocal && p.onRack[n.Rack] == 0, _costOffRack)
 }
--- a/dispatch/stops.go
+++ b/dispatch/stops.go
@@ -255,7 +255,7 @@
 	ws := waitingStep{sub: sub, occurrence: id.Occurrence, step: id.Step}
 	search := r.newSearch(sub, step, nil)
 	for n := search.next(); n != nil; n = search.next() {
-		if n.Incarnation != present && !r.unhealthy[n.Incarnation] && n.idleCPU >= step.Needs.CPU && r.obstacle(n, sub, step, 0) == 0 &&
+		if n.Incarnation != present && !r.unhealthy[n.Incarnation] && n.idleCPU >= step.Needs.CPU && r.obstacle(n, sub, step, 0) == _noObstacle &&
 			(n.serviceRuns == 0 || r.toleratesBatchTask(step, n)) && r.isApproved(ws, n) {
 			return n
 		}
--- a/locality/locality.go
+++ b/locality/locality.go
@@ -75,21 +75,21 @@
 	Deviation     float64       // standard deviation of the logarithm of the run time from that of the estimate
 	RestartLikely bool          // the run elsewhere is likely to fail and to start again
 	Expected      time.Duration // estimated time until the rack has capacity, after what waits for it ahead; Never if it is unknown
-	Used          time.Duration // for which the task has waited before
-	Bound         time.Duration // of the task as its first wait set it; 0 before the first wait
+	Waited        time.Duration // sum of the task's waits so far, with the present one
+	WaitLimit     time.Duration // Decision.WaitLimit of the task's latest decision to wait; 0 before the first
 	// TimeLeft is the time until the task must be done for the submission to meet its
 	// objective; negative if that is impossible.
 	TimeLeft time.Duration
-	// StartWithin is the time within which a task of the submission must start, whatever
-	// the cost; Never if there is no such limit.
+	// StartWithin is the time from now within which a task of the submission must start,
+	// whatever the cost; Never if there is no such limit.
 	StartWithin time.Duration
 }
 
 // Decision is how long a task waits.
 type Decision struct {
-	Wait   time.Duration // at most, from now on; 0 if the task starts elsewhere
-	Bound  time.Duration // of all waits of the task together
-	Reason Reason
+	Wait      time.Duration // at most, from now on; 0 if the task starts elsewhere
+	WaitLimit time.Duration // longest sum of all waits of the task
+	Reason    Reason
 }
 
 // Decide decides whether a task waits for its preferred rack and for how long at most.
@@ -106,11 +106,11 @@
 	if in.RestartLikely {
 		extra = min(extra, Never-in.RunTime) + in.RunTime
 	}
-	d := Decision{Bound: min(extra, MaxWait)}
-	if in.Bound > 0 {
-		d.Bound = min(d.Bound, in.Bound)
+	d := Decision{WaitLimit: min(extra, MaxWait)}
+	if in.WaitLimit > 0 {
+		d.WaitLimit = min(d.WaitLimit, in.WaitLimit)
 	}
-	left := d.Bound - in.Used
+	left := d.WaitLimit - in.Waited
 	slack := in.TimeLeft - min(scale(in.RunTime, in.Penalty), MaxRunTime)
 	switch {
 	case left <= 0:
--- a/locality/locality_test.go
+++ b/locality/locality_test.go
@@ -37,10 +37,10 @@
 		{"expected wait as long as the extra cost", func(in *Input) { in.Expected = time.Second }, Decision{0, time.Second, TooLong}},
 		{"expected wait longer than any", func(in *Input) { in.RunTime, in.Expected = time.Minute, MaxWait }, Decision{0, MaxWait, TooLong}},
 		{"restart likely", func(in *Input) { in.Expected, in.RestartLikely = 1200*ms, true }, Decision{MaxWait, MaxWait, Worthwhile}},
-		{"part of the bound used", func(in *Input) { in.Used = 600 * ms }, Decision{400 * ms, time.Second, Worthwhile}},
-		{"too little of the bound left", func(in *Input) { in.Used = 800 * ms }, Decision{0, time.Second, TooLong}},
-		{"bound used", func(in *Input) { in.Used = time.Second }, Decision{0, time.Second, Exhausted}},
-		{"estimate grown during the wait", func(in *Input) { in.RunTime, in.Bound, in.Used = time.Minute, time.Second, 900*ms }, Decision{0, time.Second, TooLong}},
+		{"part of the bound used", func(in *Input) { in.Waited = 600 * ms }, Decision{400 * ms, time.Second, Worthwhile}},
+		{"too little of the bound left", func(in *Input) { in.Waited = 800 * ms }, Decision{0, time.Second, TooLong}},
+		{"bound used", func(in *Input) { in.Waited = time.Second }, Decision{0, time.Second, Exhausted}},
+		{"estimate grown during the wait", func(in *Input) { in.RunTime, in.WaitLimit, in.Waited = time.Minute, time.Second, 900*ms }, Decision{0, time.Second, TooLong}},
 		{"objective met elsewhere and missed at the bound", func(in *Input) { in.TimeLeft = 2500 * ms }, Decision{500 * ms, time.Second, Worthwhile}},
 		{"objective missed by waiting", func(in *Input) { in.TimeLeft = 2200 * ms }, Decision{0, time.Second, MissesObjective}},
 		{"objective met only by waiting", func(in *Input) { in.TimeLeft = 1500 * ms }, Decision{time.Second, time.Second, Worthwhile}},
@@ -70,7 +70,7 @@
 	for range 200_000 {
 		in := Input{
 			LongRunning: rnd.IntN(10) == 0, Penalty: 0.5 + 4*rnd.Float64(), RunTime: duration(), Deviation: 1.5 * rnd.Float64(),
-			RestartLikely: rnd.IntN(4) == 0, Expected: max(duration(), 0), Used: max(duration(), 0), Bound: max(duration(), 0), TimeLeft: duration(),
+			RestartLikely: rnd.IntN(4) == 0, Expected: max(duration(), 0), Waited: max(duration(), 0), WaitLimit: max(duration(), 0), TimeLeft: duration(),
 			StartWithin: max(duration(), 0),
 		}
 		if rnd.IntN(100) == 0 {
@@ -88,7 +88,7 @@
 		if in.RestartLikely {
 			extra += float64(in.RunTime)
 		}
-		if d.Wait+in.Used > MaxWait || float64(d.Wait+in.Used) > extra+1 || in.Bound > 0 && d.Wait+in.Used > in.Bound || d.Wait > in.StartWithin {
+		if d.Wait+in.Waited > MaxWait || float64(d.Wait+in.Waited) > extra+1 || in.WaitLimit > 0 && d.Wait+in.Waited > in.WaitLimit || d.Wait > in.StartWithin {
 			t.Fatalf("%+v: waits for %s", in, d.Wait)
 		}
 		if in.Expected >= d.Wait || in.LongRunning || in.Penalty <= 1 {
