dispatch: different samples for runs started in the round

The expected ends of a round's starts did not use the worker's place on its rack. On all workers of a rack but the first, such a run could have the samples of a recorded run, and the first runs of empty workers had equal ones, so that the first end was expected too late.

--- a/dispatch/preference_test.go
+++ b/dispatch/preference_test.go
@@ -325,6 +325,53 @@
 	}
 }
 
+// TestRunsHaveDifferentSamples guards against equal samples of the ends of alike runs, with
+// which the first of them would not be expected to end earlier than each: those of a worker,
+// whether recorded or started in the round, and the first ones of a rack's workers.
+func TestRunsHaveDifferentSamples(t *testing.T) {
+	for recorded := range 3 {
+		m := newRackSim(1, rackWorkers(1, 3, 8), 3)
+		run := func(id string, task int) submission.RunID {
+			return submission.RunID{Task: submission.TaskID{Submission: id, Index: task}, Number: 1}
+		}
+		m.submit("recorded", 0, 2, time.Minute, 0, onRack(oneCore(6), "r0"))
+		for i := range recorded * len(m.workers) {
+			for _, st := range m.store.Start([]submission.Start{{Run: run("recorded", i), Worker: m.workers[i%len(m.workers)].Incarnation}}, m.now) {
+				m.s.RecordStart(m.now, &m.store, st)
+			}
+		}
+		m.submit("new", 0, 2, time.Minute, 0, onRack(oneCore(6), "r0"))
+		at := clocksAt(m.now)
+		r := m.s.newStartRound(at, &m.store)
+		var p placement
+		for _, ws := range m.s.waitingSteps(at, &m.store) {
+			if ws.sub.ID == "new" {
+				p = r.newPlacement(ws)
+			}
+		}
+		p.beginSearch(p.ws.record())
+		firsts := make(map[locality.Times]bool)
+		for i := range 6 {
+			p.start(run("new", i), m.s.pool.nodes[m.workers[i%len(m.workers)].Incarnation])
+		}
+		for _, w := range m.workers {
+			ends := p.expectedCapacity(m.s.pool.nodes[w.Incarnation], true).Ends
+			ofWorker := make(map[locality.Times]bool)
+			for _, e := range ends {
+				ofWorker[e.In] = true
+			}
+			if want := recorded + 2; len(ends) != want || len(ofWorker) != want {
+				t.Errorf("%d recorded runs: %s has %d ends with %d different samples, want %d", recorded, w.Incarnation, len(ends), len(ofWorker), want)
+			}
+			firsts[ends[0].In] = true
+		}
+		if len(firsts) != len(m.workers) {
+			t.Errorf("%d recorded runs: the first runs of %d workers have %d different samples", recorded, len(m.workers), len(firsts))
+		}
+		r.end(&m.store)
+	}
+}
+
 // TestStateOfWaitsIsDropped guards against a leader that keeps something of each submission
 // that has waited.
 func TestStateOfWaitsIsDropped(t *testing.T) {
--- a/dispatch/rackcapacity.go
+++ b/dispatch/rackcapacity.go
@@ -142,7 +142,7 @@
 				continue
 			}
 			sub := p.submissionOf(st)
-			if end, ok := p.expectedEnd(sub, st.Run, n.Incarnation, p.at.Log, len(w.Ends)); ok {
+			if end, ok := p.expectedEnd(sub, st.Run, n, p.at.Log, len(w.Ends)); ok {
 				w.Ends = append(w.Ends, locality.End{In: end, Frees: p.freedFor(&sub.Steps[st.Run.Task.Step])})
 			}
 		}
@@ -172,9 +172,9 @@
 	}
 	var out []expectedRun
 	if u := r.store.Usage(n.Incarnation); u != nil {
-		for i, id := range slices.SortedFunc(maps.Keys(u.Runs), compareRuns) { // equal inputs give equal decisions
+		for _, id := range slices.SortedFunc(maps.Keys(u.Runs), compareRuns) { // equal inputs give equal decisions
 			sub := u.Runs[id]
-			if end, ok := r.expectedEnd(sub, id, n.Incarnation, runStartTime(sub, id), i+n.rackIndex); ok {
+			if end, ok := r.expectedEnd(sub, id, n, runStartTime(sub, id), len(out)); ok {
 				out = append(out, expectedRun{end: end, step: &sub.Steps[id.Task.Step]})
 			}
 		}
@@ -186,19 +186,19 @@
 	return out
 }
 
-// expectedEnd returns the time until a run ends, and false if that is not known. The index
-// selects the order of the run's samples, so that the runs of a worker have different ones.
-// The worker's place on its rack is part of it: otherwise the first runs of all workers
-// would have equal samples.
-func (r *round) expectedEnd(sub *submission.Submission, run submission.RunID, incarnation string, started time.Time, index int) (locality.Times, bool) {
+// expectedEnd returns the time until a run on a worker ends, and false if that is not known.
+// The index is that of the run among those of the worker whose ends are known, so that they
+// have different samples. The worker's place on its rack is added to it: otherwise the first
+// runs of all workers of the rack would have equal samples.
+func (r *round) expectedEnd(sub *submission.Submission, run submission.RunID, n *node, started time.Time, index int) (locality.Times, bool) {
 	status, limited := r.mover.statuses[run]
 	if sub.Steps[run.Task.Step].LongRunning || status.Stalled {
 		return locality.Times{}, false
 	}
 	runTime, deviation := r.times.Submission(r.at.Now, sub).Step(run.Task.Step)
-	factor := r.slowdown(sub, run.Task, incarnation)
+	factor := r.slowdown(sub, run.Task, n.Incarnation)
 	if limited {
 		factor *= 100 / float64(max(status.Share, _minExpectedShare))
 	}
-	return locality.Remaining(time.Duration(min(float64(runTime)*factor, float64(locality.MaxRunTime))), deviation, r.at.Log.Sub(started), index)
+	return locality.Remaining(time.Duration(min(float64(runTime)*factor, float64(locality.MaxRunTime))), deviation, r.at.Log.Sub(started), index+n.rackIndex)
 }
