--- a/dispatch/preference_test.go
+++ b/dispatch/preference_test.go
@@ -131,7 +131,7 @@
 			sub.Task(id.Task).Runs[0].Started = m.now // the estimate stays 400 ms from now
 		}
 		begin := m.now
-		m.s.preferences.decide = func(in locality.Input) locality.Decision {
+		m.s.rackState.decide = func(in locality.Input) locality.Decision {
 			d := locality.Decide(in)
 			if m.now.Sub(begin) >= 300*time.Millisecond {
 				d.Wait, d.Reason = 0, locality.TooLong // as if a run took longer
@@ -209,8 +209,8 @@
 	if starts := m.round(); len(starts) > 0 {
 		t.Fatalf("%v start although the rack is expected to have capacity", starts)
 	}
-	w := m.s.preferences.waits[submission.TaskID{Submission: "a", Step: 1}]
-	if w == nil || w.usedAt(m.now) != 0 {
+	w := m.s.rackState.waits[submission.TaskID{Submission: "a", Step: 1}]
+	if w == nil || w.waitedAt(m.now) != 0 {
 		t.Fatalf("the wait under the new leader is %+v", w)
 	}
 	m.now = m.now.Add(locality.MaxWait)
@@ -218,8 +218,8 @@
 		t.Errorf("%d starts at the bound, want 1", len(starts))
 	}
 	// A task of the submission that has not waited under this leader may have waited before.
-	if got := m.s.preferences.wait(clocksAt(m.now), first(m.store.Submission("a")), submission.TaskID{Submission: "a", Step: 7}); got.used != locality.MaxWait {
-		t.Errorf("a task of an older submission has used %s of its bound, want %s", got.used, locality.MaxWait)
+	if got := m.s.rackState.wait(clocksAt(m.now), first(m.store.Submission("a")), submission.TaskID{Submission: "a", Step: 7}); got.waited != locality.MaxWait {
+		t.Errorf("a task of an older submission has used %s of its bound, want %s", got.waited, locality.MaxWait)
 	}
 }
 
@@ -325,18 +325,65 @@
 	}
 }
 
+// TestRunsHaveDifferentSamples guards against equal samples of the ends of alike runs, with
+// which the first of them would not be expected to end earlier than each: those of a worker,
+// whether recorded or started in the round, and the first ones of a rack's workers.
+func TestRunsHaveDifferentSamples(t *testing.T) {
+	for recorded := range 3 {
+		m := newRackSim(1, rackWorkers(1, 3, 8), 3)
+		run := func(id string, task int) submission.RunID {
+			return submission.RunID{Task: submission.TaskID{Submission: id, Index: task}, Number: 1}
+		}
+		m.submit("recorded", 0, 2, time.Minute, 0, onRack(oneCore(6), "r0"))
+		for i := range recorded * len(m.workers) {
+			for _, st := range m.store.Start([]submission.Start{{Run: run("recorded", i), Worker: m.workers[i%len(m.workers)].Incarnation}}, m.now) {
+				m.s.RecordStart(m.now, &m.store, st)
+			}
+		}
+		m.submit("new", 0, 2, time.Minute, 0, onRack(oneCore(6), "r0"))
+		at := clocksAt(m.now)
+		r := m.s.newStartRound(at, &m.store)
+		var p placement
+		for _, ws := range m.s.waitingSteps(at, &m.store) {
+			if ws.sub.ID == "new" {
+				p = r.newPlacement(ws)
+			}
+		}
+		p.beginSearch(p.ws.record())
+		firsts := make(map[locality.Times]bool)
+		for i := range 6 {
+			p.start(run("new", i), m.s.pool.nodes[m.workers[i%len(m.workers)].Incarnation])
+		}
+		for _, w := range m.workers {
+			ends := p.expectedCapacity(m.s.pool.nodes[w.Incarnation], true).Ends
+			ofWorker := make(map[locality.Times]bool)
+			for _, e := range ends {
+				ofWorker[e.In] = true
+			}
+			if want := recorded + 2; len(ends) != want || len(ofWorker) != want {
+				t.Errorf("%d recorded runs: %s has %d ends with %d different samples, want %d", recorded, w.Incarnation, len(ends), len(ofWorker), want)
+			}
+			firsts[ends[0].In] = true
+		}
+		if len(firsts) != len(m.workers) {
+			t.Errorf("%d recorded runs: the first runs of %d workers have %d different samples", recorded, len(m.workers), len(firsts))
+		}
+		r.end(&m.store)
+	}
+}
+
 // TestStateOfWaitsIsDropped guards against a leader that keeps something of each submission
 // that has waited.
 func TestStateOfWaitsIsDropped(t *testing.T) {
 	m := newRackSim(3, rackWorkers(6, 4, 8), 3)
 	play := boundCheck{rackSim: m, beside: make(map[submission.TaskID]time.Duration), idle: make(map[string]time.Duration)}
-	f := &m.s.preferences
+	rs := &m.s.rackState
 	for range 400 {
-		if len(f.waits) == 0 || len(f.stepRacks) == 0 || len(f.idleSince) == 0 {
+		if len(rs.waits) == 0 || len(rs.stepRacks) == 0 || len(rs.idleSince) == 0 {
 			play.step()
 		}
 	}
-	if len(f.waits) == 0 || len(f.stepRacks) == 0 || len(f.idleSince) == 0 {
+	if len(rs.waits) == 0 || len(rs.stepRacks) == 0 || len(rs.idleSince) == 0 {
 		t.Fatal("nothing has waited")
 	}
 	for _, sub := range m.store.Unended() {
@@ -344,10 +391,10 @@
 			t.Fatal(err)
 		}
 	}
-	m.now = m.now.Add(_preferencesPruneInterval)
+	m.now = m.now.Add(_rackStatePruneInterval)
 	m.round()
-	if len(f.waits)+len(f.idleSince)+len(f.stepRacks) > 0 {
-		t.Errorf("%d waits, %d submissions and %d steps are left", len(f.waits), len(f.idleSince), len(f.stepRacks))
+	if len(rs.waits)+len(rs.idleSince)+len(rs.stepRacks) > 0 {
+		t.Errorf("%d waits, %d submissions and %d steps are left", len(rs.waits), len(rs.idleSince), len(rs.stepRacks))
 	}
 }
 
@@ -544,13 +591,13 @@
 			continue
 		}
 		id := submission.TaskID{Submission: ws.sub.ID, Occurrence: ws.occurrence, Step: ws.step, Index: i}
-		w := b.s.preferences.waits[id]
+		w := b.s.rackState.waits[id]
 		if w == nil {
 			return fmt.Errorf("%s waits beside capacity without a decision: %+v", id, ws.sub.Steps[ws.step])
 		}
 		b.beside[id] += _simRound
-		if limit := w.bound + _simRound; b.beside[id] > limit || limit > 2*time.Second+_simRound {
-			return fmt.Errorf("%s has waited for %s beside capacity, its bound is %s", id, b.beside[id], w.bound)
+		if limit := w.limit + _simRound; b.beside[id] > limit || limit > 2*time.Second+_simRound {
+			return fmt.Errorf("%s has waited for %s beside capacity, its bound is %s", id, b.beside[id], w.limit)
 		}
 		if ws.sub.Steps[ws.step].LongRunning {
 			return fmt.Errorf("long-running %s waits beside capacity", id)
