controller: record no work as proposed for an explanation; web: answer clients that await 100-continue

Each explained submission was counted as proposed work until the next change of leader, since only an applied command removes it. After enough of them the leader rejected real submissions.

The server's request lost the type of its body, so an answer that left the body unread waited for a client that sends it only when told to.

--- a/internal/controller/accepted.go
+++ b/internal/controller/accepted.go
@@ -89,6 +89,18 @@
 // controller would hold too much. Work that was proposed before is admitted: its
 // proposal may take effect.
 func (c *Core) admitWork(name string, w work) error {
+	if _, ok := c.accepted.proposed[name]; ok {
+		return nil
+	}
+	if err := c.checkWork(name, w); err != nil {
+		return err
+	}
+	c.accepted.add(name, w)
+	return nil
+}
+
+// checkWork returns an error if admitWork would not admit the work. It records nothing.
+func (c *Core) checkWork(name string, w work) error {
 	a := &c.accepted
 	if _, ok := a.proposed[name]; ok {
 		return nil
@@ -104,7 +116,6 @@
 	if l.LargeBytes > 0 && w.large() > 0 && store.LargeBytes(_largeWork)+jobs.UnendedBytes()+a.sumLarge+w.stored > l.LargeBytes {
 		return fault.New(fault.Overloaded, "the controllers hold too much large work")
 	}
-	a.add(name, w)
 	return nil
 }
 
--- a/internal/controller/calls.go
+++ b/internal/controller/calls.go
@@ -92,20 +92,22 @@
 		if exists {
 			return nil // a retry of an accepted submission
 		}
-		return c.handleSubmit(in, out, q.Name, id)
+		return c.handleSubmit(in, out, q.Name, id, c.admitWork)
 	case control.Explain:
 		if exists {
 			out.Forecast = c.repeatedForecast()
 			return nil
 		}
-		c.forecast(out, c.handleSubmit(in, out, q.Name, id))
+		// What is recorded as proposed is only removed when it is applied.
+		c.forecast(out, c.handleSubmit(in, out, q.Name, id, c.checkWork))
 	default:
 		setFault(out, fault.New(fault.BadRequest, "unsupported verb %d", in.GetVerb()))
 	}
 	return nil
 }
 
-func (c *Core) handleSubmit(in *pb.CallRequest, out *pb.CallReply, queue, id string) state.Command {
+// handleSubmit returns the command of a submission that admit admits.
+func (c *Core) handleSubmit(in *pb.CallRequest, out *pb.CallReply, queue, id string, admit func(string, work) error) state.Command {
 	if in.GetMalformed() != "" {
 		setFault(out, fault.New(fault.BadRequest, "%s", in.GetMalformed()))
 		return nil
@@ -120,7 +122,7 @@
 		setFault(out, fault.New(fault.BadRequest, "%s", err))
 		return nil
 	}
-	if err := c.admitWork(submissionName(id), submissionWork(&spec)); err != nil {
+	if err := admit(submissionName(id), submissionWork(&spec)); err != nil {
 		setFault(out, err)
 		return nil
 	}
--- a/internal/controller/forecast_test.go
+++ b/internal/controller/forecast_test.go
@@ -31,13 +31,16 @@
 			Spec: wire.EncodeSubmissionSpec(submission.Spec{Steps: []submission.Step{c.step}}),
 		}
 		out, submitted := &pb.CallReply{}, &pb.CallReply{}
-		applied, count := l.core.lastApplied, l.core.machine.Submissions().Len()
+		applied, count, proposed := l.core.lastApplied, l.core.machine.Submissions().Len(), l.core.accepted.sum
 		if cmd := l.core.handleCall(in, out); cmd != nil {
 			t.Errorf("%s: the command %+v", c.name, cmd)
 		}
 		if l.core.lastApplied.Index != applied.Index || l.core.machine.Submissions().Len() != count {
 			t.Errorf("%s: the state has changed", c.name)
 		}
+		if sum := l.core.accepted.sum; sum != proposed {
+			t.Errorf("%s: explain has recorded work as proposed: %+v, before %+v", c.name, sum, proposed)
+		}
 		in.Verb = uint32(control.Submit)
 		cmd := l.core.handleCall(in, submitted)
 		if out.GetCode() != submitted.GetCode() || out.GetMessage() != submitted.GetMessage() || (cmd != nil) != c.accepted || (out.GetForecast() != nil) != c.accepted {
--- a/internal/web/gate.go
+++ b/internal/web/gate.go
@@ -357,6 +357,9 @@
 		}
 		b := &bodyReader{gate: g, conn: c, w: w, body: r.Body, announced: r.ContentLength}
 		defer b.finish()
+		// The server's own request keeps its body: its type tells the server that a client
+		// waits to be told to continue, so that the answer does not wait for the body.
+		r = r.WithContext(r.Context())
 		r.Body = b
 		next.ServeHTTP(w, r)
 	})
--- a/internal/web/gate_test.go
+++ b/internal/web/gate_test.go
@@ -55,6 +55,11 @@
 		WriteFault(w, fault.New(fault.NotFound, "path does not exist"))
 		return
 	}
+	if r.URL.Path == "/unread" {
+		w.WriteHeader(http.StatusNotFound)
+		_ = http.NewResponseController(w).Flush() // as a long answer does before the handler returns
+		return
+	}
 	data, err := ReadBody(w, r, _testLimit)
 	if err != nil {
 		WriteFault(w, err)
@@ -135,6 +140,13 @@
 	}
 }
 
+// TestAnswerDoesNotAwaitAnnouncedBody guards against an answer that waits for the body
+// of a client that sends it only when it is told to continue.
+func TestAnswerDoesNotAwaitAnnouncedBody(t *testing.T) {
+	s := startGateServer(t, nil)
+	s.expect(s.dial("POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\nExpect: 100-continue\r\n\r\n"), 404, "", false)
+}
+
 // TestBodyOverLimitIsRejected guards against bodies over the limit that are held or
 // accepted, announced or not.
 func TestBodyOverLimitIsRejected(t *testing.T) {
