web: end decoding with its request; end the sending direction before closing

A decoder that panicked kept its place among the few concurrent ones, so two of them kept all later large bodies waiting.

The gate's connections hid CloseWrite from the server, which then reset a connection with unread bytes without ending the answer first.

--- a/internal/web/body.go
+++ b/internal/web/body.go
@@ -20,6 +20,7 @@
 	announced int64         // length of the body; -1 if unknown
 	limit     int64         // bytes that the handler holds at most; 0 if it states none
 	streaming bool          // the handler passes on what it reads
+	decoding  bool          // the handler decodes the body, among few others
 	account   *intake.Body  // nil before the first read
 	awake     chan struct{} // of size one; nil before the first wait
 	err       error         // of the first failed read, or io.EOF
@@ -152,9 +153,18 @@
 // Close implements io.Closer.
 func (b *bodyReader) Close() error { return b.body.Close() }
 
+// endDecoding lets another body be decoded.
+func (b *bodyReader) endDecoding() {
+	if b.decoding {
+		b.decoding = false
+		<-b.gate.decoding
+	}
+}
+
 // finish releases what the body holds, after its request was handled.
 func (b *bodyReader) finish() {
 	g := b.gate
+	b.endDecoding() // the handler has panicked if it has not done so
 	b.conn.unread.Store(false)
 	if b.err == io.EOF {
 		b.conn.setState(_connAnswered)
--- a/internal/web/gate.go
+++ b/internal/web/gate.go
@@ -170,6 +170,16 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending direction. The server calls it before it closes a
+// connection with unread bytes, since the reset of such a connection may discard the
+// answer at the client.
+func (c *gateConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // gateListener limits the connections of a listener. At the limit it closes the
 // connection that has been without a complete request longest, then the one that
 // has been idle longest, then one whose rejected body is still awaited. A connection
@@ -366,14 +376,16 @@
 }
 
 // BeginDecoding waits until few other bodies are being decoded, since a decoded
-// body may take many times its size. The caller calls end after decoding.
+// body may take many times its size. The caller calls end after decoding; otherwise
+// decoding ends with the request.
 func BeginDecoding(r *http.Request, size int) (end func()) {
 	b, ok := r.Body.(*bodyReader)
 	if !ok || size <= _smallBody {
 		return func() {}
 	}
 	b.gate.decoding <- struct{}{}
-	return func() { <-b.gate.decoding }
+	b.decoding = true
+	return b.endDecoding
 }
 
 // cutError returns the error of a body that was cut off. Its request has not run.
--- a/internal/web/gate_test.go
+++ b/internal/web/gate_test.go
@@ -66,6 +66,10 @@
 		return
 	}
 	s.reached <- r.URL.Path
+	if r.URL.Path == "/panic" {
+		BeginDecoding(r, len(data))
+		panic(http.ErrAbortHandler)
+	}
 	if r.URL.Path == "/hold" {
 		select {
 		case <-s.release:
@@ -147,6 +151,59 @@
 	s.expect(s.dial("POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\nExpect: 100-continue\r\n\r\n"), 404, "", false)
 }
 
+// TestPanicEndsDecoding guards against decoders that fail and keep all later large
+// bodies waiting.
+func TestPanicEndsDecoding(t *testing.T) {
+	s := startGateServer(t, nil)
+	for range _concurrentDecode {
+		c := s.dial(post("/panic", 90_000, 0))
+		if _, _, _, err := c.answer(); err == nil {
+			t.Error("the request was answered")
+		}
+	}
+	if n := len(s.gate.decoding); n != 0 {
+		t.Errorf("%d bodies count as being decoded after their requests", n)
+	}
+}
+
+// TestServerEndsSendingFirst guards against connections that are closed with unread
+// bytes before the client has the answer.
+func TestServerEndsSendingFirst(t *testing.T) {
+	s := startGateServer(t, nil)
+	l, err := s.gate.listen("127.0.0.1:0", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = peer.Close() }()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	closer, ok := c.(interface{ CloseWrite() error }) // as net/http asks
+	if !ok {
+		t.Fatal("the server can't end the sending direction alone")
+	}
+	if err := closer.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	_ = peer.SetDeadline(time.Now().Add(10 * time.Second))
+	if n, err := peer.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("the peer reads %d bytes, %v; want the end", n, err)
+	}
+	if _, err := peer.Write([]byte("x")); err != nil {
+		t.Error(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		t.Errorf("what the peer sends later is lost: %v", err)
+	}
+}
+
 // TestBodyOverLimitIsRejected guards against bodies over the limit that are held or
 // accepted, announced or not.
 func TestBodyOverLimitIsRejected(t *testing.T) {
