entry: count no failure of a worker when the caller's body fails

A streamed body that ended early or was cut off counted as a failure of the worker that received it, so callers that stop short ejected healthy workers.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -336,7 +336,11 @@
 	if !u.open.GetBodyEnded() {
 		if err := c.sendBody(u); err != nil {
 			u.closeConn()
-			u.recordFailure()
+			if fault.CodeOf(err) == fault.BadRequest {
+				u.recordEnd(nil) // the caller's body ended early or was cut off
+			} else {
+				u.recordFailure()
+			}
 			return err
 		}
 	}
