clock: list the files that use the monotonic clock for deadlines of connections

TestOnlyListedFilesCallTimeNow found the new files: the gate compares with deadlines of connections, which net takes from time.Now, and an explanation reads the wall clock as a scheduling round does.

--- a/internal/clock/source_test.go
+++ b/internal/clock/source_test.go
@@ -20,6 +20,7 @@
 	"internal/agent/tasks.go",           // timeout of a start
 	"internal/clock/clock.go",           // fallback without a boot clock
 	"internal/controller/controller.go", // random seed
+	"internal/controller/forecast.go",   // own wall clock, as in rounds.go
 	"internal/controller/rounds.go",     // own wall clock, for the majority
 	"internal/daemon/daemon.go",         // first agent incarnation
 	"internal/daemon/platform.go",       // durations of requests
@@ -33,6 +34,8 @@
 	"internal/sample/sample.go",         // the sample target's clock
 	"internal/tool/catalogue.go",        // timeout of a command
 	"internal/tool/jobs.go",             // timeout of a command
+	"internal/web/body.go",              // deadlines of connections
+	"internal/web/gate.go",              // deadlines of connections, rate limit of log lines
 }
 
 func TestOnlyListedFilesCallTimeNow(t *testing.T) {
