--- a/internal/controller/join_test.go
+++ b/internal/controller/join_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +23,16 @@
 // _maxJoinTime is the time in which a new controller must be a voter.
 const _maxJoinTime = 4 * time.Second
 
+// Ports below the ephemeral ones: an outgoing connection of another test could take an
+// ephemeral port between the close of a listener and the start of the controller.
+const (
+	_firstJoinPort = 11000
+	_joinPorts     = 5000
+)
+
+// _joinPort counts the ports that were tried, from a random one on.
+var _joinPort atomic.Int64
+
 // joinGroup is a group of controllers that serve on loopback addresses.
 type joinGroup struct {
 	*testing.T
@@ -32,12 +44,17 @@
 // listener is closed.
 func (g *joinGroup) listen() net.Listener {
 	g.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		g.Fatal(err)
+	_joinPort.CompareAndSwap(0, 1+rand.Int64N(_joinPorts))
+	for range _joinPorts {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", _firstJoinPort+_joinPort.Add(1)%_joinPorts))
+		if err != nil {
+			continue // the port is in use
+		}
+		g.Cleanup(func() { _ = l.Close() })
+		return l
 	}
-	g.Cleanup(func() { _ = l.Close() })
-	return l
+	g.Fatal("no free port for a controller")
+	return nil
 }
 
 // add starts a controller of a group of five with the given seeds, and returns it with the
