inbound: move the budget of bodies and the limits of connections out of internal/web

The ports between the processes need both, and don't speak HTTP. No change of behaviour; the tests of internal/web pass unchanged but for two names of fields.

--- a/internal/clock/source_test.go
+++ b/internal/clock/source_test.go
@@ -29,13 +29,16 @@
 	"internal/entry/upstream.go",        // durations of requests
 	"internal/entry/watch.go",           // request deadlines and durations
 	"internal/event/event.go",           // rate limit of log lines
+	"internal/inbound/budget.go",        // progress of messages, compared with deadlines of connections
+	"internal/inbound/listener.go",      // progress of connections
+	"internal/inbound/observer.go",      // rate limit of log lines
 	"internal/load/load.go",             // durations of requests
 	"internal/runner/report.go",         // own wall clock, for the majority
 	"internal/sample/sample.go",         // the sample target's clock
 	"internal/tool/catalogue.go",        // timeout of a command
 	"internal/tool/jobs.go",             // timeout of a command
 	"internal/web/body.go",              // deadlines of connections
-	"internal/web/gate.go",              // deadlines of connections, rate limit of log lines
+	"internal/web/gate.go",              // deadlines of connections
 }
 
 func TestOnlyListedFilesCallTimeNow(t *testing.T) {
--- /dev/null
+++ b/internal/inbound/listener.go
@@ -0,0 +1,217 @@
+package inbound
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	_backlog       = 256                    // connections that wait to be accepted
+	_stall         = 300 * time.Millisecond // longer than the time between segments of a client that sends
+	_answerTimeout = 2 * time.Second        // for sending the rest of an answer to a client that reads it
+)
+
+// State is what a connection does.
+type State int32
+
+// States of a connection, in the order in which connections are closed for new ones.
+const (
+	// Receiving connections have no complete headers of the current request.
+	Receiving State = iota + 1
+	// Idle connections are between requests.
+	Idle
+	// Handling connections have a request that is being handled.
+	Handling
+	// Answered connections have a request that was handled; the answer may not have been
+	// sent completely.
+	Answered
+)
+
+// Conn is a connection of a Listener.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	client   string // address without the port
+	state    atomic.Int32
+	since    atomic.Int64 // when the state began
+	unread   atomic.Bool  // the handler has not read the request's body
+	closed   sync.Once
+}
+
+// Client returns the client's address without the port.
+func (c *Conn) Client() string { return c.client }
+
+// SetState records what the connection does from now on.
+func (c *Conn) SetState(s State) {
+	c.since.Store(time.Now().UnixNano())
+	c.state.Store(int32(s))
+}
+
+// SetUnread records whether the request's body waits to be read by the handler.
+func (c *Conn) SetUnread(unread bool) { c.unread.Store(unread) }
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.closed.Do(func() { c.listener.remove(c) })
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the sending direction. An HTTP server calls it before it closes a
+// connection with unread bytes, since the reset of such a connection may discard the
+// answer at the client.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
+// Limits are the limits of a Listener.
+type Limits struct {
+	Connections   int
+	ReceiveBuffer int // bytes of a connection's receive buffer; 0 for the system's default
+}
+
+// Listener limits the connections of an address. At the limit it closes the
+// connection that has been without a complete request longest, then the one that
+// has been idle longest, then one whose rejected body is still awaited. A connection
+// whose request is being handled stays.
+type Listener struct {
+	net.Listener
+	limits   Limits
+	budget   *Budget // of which a stalled message gives way to a connection
+	observer *Observer
+	reject   func(net.Conn) // answers and closes a connection beyond the limit
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// Listen listens on an address. reject answers a connection beyond the limit before it
+// is closed; it may be nil.
+func Listen(address string, l Limits, budget *Budget, o *Observer, reject func(net.Conn)) (*Listener, error) {
+	// Receive buffers count as memory of the machine until they are read.
+	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		if l.ReceiveBuffer == 0 {
+			return nil
+		}
+		var err error
+		if controlErr := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, l.ReceiveBuffer)
+		}); controlErr != nil {
+			return controlErr
+		}
+		return err
+	}}
+	inner, err := cfg.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if err := limitBacklog(inner); err != nil {
+		_ = inner.Close()
+		return nil, err
+	}
+	return &Listener{
+		Listener: inner, limits: l, budget: budget, observer: o, reject: reject, conns: make(map[*Conn]struct{}),
+	}, nil
+}
+
+// limitBacklog limits the connections that wait to be accepted. With the default of
+// some thousands their unread bytes alone filled the memory of a machine.
+func limitBacklog(l net.Listener) error {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return nil
+	}
+	c, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	controlErr := c.Control(func(fd uintptr) { err = syscall.Listen(int(fd), _backlog) })
+	return errors.Join(controlErr, err)
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) { return l.AcceptConn() }
+
+// AcceptConn is Accept with the type of the connection.
+func (l *Listener) AcceptConn() (*Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		client, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+		c := &Conn{Conn: conn, listener: l, client: client}
+		c.SetState(Receiving)
+		if l.add(c) {
+			return c, nil
+		}
+		l.observer.recordRejected(client)
+		if l.reject != nil {
+			l.reject(conn)
+		}
+		_ = conn.Close()
+	}
+}
+
+// add adds a connection. At the limit it closes another one first; it returns false
+// if there is none that may be closed.
+func (l *Listener) add(c *Conn) bool {
+	for {
+		l.mu.Lock()
+		if len(l.conns) < l.limits.Connections {
+			l.conns[c] = struct{}{}
+			l.mu.Unlock()
+			l.observer.addConnections(1)
+			return true
+		}
+		victim := l.leastUseful(time.Now())
+		l.mu.Unlock()
+		if victim == nil {
+			if !l.budget.CutStalled() {
+				return false
+			}
+			// The connection of the message that was cut off is closed after its answer.
+			l.mu.Lock()
+			l.conns[c] = struct{}{}
+			l.mu.Unlock()
+			l.observer.addConnections(1)
+			return true
+		}
+		l.observer.recordEvicted(victim.client)
+		_ = victim.Close()
+	}
+}
+
+// leastUseful returns the connection to close for a new one, or nil. l.mu is held.
+func (l *Listener) leastUseful(now time.Time) *Conn {
+	var victim *Conn
+	var victimState State
+	stalledBefore, sentBefore := now.Add(-_stall).UnixNano(), now.Add(-_answerTimeout).UnixNano()
+	for c := range l.conns {
+		state, since := State(c.state.Load()), c.since.Load()
+		if state == Handling && (!c.unread.Load() || since > stalledBefore) || state == Answered && since > sentBefore {
+			continue
+		}
+		if victim == nil || state < victimState || state == victimState && since < victim.since.Load() {
+			victim, victimState = c, state
+		}
+	}
+	return victim
+}
+
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	_, ok := l.conns[c]
+	delete(l.conns, c)
+	l.mu.Unlock()
+	if ok {
+		l.observer.addConnections(-1)
+	}
+}
--- a/internal/web/body.go
+++ b/internal/web/body.go
@@ -8,22 +8,22 @@
 
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/intake"
+	"github.com/gentianrail/gentianrail/internal/inbound"
 )
 
 // bodyReader reads the body of a request. It acquires budget before each read that
 // needs some.
 type bodyReader struct {
 	gate      *Gate
-	conn      *gateConn
+	conn      *inbound.Conn
 	w         http.ResponseWriter
 	body      io.ReadCloser
-	announced int64         // length of the body; -1 if unknown
-	limit     int64         // bytes that the handler holds at most; 0 if it states none
-	streaming bool          // the handler passes on what it reads
-	decoding  bool          // the handler decodes the body, among few others
-	account   *intake.Body  // nil before the first read
-	awake     chan struct{} // of size one; nil before the first wait
-	err       error         // of the first failed read, or io.EOF
+	announced int64            // length of the body; -1 if unknown
+	limit     int64            // bytes that the handler holds at most; 0 if it states none
+	streaming bool             // the handler passes on what it reads
+	decoding  bool             // the handler decodes the body, among few others
+	account   *inbound.Account // nil before the first read
+	err       error            // of the first failed read, or io.EOF
 }
 
 // _leftBodyTimeout is how long the server reads a body that the handler has left. A
@@ -34,8 +34,8 @@
 // other. The last but one holds the largest body that callers send.
 var _bodySteps = [...]int64{_smallBody, 64 << 10, 288 << 10}
 
-// nextStep returns up to how many bytes the body should hold.
-func (b *bodyReader) nextStep() int64 {
+// nextStep returns up to how many bytes the body should hold, if it holds some.
+func (b *bodyReader) nextStep(held int64) int64 {
 	limit := b.limit
 	if limit == 0 {
 		limit = 1 << 62
@@ -44,55 +44,30 @@
 		return min(b.announced, limit)
 	}
 	for _, s := range _bodySteps {
-		if s > b.account.Held() {
+		if s > held {
 			return min(s, limit)
 		}
 	}
 	if b.limit == 0 {
-		return 2 * b.account.Held()
+		return 2 * held
 	}
 	return limit
 }
 
-func (b *bodyReader) wake() {
-	select {
-	case b.awake <- struct{}{}:
-	default:
-	}
-}
-
 // acquire waits until the body may receive more bytes, and returns how many.
 func (b *bodyReader) acquire() (int64, error) {
-	g := b.gate
-	g.mu.Lock()
-	now := time.Now()
 	if b.account == nil {
-		b.conn.unread.Store(false)
-		b.awake = make(chan struct{}, 1)
-		b.account = g.ledger.Open(now, b.conn.client)
-		g.readers[b.account] = b
-	}
-	if b.streaming {
-		g.ledger.Stream(now, b.account, true)
-		_ = b.conn.SetReadDeadline(now.Add(g.cfg.BodyTimeout + _timeoutSlack))
-	} else if b.account.Held() <= b.account.Received() {
-		// At the limit a further byte shows that the body is too large.
-		more := max(b.nextStep()-b.account.Held(), 1)
-		g.carryOut(g.ledger.Acquire(now, b.account, more))
-		for b.account.Waiting() {
-			g.mu.Unlock()
-			<-b.awake
-			g.mu.Lock()
-		}
-	}
-	defer g.mu.Unlock()
-	if r := b.account.Reason(); r != intake.NoReason {
-		return 0, cutError(r)
+		b.conn.SetUnread(false)
+		b.account = b.gate.budget.Open(b.conn.Client(), func() { _ = b.conn.SetReadDeadline(_past) })
 	}
 	if b.streaming {
-		return 1 << 62, nil
+		_ = b.conn.SetReadDeadline(time.Now().Add(b.gate.cfg.BodyTimeout + _timeoutSlack))
+		return 1 << 62, cutError(b.account.Stream(true))
 	}
-	return b.account.Held() - b.account.Received(), nil
+	// At the limit a further byte shows that the body is too large.
+	held := b.account.Held()
+	room, reason := b.account.Acquire(max(b.nextStep(held)-held, 1))
+	return room, cutError(reason)
 }
 
 // Read implements io.Reader.
@@ -117,25 +92,19 @@
 // record records the result of a read and returns its error, or that of a body
 // that was cut off meanwhile.
 func (b *bodyReader) record(n int, err error) error {
-	g := b.gate
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	g.ledger.Receive(now, b.account, int64(n))
+	reason := b.account.Receive(n)
 	if err == io.EOF {
-		a, ok := g.ledger.Complete(now, b.account)
-		g.carryOut(a)
-		if ok {
+		if reason = b.account.Complete(); reason == intake.NoReason {
 			// Else the deadline would end the server's watch for a caller that disconnects.
 			_ = b.conn.SetReadDeadline(time.Time{})
 			return io.EOF
 		}
 	}
-	if r := b.account.Reason(); r != intake.NoReason {
-		return cutError(r)
+	if reason != intake.NoReason {
+		return cutError(reason)
 	}
 	if b.streaming {
-		g.ledger.Stream(now, b.account, false)
+		b.account.Stream(false)
 	}
 	return err
 }
@@ -163,22 +132,17 @@
 
 // finish releases what the body holds, after its request was handled.
 func (b *bodyReader) finish() {
-	g := b.gate
 	b.endDecoding() // the handler has panicked if it has not done so
-	b.conn.unread.Store(false)
+	b.conn.SetUnread(false)
 	if b.err == io.EOF {
-		b.conn.setState(_connAnswered)
+		b.conn.SetState(inbound.Answered)
 	} else {
 		_ = b.conn.SetReadDeadline(time.Now().Add(_leftBodyTimeout))
-		b.conn.setState(_connHeaders)
+		b.conn.SetState(inbound.Receiving)
 	}
-	if b.account == nil {
-		return
+	if b.account != nil {
+		b.account.Close()
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	delete(g.readers, b.account)
-	g.carryOut(g.ledger.Close(time.Now(), b.account))
 }
 
 // ReadBody returns the body of a request. The error is BodyTooLarge for a body of
@@ -244,8 +208,6 @@
 	}
 	b.streaming = true
 	if b.account != nil {
-		b.gate.mu.Lock()
-		defer b.gate.mu.Unlock()
-		b.gate.ledger.Stream(time.Now(), b.account, false)
+		b.account.Stream(false)
 	}
 }
--- a/internal/web/gate_test.go
+++ b/internal/web/gate_test.go
@@ -139,7 +139,7 @@
 		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		s.expect(c, 200, "0", true)
 	}
-	if held := s.gate.ledger.Held(); held != 0 {
+	if held := s.gate.budget.Held(); held != 0 {
 		t.Errorf("%d bytes are held after all requests", held)
 	}
 }
@@ -299,7 +299,7 @@
 			t.Errorf("a request in processing got %d %q, %v", got, text, err)
 		}
 	}
-	if n := s.gate.count.Load(); n > 8 {
+	if n := s.gate.observer.Connections(); n > 8 {
 		t.Errorf("%d connections are open, the limit is 8", n)
 	}
 }
