link: bound what clients of the processes' own ports make them hold

What callers saw: whatever reached controller.address or agent.address could end the process. With 100 connections a controller held 812 MB and an agent 821 MB (bounds of the tests: 204 and 76 MB), and 120 descriptors stayed open after clients that begin no call had gone.

Cause: the listeners were plain ones. drpc receives up to 8 MiB of a message before anything looks at it, keeps buffers of that size for the life of a connection, and waits for a call on connections whose first message is none, without noticing their end.

The limits have defaults beyond what the processes of a deployment open: intake.peer_connections, and the budget of bodies a second time.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,14 +10,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/clock"
@@ -65,7 +64,6 @@
 	runs               sync.WaitGroup // task attempts and background proposals
 	goroutines         sync.WaitGroup // the agent's own goroutines
 	cancel             context.CancelFunc
-	listener           net.Listener
 	syncRequested      chan struct{} // buffer of one; requests an immediate renewal
 	session            uint64        // latest session of the worker that this agent has begun; owned by syncLoop
 	sessionEnded       bool          // the worker has restarted, or another agent has begun a session; owned by syncLoop
@@ -77,7 +75,7 @@
 var _ pb.DRPCAgentServer = (*Agent)(nil)
 
 // Start starts the agent's goroutines.
-func Start(s *settings.Settings, log event.Log, controllers *control.Client, now time.Time) (*Agent, error) {
+func Start(s *settings.Settings, log event.Log, controllers *control.Client, registry metrics.Registry, now time.Time) (*Agent, error) {
 	cfg := *s.Agent
 	a := &Agent{
 		cfg:           cfg,
@@ -91,15 +89,21 @@
 	}
 	a.agentIncarnation.Store(uint64(now.UnixNano()))
 	a.session = a.agentIncarnation.Load()
-	l, err := net.Listen("tcp", cfg.Address)
+	mux := drpcmux.New()
+	if err := pb.DRPCRegisterAgent(mux, a); err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "register the agent's service")
+	}
+	server, err := link.Listen(cfg.Address, mux, link.ServerConfig{
+		Role: settings.RoleAgent, Connections: s.Intake.PeerConnections, MessageBudget: int64(s.Intake.BodyBudget),
+		Log: log, Metrics: registry, OnPanic: a.logPanic,
+	})
 	if err != nil {
-		return nil, fault.Wrap(fault.BadSettings, err, "listen on %s", cfg.Address)
+		return nil, err
 	}
-	a.listener = l
 	a.announcement = worker.Worker{
 		ID:               cfg.ID,
 		AgentIncarnation: a.agentIncarnation.Load(),
-		Address:          l.Addr().String(),
+		Address:          server.Address(),
 		Region:           s.Region,
 		Zone:             s.Zone,
 		Rack:             s.Rack,
@@ -109,15 +113,10 @@
 			CPUMillis: int64(cfg.CPU), MemoryBytes: int64(cfg.Memory), Accelerators: cfg.Accelerators,
 		},
 	}
-	mux := drpcmux.New()
-	if err := pb.DRPCRegisterAgent(mux, a); err != nil {
-		return nil, fault.Wrap(fault.Internal, err, "register the agent's service")
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
-	server := drpcserver.NewWithOptions(link.RecoveringHandler{Handler: mux, OnPanic: a.logPanic}, link.ServerOptions(nil))
 	a.goroutines.Go(func() { a.gate.run(ctx) })
-	a.goroutines.Go(func() { _ = server.Serve(ctx, l) })
+	a.goroutines.Go(func() { server.Serve(ctx) })
 	a.goroutines.Go(func() { a.syncLoop(ctx) })
 	return a, nil
 }
--- a/internal/clock/source_test.go
+++ b/internal/clock/source_test.go
@@ -32,6 +32,7 @@
 	"internal/inbound/budget.go",        // progress of messages, compared with deadlines of connections
 	"internal/inbound/listener.go",      // progress of connections
 	"internal/inbound/observer.go",      // rate limit of log lines
+	"internal/link/server.go",           // deadlines of connections
 	"internal/load/load.go",             // durations of requests
 	"internal/runner/report.go",         // own wall clock, for the majority
 	"internal/sample/sample.go",         // the sample target's clock
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -12,7 +11,6 @@
 	"github.com/gofrs/flock"
 	"github.com/rcrowley/go-metrics"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"github.com/gentianrail/gentianrail/dispatch"
 	"github.com/gentianrail/gentianrail/fault"
@@ -38,7 +36,6 @@
 	registry     metrics.Registry
 	cancel       context.CancelFunc
 	goroutines   sync.WaitGroup
-	listener     net.Listener
 }
 
 // Start locks and reads the data folder and starts the controller's goroutines.
@@ -109,11 +106,14 @@
 	if err := pb.DRPCRegisterController(mux, &rpcService{core: core, peers: c.peers}); err != nil {
 		return fault.Wrap(fault.Internal, err, "register the controller's service")
 	}
-	if c.listener, err = net.Listen("tcp", cfg.Address); err != nil {
-		return fault.Wrap(fault.BadSettings, err, "listen on %s", cfg.Address)
+	server, err := link.Listen(cfg.Address, mux, link.ServerConfig{
+		Role: settings.RoleController, Connections: s.Intake.PeerConnections, MessageBudget: int64(s.Intake.BodyBudget),
+		Log: log, Metrics: c.registry, OnPanic: core.logPanic,
+	})
+	if err != nil {
+		return err
 	}
-	server := drpcserver.NewWithOptions(link.RecoveringHandler{Handler: mux, OnPanic: core.logPanic}, link.ServerOptions(nil))
-	c.goroutines.Go(func() { _ = server.Serve(ctx, c.listener) })
+	c.goroutines.Go(func() { server.Serve(ctx) })
 	c.goroutines.Go(func() { core.Run(ctx) })
 	if cfg.Replicas > 0 {
 		c.goroutines.Go(func() { c.requestMembership(ctx, id, s) })
--- a/internal/daemon/clock_test.go
+++ b/internal/daemon/clock_test.go
@@ -50,7 +50,7 @@
 			SyncInterval: unit.Duration(200 * time.Millisecond),
 		}
 		agentSettings.Controllers = []string{address(0)}
-		a, err := agent.Start(&agentSettings, event.Log{}, control.NewClient(agentSettings.Controllers), now)
+		a, err := agent.Start(&agentSettings, event.Log{}, control.NewClient(agentSettings.Controllers), nil, now)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,6 +60,7 @@
 	registry := metrics.NewRegistry()
 	log = log.WithCounter(telemetry.EventCounter(registry))
 	d := &Daemon{log: log, drainTimeout: time.Duration(s.DrainTimeout), metrics: registry}
+	s.Intake = s.IntakeLimits(descriptorLimit())
 	d.gate = newGate(s, log, registry)
 	if err := d.startRoles(s); err != nil {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -78,14 +79,18 @@
 	_assumedDescriptors      = 1024 // if the limit is unknown
 )
 
-// newGate returns the gate of the process's listeners.
-func newGate(s *settings.Settings, log event.Log, registry metrics.Registry) *web.Gate {
-	descriptors := _assumedDescriptors
+// descriptorLimit returns how many files the process may open.
+func descriptorLimit() int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < math.MaxInt32 {
-		descriptors = int(limit.Cur)
+		return int(limit.Cur)
 	}
-	l := s.IntakeLimits(descriptors)
+	return _assumedDescriptors
+}
+
+// newGate returns the gate of the process's listeners for callers, operators and workers.
+func newGate(s *settings.Settings, log event.Log, registry metrics.Registry) *web.Gate {
+	l := s.Intake
 	buffer := int64(s.MemoryLimit) / _memoryPerReceiveBuffers / int64(l.Connections)
 	return web.NewGate(web.GateConfig{
 		BodyBudget:    int64(l.BodyBudget),
@@ -139,7 +144,7 @@
 		return d.startPlatform(s)
 	}
 	if s.Agent != nil {
-		a, err := agent.Start(s, d.log.With("role", settings.RoleAgent), d.newClient(s), time.Now())
+		a, err := agent.Start(s, d.log.With("role", settings.RoleAgent), d.newClient(s), d.metrics, time.Now())
 		if err != nil {
 			return err
 		}
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -40,7 +40,22 @@
 	state    atomic.Int32
 	since    atomic.Int64 // when the state began
 	unread   atomic.Bool  // the handler has not read the request's body
-	closed   sync.Once
+
+	mu      sync.Mutex
+	closed  bool
+	onClose func() // nil for none
+}
+
+// OnClose sets a function that is called when the connection is closed, or at once if it
+// is closed.
+func (c *Conn) OnClose(f func()) {
+	c.mu.Lock()
+	c.onClose = f
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		f()
+	}
 }
 
 // Client returns the client's address without the port.
@@ -57,7 +72,16 @@
 
 // Close closes the connection.
 func (c *Conn) Close() error {
-	c.closed.Do(func() { c.listener.remove(c) })
+	c.mu.Lock()
+	first, onClose := !c.closed, c.onClose
+	c.closed = true
+	c.mu.Unlock()
+	if first {
+		c.listener.remove(c)
+		if onClose != nil {
+			onClose()
+		}
+	}
 	return c.Conn.Close()
 }
 
@@ -206,6 +230,13 @@
 	return victim
 }
 
+// Open returns the number of open connections.
+func (l *Listener) Open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 func (l *Listener) remove(c *Conn) {
 	l.mu.Lock()
 	_, ok := l.conns[c]
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,11 +116,12 @@
 // Intake holds the limits on what clients can make the process hold. A value that
 // the file omits is derived by IntakeLimits.
 type Intake struct {
-	BodyBudget    unit.Bytes    `json:"body_budget,omitzero"`
-	Connections   int           `json:"connections,omitzero"`
-	BodyTimeout   unit.Duration `json:"body_timeout,omitzero"`
-	HeaderTimeout unit.Duration `json:"header_timeout,omitzero"`
-	IdleTimeout   unit.Duration `json:"idle_timeout,omitzero"`
+	BodyBudget      unit.Bytes    `json:"body_budget,omitzero"`
+	Connections     int           `json:"connections,omitzero"`
+	PeerConnections int           `json:"peer_connections,omitzero"`
+	BodyTimeout     unit.Duration `json:"body_timeout,omitzero"`
+	HeaderTimeout   unit.Duration `json:"header_timeout,omitzero"`
+	IdleTimeout     unit.Duration `json:"idle_timeout,omitzero"`
 }
 
 // Settings holds the contents of a settings file. The settings of a role are nil
@@ -182,6 +183,7 @@
 	_minBodyBudget     = unit.Bytes(12 << 20)
 	_memoryPerBudget   = 8        // memory_limit by the budget of bodies: a body may exist decoded and encoded, too
 	_memoryPerConn     = 96 << 10 // memory_limit by connections; one takes about 40 KiB and its receive buffer
+	_memoryPerPeerConn = 48 << 10 // memory_limit by connections of other processes; one takes about 30 KiB
 	_ownDescriptors    = 256      // kept back for files and the process's own calls
 	_minConnections    = 16
 	_maxFewConnections = 256 // of a process that serves no callers
@@ -202,6 +204,7 @@
 		connections = min(connections, _maxFewConnections)
 	}
 	setDefault(&out.Connections, max(connections, _minConnections))
+	setDefault(&out.PeerConnections, max(min(int(s.MemoryLimit/_memoryPerPeerConn), (descriptors-_ownDescriptors)/2), _minConnections))
 	if s.HasRole(RoleController) {
 		setDefault(&out.BodyTimeout, _controlTimeout)
 	}
@@ -218,6 +221,9 @@
 	if s.Connections != 0 && s.Connections < _minConnections {
 		c.addProblem("intake.connections", "found %d, allowed are at least %d", s.Connections, _minConnections)
 	}
+	if s.PeerConnections != 0 && s.PeerConnections < _minConnections {
+		c.addProblem("intake.peer_connections", "found %d, allowed are at least %d", s.PeerConnections, _minConnections)
+	}
 	for path, d := range map[string]unit.Duration{
 		"intake.body_timeout": s.BodyTimeout, "intake.header_timeout": s.HeaderTimeout, "intake.idle_timeout": s.IdleTimeout,
 	} {
