entry, admission: let no slot wait for a body that still arrives

What callers saw: beside callers that send nearly all of a large body, wait and come back, every ordinary request, also without a body, got 503 'requests of the entry are already waiting at the worker'.

Cause: an entry instance passed a body on when 64 KiB had arrived. From then on it held a slot of the worker or a place in its queue, until the caller had sent the rest, or for 30 s beyond the deadline. While it sent the body it did not look at the agent's frames, neither refusals nor heartbeats.

Why this works: a body of up to an eighth of the budget is received before a worker is asked, so its request can run when it gets a slot. Larger ones have half of the slots, connections and queue until they have arrived, and end when they come to a halt while others wait. A body that can't end by its request's deadline gives way to others. Of the bodies that wait for the budget the smallest and the longest wait take turns.

TestTargetDetectsTruncatedBody sent 100 kB and expected the request at the target before its end; such a body is now buffered. The test sends 3 MB with a lowered budget instead, and checks besides that the truncated 100 kB reach no target.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -48,13 +48,23 @@
 }
 
 func (o *oracle) checkInvariants() {
-	var slots, connections int
-	entries := make(map[string]int)
+	var slots, connections, arrivingSlots, arrivingConnections int
+	entries, arrivingEntries := make(map[string]int), make(map[string]usage)
 	for id := range o.admitted {
 		t := o.tickets[id]
 		slots += t.Slots
 		connections += t.Connections
 		entries[t.Entry] += t.Slots
+		if t.Arriving {
+			arrivingSlots += t.Slots
+			arrivingConnections += t.Connections
+			e := arrivingEntries[t.Entry]
+			e.adjust(t, 1)
+			arrivingEntries[t.Entry] = e
+			if e.slots > 3 || e.connections > 6 {
+				o.failf("arriving work of entry %s uses %d slots and %d connections", t.Entry, e.slots, e.connections)
+			}
+		}
 		if entries[t.Entry] > t.MaxSlots {
 			o.failf("entry %s uses %d slots, the limit is %d", t.Entry, entries[t.Entry], t.MaxSlots)
 		}
@@ -62,13 +72,27 @@
 	if slots > 8 || connections > 12 {
 		o.failf("%d slots and %d connections are in use", slots, connections)
 	}
+	if arrivingSlots > 4 || arrivingConnections > 6 {
+		o.failf("arriving work uses %d slots and %d connections", arrivingSlots, arrivingConnections)
+	}
+	arrivingQueued := make(map[string]int)
+	for id := range o.waiting {
+		if t := o.tickets[id]; t.Arriving {
+			arrivingQueued[t.Entry]++
+		}
+	}
+	for name, n := range arrivingQueued {
+		if n > 2 {
+			o.failf("%d tickets of arriving work of entry %s wait", n, name)
+		}
+	}
 	usedSlots, usedConnections, queued := o.gate.Used()
 	if usedSlots != slots || usedConnections != connections || queued != len(o.waiting) {
 		o.failf("the gate counts %d, %d, %d; the oracle %d, %d, %d", usedSlots, usedConnections, queued, slots, connections, len(o.waiting))
 	}
 	for id := range o.waiting {
 		if t := o.tickets[id]; slots+t.Slots <= 8 && connections+t.Connections <= 12 &&
-			entries[t.Entry]+t.Slots <= t.MaxSlots && o.now.Before(t.Deadline) {
+			entries[t.Entry]+t.Slots <= t.MaxSlots && o.now.Before(t.Deadline) && (!t.Arriving || o.gate.fitsArriving(t)) {
 			o.failf("ticket %d waits although it fits", id)
 		}
 	}
@@ -80,7 +104,7 @@
 		ID: o.lastID, Entry: fmt.Sprintf("e%d", n%3), Owner: fmt.Sprintf("o%d", n%2), Class: catalogue.Class(1 + n%3),
 		Priority: int(n>>4) % 2, Slots: int(n>>5) % 3, Connections: 1, Arrived: o.now,
 		Deadline: o.now.Add(time.Duration(n>>6%40) * 20 * time.Millisecond),
-		MaxSlots: 6, MaxConnections: 12, MaxQueued: 5,
+		MaxSlots: 6, MaxConnections: 12, MaxQueued: 5, Arriving: n>>3%3 == 0,
 	}
 	o.tickets[t.ID] = t
 	verdict, err := o.gate.Offer(o.now, t)
@@ -124,11 +148,35 @@
 	o.recordAdmitted(o.gate.AdmitWaiting(o.now))
 }
 
+// advanceInput lets the input of some work arrive, and checks which work gives way.
+func (o *oracle) advanceInput(n uint16) {
+	if id, ok := o.gate.Halted(o.now); ok {
+		switch t := o.tickets[id]; {
+		case !o.admitted[id] || !t.Arriving:
+			o.failf("ticket %d, which doesn't hold up others, has to give way", id)
+		case len(o.waiting) == 0:
+			o.failf("ticket %d has to give way to nothing", id)
+		}
+		delete(o.admitted, id)
+		o.removed[id] = true
+		o.recordAdmitted(o.gate.Release(o.now, id))
+	}
+	if id, ok := o.any(o.admitted, n>>3); ok {
+		t := o.tickets[id]
+		t.Arriving = false
+		o.tickets[id] = t
+		o.recordAdmitted(o.gate.Arrived(o.now, id))
+	}
+}
+
 func (o *oracle) runStep(n uint16) {
 	o.now = o.now.Add(time.Duration(n%13) * 5 * time.Millisecond)
 	if n%3 == 0 { // not at every step: a release may come between a deadline and the next Expire
 		o.expireDue()
 	}
+	if n%5 == 0 {
+		o.advanceInput(n)
+	}
 	switch n % 8 {
 	case 0, 1, 2:
 		if id, ok := o.any(o.admitted, n>>3); ok {
@@ -184,6 +232,10 @@
 			Arrived: start.Add(-waited), Deadline: start.Add(time.Minute), MaxSlots: 9, MaxConnections: 9, MaxQueued: 9,
 		}
 	}
+	arriving := func(t Ticket) Ticket {
+		t.Arriving = true
+		return t
+	}
 	const short = 10 * time.Millisecond
 	for _, tc := range []struct {
 		name string
@@ -196,6 +248,7 @@
 		{"the owner with less usage precedes", newTicket(1, catalogue.Service, 0, "busy", short), newTicket(2, catalogue.Service, 0, "o", 0), 2},
 		{"the oldest precedes in a short queue", newTicket(1, catalogue.Service, 0, "o", short), newTicket(2, catalogue.Service, 0, "o", 0), 1},
 		{"the newest precedes in a standing queue", newTicket(1, catalogue.Service, 0, "o", standingQueueWait), newTicket(2, catalogue.Service, 0, "o", 0), 2},
+		{"work that can run precedes arriving work", arriving(newTicket(1, catalogue.Service, 9, "o", short)), newTicket(2, catalogue.Batch, 0, "o", 0), 2},
 		{"batch that reached the age limit precedes a service", newTicket(1, catalogue.Batch, 0, "o", AgeLimit), newTicket(2, catalogue.Service, 9, "o", 0), 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -239,3 +292,38 @@
 		t.Errorf("the reopened gate returned verdict %d", v)
 	}
 }
+
+// TestHaltedInputGivesWay guards against work whose input never arrives and that keeps
+// the only slot from work that could run, and against input in progress that is cut off.
+func TestHaltedInputGivesWay(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	ticket := func(id uint64, arriving bool) Ticket {
+		return Ticket{ID: id, Slots: 1, Connections: 1, Arriving: arriving, Arrived: now, Deadline: now.Add(time.Minute), MaxSlots: 1, MaxConnections: 1, MaxQueued: 2}
+	}
+	g := NewGate(1, 1)
+	if v, err := g.Offer(now, ticket(1, true)); v != Admitted {
+		t.Fatal(v, err)
+	}
+	now = now.Add(time.Minute / 2)
+	if id, ok := g.Halted(now); ok {
+		t.Errorf("ticket %d has to give way although nothing waits", id)
+	}
+	if v, err := g.Offer(now, ticket(2, false)); v != Queued {
+		t.Fatal(v, err)
+	}
+	g.Progress(now, 1)
+	now = now.Add(StallLimit - 1)
+	if id, ok := g.Halted(now); ok {
+		t.Errorf("ticket %d has to give way although its input makes progress", id)
+	}
+	now = now.Add(1)
+	if id, ok := g.Halted(now); !ok || id != 1 {
+		t.Fatalf("ticket %d has to give way: %v", id, ok)
+	}
+	if id, ok := g.Halted(now); ok {
+		t.Errorf("ticket %d has to give way to work that is about to be admitted", id)
+	}
+	if got := g.Release(now, 1); len(got) != 1 || got[0] != 2 {
+		t.Errorf("admitted %v, want 2", got)
+	}
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -22,7 +22,7 @@
 	ClientShare int64         // bytes that the large bodies of one client address may hold beyond its first body
 	Stall       time.Duration // without a received byte, after which a body may be cut off for others
 	Grace       time.Duration // of a body before its rate counts
-	MinRate     int64         // bytes per second; a slower body may be cut off for others
+	MinRate     int64         // bytes per second; a slower body may be cut off for others, and one that is too slow for its deadline
 	MaxWait     time.Duration // of a body for the budget
 	BodyTimeout time.Duration // from a body's first read to its end
 }
@@ -39,7 +39,7 @@
 	// NoBudget bodies waited for the budget for too long, or held a part of it while
 	// all bodies waited.
 	NoBudget
-	// TooSlow bodies did not end within the time for a body.
+	// TooSlow bodies did not end within the time for a body, or by their deadline.
 	TooSlow
 )
 
@@ -58,8 +58,10 @@
 	progress  time.Time // latest received byte, or the end of a wait
 	wants     int64     // bytes that it waits for; 0 if it doesn't wait
 	waitSince time.Time
-	reading   bool // bytes of the client are expected
-	streaming bool // received bytes are passed on, not held
+	deadline  time.Time // for its end; zero for none
+	size      int64     // announced bytes; 0 if unknown
+	reading   bool      // bytes of the client are expected
+	streaming bool      // received bytes are passed on, not held
 	reason    Reason
 }
 
@@ -91,6 +93,8 @@
 	waiting   int
 	reading   int // bodies of which bytes are expected, waiting ones included
 	sequence  uint64
+
+	smallestNext bool // the next wait to end is that of the smallest body, not the longest wait
 }
 
 // client is the account of a client address.
@@ -165,6 +169,12 @@
 	}
 }
 
+// Expect sets the deadline for the end of a body, and its announced size or 0. After
+// the deadline the body is of no use to its request.
+func (l *Ledger) Expect(b *Body, size int64, deadline time.Time) {
+	b.size, b.deadline = size, deadline
+}
+
 // Acquire lets a body hold n more bytes, at once or later: the body waits until it
 // is among the granted or the cut off ones.
 func (l *Ledger) Acquire(now time.Time, b *Body, n int64) Actions {
@@ -230,6 +240,8 @@
 		case b.reason != NoReason:
 		case b.wants > 0 && now.Sub(b.waitSince) >= l.limits.MaxWait:
 			l.cut(b, NoBudget, &a)
+		case b.reading && !b.deadline.IsZero() && !now.Before(b.deadline):
+			l.cut(b, TooSlow, &a)
 		case b.reading && b.wants == 0 && now.Sub(b.opened) >= l.limits.BodyTimeout:
 			l.cut(b, TooSlow, &a)
 		}
@@ -303,6 +315,7 @@
 			if l.fits(b) {
 				l.grant(now, b)
 				a.Granted = append(a.Granted, b)
+				l.smallestNext = !l.smallestNext
 				continue
 			}
 			l.makeRoom(now, b, &a)
@@ -312,8 +325,9 @@
 	return a
 }
 
-// nextWaiting returns the waiting body whose client address holds least; of these,
-// the one that has waited longest.
+// nextWaiting returns the waiting body whose client address holds least. Of these it
+// returns by turns the one that has waited longest and the one that wants least: the
+// bodies of ordinary callers seldom are the largest.
 func (l *Ledger) nextWaiting(small bool) *Body {
 	var best *Body
 	var bestHeld int64
@@ -322,15 +336,21 @@
 			continue
 		}
 		held := l.byClient[b.client].held - b.held
-		switch {
-		case best == nil, held < bestHeld,
-			held == bestHeld && (b.waitSince.Before(best.waitSince) || b.waitSince.Equal(best.waitSince) && b.sequence < best.sequence):
+		if best == nil || held < bestHeld || held == bestHeld && l.precedes(b, best) {
 			best, bestHeld = b, held
 		}
 	}
 	return best
 }
 
+// precedes reports whether the wait of a ends before that of b.
+func (l *Ledger) precedes(a, b *Body) bool {
+	if l.smallestNext && a.wants != b.wants {
+		return a.wants < b.wants
+	}
+	return a.waitSince.Before(b.waitSince) || a.waitSince.Equal(b.waitSince) && a.sequence < b.sequence
+}
+
 // makeRoom cuts off bodies until what they hold is enough for b. If the client address
 // of b exceeds its share, its own bodies give way.
 func (l *Ledger) makeRoom(now time.Time, b *Body, a *Actions) {
@@ -385,13 +405,23 @@
 	if b.streaming {
 		return halt
 	}
-	slow := b.opened.Add(l.limits.Grace + time.Duration(float64(b.received)/float64(l.limits.MinRate)*float64(time.Second)))
+	slow := b.opened.Add(l.limits.Grace + time.Duration(float64(b.received)/l.neededRate(b)*float64(time.Second)))
 	if slow.Before(halt) {
 		return slow
 	}
 	return halt
 }
 
+// neededRate returns the bytes per second below which a body may be cut off for others:
+// it is slower than MinRate, or won't end by its deadline.
+func (l *Ledger) neededRate(b *Body) float64 {
+	rate := float64(l.limits.MinRate)
+	if d := b.deadline.Sub(b.opened); b.size > 0 && d > 0 {
+		rate = max(rate, float64(b.size)/d.Seconds())
+	}
+	return rate
+}
+
 // stalled returns the body of a client address that has made the least progress for
 // its time, if it may be cut off; on ties, the one that holds most. With holding, bodies
 // that hold nothing don't count.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -293,3 +294,81 @@
 		t.Error("the body still waits")
 	}
 }
+
+// TestBodyWithoutUseGivesWay guards against a body that can't end by its deadline and
+// keeps others waiting, one that is cut off in calm, and one that is kept beyond its
+// deadline.
+func TestBodyWithoutUseGivesWay(t *testing.T) {
+	now := time.Unix(0, 0)
+	const rate, size = 40_000, 800_000 // bytes per second; faster than MinRate
+	open := func(l *Ledger) *Body {
+		b := l.Open(now, "a")
+		l.Expect(b, size, now.Add(2*time.Second))
+		l.Acquire(now, b, 700_000)
+		return b
+	}
+	var calm, busy *Ledger
+	calm, busy = New(_testLimits), New(_testLimits)
+	alone, slow := open(calm), open(busy)
+	var waiting *Body
+	for i := range 19 {
+		if i == 5 {
+			waiting = busy.Open(now, "b")
+			busy.Acquire(now, waiting, 600_000)
+		}
+		now = now.Add(100 * time.Millisecond)
+		calm.Receive(now, alone, rate/10)
+		busy.Receive(now, slow, rate/10)
+		calm.Advance(now)
+		if a := busy.Advance(now); len(a.Cut) > 0 && a.Cut[0] != slow {
+			t.Fatalf("the waiting body was cut off as %s", waiting.Reason())
+		}
+		if slow.Reason() != NoReason {
+			busy.Close(now, slow)
+		}
+	}
+	if slow.Reason() != Stalled || waiting.Waiting() {
+		t.Errorf("the body without use: %q; the other one waits: %v", slow.Reason(), waiting.Waiting())
+	}
+	if alone.Reason() != NoReason {
+		t.Errorf("a body was cut off in calm as %s", alone.Reason())
+	}
+	if calm.Advance(now.Add(200 * time.Millisecond)); alone.Reason() != TooSlow {
+		t.Errorf("a body after its deadline: %q", alone.Reason())
+	}
+}
+
+// TestWaitsEndByTurns guards against ordinary bodies that wait behind a queue of larger
+// ones, and against large ones that wait behind a stream of ordinary ones.
+func TestWaitsEndByTurns(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, stream := range []struct {
+		name  string
+		other int64 // size of the bodies that keep coming
+		size  int64
+	}{{"ordinary", 300_000, 100_000}, {"large", 100_000, 300_000}} {
+		l := New(_testLimits)
+		var holding []*Body
+		open := func(size int64) *Body {
+			b := l.Open(now, "a")
+			l.Acquire(now, b, size)
+			return b
+		}
+		for range 20 {
+			holding = append(holding, open(stream.other))
+		}
+		b := open(stream.size)
+		for ends := 0; b.Waiting(); ends++ {
+			if ends == 2*len(holding) {
+				t.Errorf("%s: the body still waits after the end of %d others", stream.name, ends)
+				break
+			}
+			i := slices.IndexFunc(holding, func(b *Body) bool { return !b.Waiting() })
+			l.Receive(now, holding[i], stream.other)
+			l.Complete(now, holding[i])
+			l.Close(now, holding[i])
+			holding = append(slices.Delete(holding, i, i+1), open(stream.other))
+			now = now.Add(time.Millisecond)
+		}
+	}
+}
--- a/internal/agent/gate.go
+++ b/internal/agent/gate.go
@@ -17,6 +17,13 @@
 type offer struct {
 	ticket admission.Ticket
 	reply  chan error // buffer of one; nil means admitted
+	halt   func()     // ends the work when it gives way to others; nil if it doesn't arrive
+}
+
+// arrival is news of the input of arriving work.
+type arrival struct {
+	ticket   uint64
+	complete bool
 }
 
 // gate admits work to the worker. Only its goroutine, run, uses the admission
@@ -26,8 +33,10 @@
 	offers      chan offer
 	releases    chan uint64
 	withdrawals chan uint64
+	arrivals    chan arrival
 	closing     chan bool             // true to close, false to open again
 	waiting     map[uint64]chan error // reply channels of the queued tickets, by ticket ID
+	halts       map[uint64]func()     // of arriving work, by ticket ID
 	nextID      atomic.Uint64
 	stopped     chan struct{}
 
@@ -40,6 +49,8 @@
 		offers:      make(chan offer),
 		releases:    make(chan uint64),
 		withdrawals: make(chan uint64),
+		arrivals:    make(chan arrival),
+		halts:       make(map[uint64]func()),
 		closing:     make(chan bool),
 		waiting:     make(map[uint64]chan error),
 		stopped:     make(chan struct{}),
@@ -62,7 +73,10 @@
 		case o := <-g.offers:
 			g.offer(o)
 		case id := <-g.releases:
+			delete(g.halts, id)
 			g.admitAll(g.state.Release(time.Now(), id))
+		case a := <-g.arrivals:
+			g.recordArrival(time.Now(), a)
 		case id := <-g.withdrawals:
 			g.withdraw(id)
 		case closing := <-g.closing:
@@ -86,8 +100,20 @@
 	return &pb.Load{SlotsUsed: g.slots.Load(), ConnectionsUsed: g.connections.Load(), Queued: g.queued.Load()}
 }
 
+func (g *gate) recordArrival(now time.Time, a arrival) {
+	if !a.complete {
+		g.state.Progress(now, a.ticket)
+		return
+	}
+	delete(g.halts, a.ticket)
+	g.admitAll(g.state.Arrived(now, a.ticket))
+}
+
 func (g *gate) offer(o offer) {
 	verdict, err := g.state.Offer(time.Now(), o.ticket)
+	if o.halt != nil && verdict != admission.Rejected {
+		g.halts[o.ticket.ID] = o.halt
+	}
 	switch verdict {
 	case admission.Admitted:
 		o.reply <- nil
@@ -107,6 +133,7 @@
 
 func (g *gate) rejectAll(ids []uint64, err error) {
 	for _, id := range ids {
+		delete(g.halts, id)
 		g.waiting[id] <- err
 		delete(g.waiting, id)
 	}
@@ -115,6 +142,7 @@
 // withdraw removes a ticket from the queue, or releases the ticket if it has
 // been admitted.
 func (g *gate) withdraw(id uint64) {
+	delete(g.halts, id)
 	if g.state.Withdraw(id) {
 		delete(g.waiting, id)
 		return
@@ -133,13 +161,20 @@
 func (g *gate) expireTickets(now time.Time) {
 	g.rejectAll(g.state.Expire(now), fault.New(fault.QueueTimeout, "no slot became free before the deadline"))
 	g.admitAll(g.state.AdmitWaiting(now))
+	if id, ok := g.state.Halted(now); ok {
+		if halt := g.halts[id]; halt != nil {
+			delete(g.halts, id)
+			halt()
+		}
+	}
 }
 
 // admit waits until the ticket is admitted or rejected. After admission the
-// caller must call release.
-func (g *gate) admit(ctx context.Context, t admission.Ticket) (uint64, error) {
+// caller must call release. halt is called at most once, from another goroutine, when
+// admitted work whose input has come to a halt must end; it is nil for other work.
+func (g *gate) admit(ctx context.Context, t admission.Ticket, halt func()) (uint64, error) {
 	t.ID = g.nextID.Add(1)
-	o := offer{ticket: t, reply: make(chan error, 1)}
+	o := offer{ticket: t, reply: make(chan error, 1), halt: halt}
 	select {
 	case g.offers <- o:
 	case <-g.stopped:
@@ -157,6 +192,19 @@
 // release returns the capacity that a ticket reserved.
 func (g *gate) release(id uint64) { g.sendUnlessStopped(g.releases, id) }
 
+// recordProgress records that a part of the input of arriving work was received.
+func (g *gate) recordProgress(id uint64) { g.sendArrival(arrival{ticket: id}) }
+
+// recordArrived records that the input of arriving work was received completely.
+func (g *gate) recordArrived(id uint64) { g.sendArrival(arrival{ticket: id, complete: true}) }
+
+func (g *gate) sendArrival(a arrival) {
+	select {
+	case g.arrivals <- a:
+	case <-g.stopped:
+	}
+}
+
 func (g *gate) sendUnlessStopped(ch chan<- uint64, id uint64) {
 	select {
 	case ch <- id:
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -114,6 +114,7 @@
 	deadline time.Time
 	ticket   uint64
 	body     *bodyReader
+	halted   chan struct{} // closed when an arriving body must give way to other work; nil for other bodies
 }
 
 // Serve handles one request from an entry instance.
@@ -139,6 +140,10 @@
 		open:     open,
 		deadline: time.Now().Add(time.Duration(open.GetTimeout())),
 	}
+	defer func() {
+		_ = stream.Close() // ends the goroutine of an arriving body
+		r.body.wait()
+	}()
 	defer r.out.finish()
 	if err := r.handle(stream.Context()); err != nil {
 		return r.out.send(rejectionFrame(err))
@@ -152,7 +157,12 @@
 	if !r.agent.serves(r.open.GetTarget()) {
 		return fault.New(fault.NoTarget, "the worker has no target %q", r.open.GetTarget())
 	}
-	ticket, err := r.agent.gate.admit(ctx, r.newTicket(time.Now()))
+	var halt func()
+	if r.open.GetBodyArriving() {
+		r.halted = make(chan struct{})
+		halt = func() { close(r.halted) }
+	}
+	ticket, err := r.agent.gate.admit(ctx, r.newTicket(time.Now()), halt)
 	if err != nil {
 		return err
 	}
@@ -161,7 +171,7 @@
 		r.agent.gate.release(ticket)
 		return err
 	}
-	r.body = newBodyReader(r.stream, r.id, r.open)
+	r.body = newBodyReader(r.stream, r.id, r.open, r.agent.gate, r.ticket, r.halted)
 	if r.open.GetKey() != "" && !r.open.GetIdempotent() {
 		return r.runClaimed(ctx)
 	}
@@ -181,6 +191,7 @@
 		MaxSlots:       int(r.open.GetSlots()),
 		MaxConnections: int(r.open.GetConnections()),
 		MaxQueued:      int(r.open.GetQueue()),
+		Arriving:       r.open.GetBodyArriving(),
 	}
 	if r.open.GetWatch() {
 		t.Class = catalogue.Watch
@@ -230,6 +241,9 @@
 	defer timeout.Stop()
 	resp, err := r.agent.target.send(runCtx, r.id, r.open, r.body)
 	if err != nil {
+		if r.hasHalted() {
+			return fault.New(fault.Overloaded, "%s", errHalted).WithRan(fault.RanUnknown)
+		}
 		return err
 	}
 	defer resp.Body.Close()
@@ -239,6 +253,16 @@
 	return r.forwardAnswer(resp, record)
 }
 
+// hasHalted reports whether the request's body had to give way to other work.
+func (r *request) hasHalted() bool {
+	select {
+	case <-r.halted: // nil, and so never ready, for bodies that don't arrive
+		return true
+	default:
+		return false
+	}
+}
+
 // sendTimeoutRejection answers a caller whose deadline has passed. The run
 // continues.
 func (r *request) sendTimeoutRejection() {
--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -157,7 +157,7 @@
 		Entry: as.GetEntry(), Owner: as.GetOwner(), Class: catalogue.Batch, Priority: int(as.GetPriority()),
 		Slots: int(as.GetSlots()), Arrived: now, Deadline: now.Add(_slotTimeout),
 		MaxSlots: a.cfg.Slots, MaxConnections: a.cfg.Connections, MaxQueued: a.cfg.Slots + a.cfg.Connections,
-	})
+	}, nil)
 	unhook()
 	cancelWait()
 	if err != nil {
--- a/internal/agent/tasks_test.go
+++ b/internal/agent/tasks_test.go
@@ -82,7 +82,7 @@
 				var err error
 				other, err = a.gate.admit(ctx, admission.Ticket{
 					Entry: "other", Class: catalogue.Batch, Slots: 1, Arrived: now, Deadline: now.Add(time.Hour), MaxSlots: 1, MaxConnections: 1, MaxQueued: 1,
-				})
+				}, nil)
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/clock/source_test.go
+++ b/internal/clock/source_test.go
@@ -14,6 +14,7 @@
 // in docs/design lists what a step does to each.
 var _timeNowFiles = []string{
 	"internal/agent/agent.go",           // rate limit of renewals
+	"internal/agent/body.go",            // progress of bodies, compared with request deadlines
 	"internal/agent/claims.go",          // request deadlines, which contexts use
 	"internal/agent/gate.go",            // request deadlines
 	"internal/agent/serve.go",           // request deadlines
--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -116,6 +116,8 @@
 	"limits": {"body_size": "1KiB"}, "objective": {"ratio": 0.99, "latency": "1s"}}
 {"name": "narrow", "owner": "workshop", "class": "service", "target": "sample",
 	"limits": {"slots": 1, "queue": 0, "request_timeout": "5s"}, "objective": {"ratio": 0.99, "latency": "1s"}}
+{"name": "single", "owner": "workshop", "class": "service", "target": "sample",
+	"limits": {"slots": 1, "queue": 4, "request_timeout": "20s", "body_size": "8MiB"}, "objective": {"ratio": 0.99, "latency": "1s"}}
 {"name": "stock", "owner": "workshop", "class": "watch", "target": "sample", "objective": {"ratio": 0.99, "latency": "1s"}}`
 
 // startContractDaemon starts controller, agent and entry in front of a faulty
@@ -128,7 +130,7 @@
 	text := fmt.Sprintf(`{"name": "single", "zone": "zone_a", "roles": ["controller", "agent", "entry"],
 		"controller": {"id": "c1", "address": %q, "operator_address": %q, "data_folder": "data"},
 		"entry": {"address": %q}, "agent": {"id": "w1", "address": %q, "target_address": %q, "targets": ["sample"],
-		"slots": 16, "connections": 64, "cpu": "4", "memory": "4GiB"}}`, address(0), address(1), address(2), address(3), address(4))
+		"slots": 16, "connections": 64, "cpu": "4", "memory": "4GiB"}, "intake": {"body_budget": "12MiB"}}`, address(0), address(1), address(2), address(3), address(4))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -441,28 +443,40 @@
 	}
 }
 
-// TestTargetDetectsTruncatedBody checks that a target gets a read error when the
-// caller disconnects within a chunked body. Without the error, the target would
-// accept the truncated body as complete.
-func TestTargetDetectsTruncatedBody(t *testing.T) {
-	caller, target := startContractDaemon(t, 18790)
+// sendPart sends a request without the end of its chunked body.
+func sendPart(t *testing.T, caller, path string, size int) net.Conn {
+	t.Helper()
 	c, err := net.Dial("tcp", strings.TrimPrefix(caller, "http://"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	fmt.Fprintf(c, "POST /v1/services/quotes/cut HTTP/1.1\r\nHost: q\r\nTransfer-Encoding: chunked\r\n\r\n")
+	t.Cleanup(func() { _ = c.Close() })
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: q\r\nTransfer-Encoding: chunked\r\n\r\n", path)
 	chunk := strings.Repeat("x", 10000)
-	for range 10 {
+	for range size / len(chunk) {
 		fmt.Fprintf(c, "%x\r\n%s\r\n", len(chunk), chunk)
 	}
+	return c
+}
+
+// TestTargetDetectsTruncatedBody checks that a target gets a read error when the
+// caller disconnects within a chunked body that is passed on as it arrives. Without the
+// error, the target would accept the truncated body as complete. A truncated body that
+// is buffered first reaches no target.
+func TestTargetDetectsTruncatedBody(t *testing.T) {
+	caller, target := startContractDaemon(t, 18790)
+	buffered := sendPart(t, caller, "/v1/services/quotes/buffered", 100_000)
+	c := sendPart(t, caller, "/v1/services/quotes/cut", 3_000_000)
 	eventually(t, "the request at the target", func() error {
 		if target.runCount("/cut") == 0 {
 			return fmt.Errorf("the request is not running yet")
 		}
 		return nil
 	})
-	if err := c.Close(); err != nil {
-		t.Fatal(err)
+	for _, c := range []net.Conn{buffered, c} {
+		if err := c.Close(); err != nil {
+			t.Fatal(err)
+		}
 	}
 	eventually(t, "the read error at the target", func() error {
 		if target.truncatedBodies.Load() != 1 {
@@ -470,4 +484,32 @@
 		}
 		return nil
 	})
+	if n := target.runCount("/buffered"); n != 0 {
+		t.Errorf("a truncated body was sent to the target %d times", n)
+	}
+}
+
+// TestHaltedBodyGivesWay guards against a body that is passed on as it arrives, comes to
+// a halt and keeps the only slot from a request that could run. The caller learns that
+// its request may have run.
+func TestHaltedBodyGivesWay(t *testing.T) {
+	caller, target := startContractDaemon(t, 18810)
+	c := sendPart(t, caller, "/v1/services/single/halted", 3_000_000)
+	eventually(t, "the request at the target", func() error {
+		if target.runCount("/halted") == 0 {
+			return fmt.Errorf("the request is not running yet")
+		}
+		return nil
+	})
+	resp, body, err := sendRequest(t, caller, exchange{method: "GET", path: "/v1/services/single/ordinary"})
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("the request beside the halted one got %v %q, %v", resp, body, err)
+	}
+	halted, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if halted.StatusCode != http.StatusServiceUnavailable || halted.Header.Get("Gentianrail-Ran") != "unknown" {
+		t.Errorf("the halted request got %d, ran %q", halted.StatusCode, halted.Header.Get("Gentianrail-Ran"))
+	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,7 @@
 	router        *router
 	burns         *burnRecorder
 	budget        retryBudget
+	wholeBody     int64 // bytes of a body up to which it is received completely before a worker is asked
 	draining      atomic.Bool
 	watchesCtx    context.Context // cancelled to close the watches
 	cancelWatches context.CancelFunc
@@ -72,6 +73,7 @@
 		router:      newRouter(uint64(time.Now().UnixNano()), uint64(os.Getpid())),
 		requests:    metrics.NewRegisteredTimer("entry.requests", registry),
 		retries:     metrics.NewRegisteredCounter("entry.retries", registry),
+		wholeBody:   gate.WholeBody(),
 	}
 	e.budget.ratio = s.Entry.RetryRatio
 	e.burns = newBurnRecorder(s.Name + "/" + uuid.NewString())
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -23,10 +23,10 @@
 
 // Limits of a request.
 const (
-	_maxBufferedBody = 64 << 10 // bytes of a body that are buffered for a retry
-	_bodyChunkSize   = 32 << 10 // bytes of one body frame
-	_maxInlineBody   = 32 << 10 // bytes of a body that is sent in the open frame
-	_maxKeyedBody    = 8 << 20  // bytes of the body of a request with a key; buffered completely for the fingerprint
+	_maxResentBody = 64 << 10 // bytes of a body that is kept for a retry after it was sent
+	_bodyChunkSize = 32 << 10 // bytes of one body frame
+	_maxInlineBody = 32 << 10 // bytes of a body that is sent in the open frame
+	_maxKeyedBody  = 8 << 20  // bytes of the body of a request with a key; buffered completely for the fingerprint
 )
 
 // _hopByHopHeaders are the headers that a proxy must not forward (RFC 9110,
@@ -55,15 +55,18 @@
 	headSent     bool // the head of the answer was sent to the caller
 	status       int  // HTTP status of the target's answer
 	triedWorkers []string
-	losses       int // workers lost while they may have been running the request
+	losses       int  // workers lost while they may have been running the request
+	refusedEarly bool // the agent refused the request before the end of its body; the entry then stops reading
 }
 
-// requestBody is the body of a request. The first part is buffered, so that the
-// body can be resent to another worker if the first worker rejects the request.
+// requestBody is the body of a request. It is buffered before a worker is asked, so
+// that no slot waits for it and so that it can be resent to another worker if the first
+// one rejects the request. Of a body that is too large for that, the first part is
+// buffered, and the rest is passed on as it arrives.
 type requestBody struct {
 	buffered []byte
 	rest     io.Reader // unbuffered remainder; nil if there is none
-	restRead bool      // reading of rest has begun, so the body cannot be resent
+	used     bool      // reading of rest has begun, or buffered was released, so the body cannot be resent
 	limit    int64     // bytes that the catalogue entry allows
 }
 
@@ -158,11 +161,11 @@
 		return fault.New(fault.BodyTooLarge, "body has %d bytes, entry %q allows %d", c.r.ContentLength, c.decl.Name(), limit)
 	}
 	c.body.limit = limit
-	maxBuffered := int64(_maxBufferedBody)
+	maxBuffered := c.entry.wholeBody
 	if c.key != "" && !c.idempotent {
 		maxBuffered = _maxKeyedBody // the fingerprint needs the complete body
 	}
-	buffered, complete, err := web.ReadPrefix(c.w, c.r, min(maxBuffered, limit))
+	buffered, complete, err := web.ReadPrefix(c.w, c.r, min(maxBuffered, limit), c.deadline)
 	if err != nil {
 		return err
 	}
@@ -208,6 +211,7 @@
 		Queue:       int32(l.Queue),
 		Priority:    int32(l.Priority),
 	}
+	o.BodyArriving = c.body.rest != nil
 	if c.key != "" && !c.idempotent {
 		o.Fingerprint = c.fingerprint()
 	}
@@ -284,7 +288,7 @@
 	if c.losses >= _maxRequestLosses {
 		return false
 	}
-	if ctx.Err() != nil || c.body.restRead {
+	if ctx.Err() != nil || c.body.used {
 		return false
 	}
 	f := fault.From(err)
@@ -321,7 +325,8 @@
 // disconnected caller if that ended ctx.
 func (c *call) withContextCause(ctx context.Context, err error) error {
 	f := fault.From(err)
-	if ctx.Err() == nil || f.Code() == fault.RequestTimeout {
+	// The server ends the context of a request whose body is not read to its end.
+	if ctx.Err() == nil || f.Code() == fault.RequestTimeout || c.refusedEarly {
 		return err
 	}
 	code := fault.RequestTimeout
@@ -336,6 +341,11 @@
 	if !u.open.GetBodyEnded() {
 		if err := c.sendBody(u); err != nil {
 			u.closeConn()
+			if refusal := u.refusedAhead(); refusal != nil {
+				c.refusedEarly = true
+				c.recordRejection(u, refusal)
+				return rejectionError(refusal)
+			}
 			if fault.CodeOf(err) == fault.BadRequest {
 				u.recordEnd(nil) // the caller's body ended early or was cut off
 			} else {
@@ -344,7 +354,7 @@
 			return err
 		}
 	}
-	f, err := u.recv()
+	f, err := u.next()
 	if err != nil {
 		u.closeConn()
 		u.recordFailure()
@@ -388,7 +398,8 @@
 	u.maybeSent = true
 	body := io.Reader(bytes.NewReader(c.body.buffered))
 	if c.body.rest != nil {
-		c.body.restRead = true
+		c.body.used = true
+		u.receiveAhead(func() { web.StopReading(c.r) })
 		remaining := c.body.limit - int64(len(c.body.buffered))
 		body = io.MultiReader(body, &limitedBody{r: c.body.rest, remaining: remaining})
 	}
@@ -410,9 +421,19 @@
 	if err := u.send(&pb.RequestFrame{Kind: &pb.RequestFrame_End{End: true}}); err != nil {
 		return u.connectionError(err)
 	}
+	c.releaseBody()
 	return nil
 }
 
+// releaseBody releases a large body that was sent and is unlikely to be sent again: the
+// target may take long, and the body's memory would keep out other callers.
+func (c *call) releaseBody() {
+	if c.key == "" && !c.idempotent && len(c.body.buffered) > _maxResentBody {
+		c.body.buffered, c.body.used = nil, true
+		web.ReleaseBody(c.r)
+	}
+}
+
 // limitedBody is a reader that fails when the body exceeds the limit of the
 // catalogue entry.
 type limitedBody struct {
--- a/internal/entry/upstream.go
+++ b/internal/entry/upstream.go
@@ -34,9 +34,16 @@
 	unresponsiveTimer *time.Timer
 	began             time.Time
 	checksum          *xxhash.Digest
-	length            uint64 // bytes of the answer received
-	endRecorded       bool   // the routing table has recorded the end
-	maybeSent         bool   // the agent may have sent the request to its target
+	length            uint64        // bytes of the answer received
+	endRecorded       bool          // the routing table has recorded the end
+	maybeSent         bool          // the agent may have sent the request to its target
+	ahead             chan received // of size one; the frame that receiveAhead receives, nil without
+}
+
+// received is a frame, or the error in its place.
+type received struct {
+	frame *pb.AnswerFrame
+	err   error
 }
 
 // openUpstream sends the open frame to an agent. The error says whether the
@@ -104,6 +111,43 @@
 	}
 }
 
+// receiveAhead receives the next frame while the caller's body is sent, and calls stop if
+// it is a refusal or an error. The frame must be taken by next or refusedAhead.
+func (u *upstream) receiveAhead(stop func()) {
+	ahead := make(chan received, 1)
+	u.ahead = ahead
+	go func() {
+		f, err := u.recv()
+		if err != nil || f.GetRefusal() != nil {
+			stop() // before the request can end
+		}
+		ahead <- received{frame: f, err: err}
+	}()
+}
+
+// next returns the frame that was received ahead, or the next one.
+func (u *upstream) next() (*pb.AnswerFrame, error) {
+	if u.ahead == nil {
+		return u.recv()
+	}
+	r := <-u.ahead
+	u.ahead = nil
+	return r.frame, r.err
+}
+
+// refusedAhead returns the refusal that was received ahead, or nil. The connection must
+// be closed.
+func (u *upstream) refusedAhead() *pb.Refusal {
+	if u.ahead == nil {
+		return nil
+	}
+	f, err := u.next()
+	if err != nil {
+		return nil
+	}
+	return f.GetRefusal()
+}
+
 func (u *upstream) recordLoad(l *pb.Load) {
 	now := time.Now()
 	u.entry.router.withTable(func(t *routing.Table) {
--- a/internal/inbound/budget.go
+++ b/internal/inbound/budget.go
@@ -114,6 +114,13 @@
 	return a.body.Held() - a.body.Received(), a.body.Reason()
 }
 
+// Expect sets the deadline for the end of the message, and its announced size or 0.
+func (a *Account) Expect(size int64, deadline time.Time) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.budget.ledger.Expect(a.body, size, deadline)
+}
+
 // Held returns the bytes that the message holds.
 func (a *Account) Held() int64 {
 	a.budget.mu.Lock()
@@ -145,6 +152,7 @@
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
 	a.budget.ledger.Stream(time.Now(), a.body, expected)
+	a.budget.carryOut(intake.Actions{}) // begins the checks of its progress
 	return a.body.Reason()
 }
 
--- a/internal/web/body.go
+++ b/internal/web/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gentianrail/gentianrail/fault"
@@ -23,7 +24,12 @@
 	streaming bool             // the handler passes on what it reads
 	decoding  bool             // the handler decodes the body, among few others
 	account   *inbound.Account // nil before the first read
+	deadline  time.Time        // for the end of the body; zero for none
 	err       error            // of the first failed read, or io.EOF
+
+	mu       sync.Mutex // guards the connection's read deadline against StopReading
+	stopped  bool       // StopReading was called before the end of the body
+	complete bool       // the body was read to its end
 }
 
 // _leftBodyTimeout is how long the server reads a body that the handler has left. A
@@ -58,16 +64,64 @@
 func (b *bodyReader) acquire() (int64, error) {
 	if b.account == nil {
 		b.conn.SetUnread(false)
-		b.account = b.gate.budget.Open(b.conn.Client(), func() { _ = b.conn.SetReadDeadline(_past) })
+		b.account = b.gate.budget.Open(b.conn.Client(), b.interrupt)
+		if !b.deadline.IsZero() {
+			b.account.Expect(max(b.announced, 0), b.deadline)
+		}
 	}
 	if b.streaming {
-		_ = b.conn.SetReadDeadline(time.Now().Add(b.gate.cfg.BodyTimeout + _timeoutSlack))
-		return 1 << 62, cutError(b.account.Stream(true))
+		if !b.extendDeadline() {
+			return 0, errStopped
+		}
+		return 1 << 62, b.cutError(b.account.Stream(true))
 	}
 	// At the limit a further byte shows that the body is too large.
 	held := b.account.Held()
 	room, reason := b.account.Acquire(max(b.nextStep(held)-held, 1))
-	return room, cutError(reason)
+	return room, b.cutError(reason)
+}
+
+// interrupt ends a read of the body at once.
+func (b *bodyReader) interrupt() { _ = b.conn.SetReadDeadline(_past) }
+
+// extendDeadline gives the client time to send the next part of the body. It returns
+// false if the body is not read any more.
+func (b *bodyReader) extendDeadline() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.stopped {
+		_ = b.conn.SetReadDeadline(time.Now().Add(b.gate.cfg.BodyTimeout + _timeoutSlack))
+	}
+	return !b.stopped
+}
+
+// clearDeadline lets the request be handled for any time after the end of the body.
+// Otherwise the deadline would end the server's watch for a caller that disconnects.
+func (b *bodyReader) clearDeadline() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.complete = true
+	_ = b.conn.SetReadDeadline(time.Time{})
+}
+
+var errStopped = errors.New("the rest of the body is not needed")
+
+// cutError returns the error of a body that was cut off, whose request has not run, or
+// nil for one that was not.
+func (b *bodyReader) cutError(r intake.Reason) error {
+	switch r {
+	case intake.NoReason:
+		return nil
+	case intake.TooSlow:
+		if !b.deadline.IsZero() && !time.Now().Before(b.deadline) {
+			return fault.New(fault.RequestTimeout, "the body did not arrive before the request's deadline").WithRan(fault.RanNo)
+		}
+		return fault.New(fault.Overloaded, "the body did not arrive in time")
+	case intake.Stalled:
+		return fault.New(fault.Overloaded, "the body came to a halt while others waited")
+	default:
+		return fault.New(fault.Overloaded, "too many bodies are being received")
+	}
 }
 
 // Read implements io.Reader.
@@ -95,13 +149,12 @@
 	reason := b.account.Receive(n)
 	if err == io.EOF {
 		if reason = b.account.Complete(); reason == intake.NoReason {
-			// Else the deadline would end the server's watch for a caller that disconnects.
-			_ = b.conn.SetReadDeadline(time.Time{})
+			b.clearDeadline()
 			return io.EOF
 		}
 	}
 	if reason != intake.NoReason {
-		return cutError(reason)
+		return b.cutError(reason)
 	}
 	if b.streaming {
 		b.account.Stream(false)
@@ -149,7 +202,7 @@
 // more than limit bytes, Overloaded for one that was cut off, and BadRequest for one
 // that ended early.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	data, complete, err := ReadPrefix(w, r, limit)
+	data, complete, err := ReadPrefix(w, r, limit, time.Time{})
 	if err == nil && !complete {
 		w.Header().Set("Connection", "close")
 		err = fault.New(fault.BodyTooLarge, "the body exceeds %d bytes", limit)
@@ -162,12 +215,16 @@
 
 // ReadPrefix returns the body of a request if it has at most limit bytes, else the
 // first limit+1 bytes or, if its announced length is larger, none. It reports whether
-// the body is complete.
-func ReadPrefix(w http.ResponseWriter, r *http.Request, limit int64) (data []byte, complete bool, err error) {
+// the body is complete. A body that has not ended by the deadline is cut off; the zero
+// time is none.
+func ReadPrefix(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (data []byte, complete bool, err error) {
+	b, gated := r.Body.(*bodyReader)
+	if gated {
+		b.deadline = deadline
+	}
 	if r.ContentLength > limit {
 		return nil, false, nil
 	}
-	b, gated := r.Body.(*bodyReader)
 	if gated {
 		b.limit = limit + 1
 		if r.ContentLength >= 0 {
@@ -199,6 +256,29 @@
 	return data, int64(len(data)) <= limit, nil
 }
 
+// StopReading ends a read of a request's body, and all later ones, with an error. It may
+// be called by another goroutine than the reading one, for a body that is streamed.
+func StopReading(r *http.Request) {
+	b, ok := r.Body.(*bodyReader)
+	if !ok {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.complete {
+		b.stopped = true
+		b.interrupt()
+	}
+}
+
+// ReleaseBody makes a request's body, which was read to its end, not count as held any
+// more. The caller must not keep its bytes.
+func ReleaseBody(r *http.Request) {
+	if b, ok := r.Body.(*bodyReader); ok && b.account != nil {
+		b.account.Close()
+	}
+}
+
 // StreamRest makes further reads of a request's body not count as held: the handler
 // passes on what it reads.
 func StreamRest(r *http.Request) {
--- a/internal/web/gate.go
+++ b/internal/web/gate.go
@@ -8,7 +8,6 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/intake"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/inbound"
@@ -34,6 +33,7 @@
 	_maxBudgetWait    = time.Second      // leaves a caller 2 of the 3 s that it waits for an answer
 	_timeoutSlack     = 2 * time.Second  // from a body's timeout to that of its connection
 	_concurrentDecode = 2                // bodies that are not small
+	_wholeBodies      = 8                // bodies of the largest size that is received completely, which the budget holds
 	_smallListener    = 64               // connections of a listener for probes or metrics
 	_gateMaxHeader    = 20 << 10         // clients send at most 16,384 bytes
 	_rejectTimeout    = time.Millisecond // for the answer to a connection beyond the limit
@@ -63,6 +63,18 @@
 	}
 }
 
+// _minWholeBody is the part of a body that is buffered without a gate.
+const _minWholeBody = 64 << 10
+
+// WholeBody returns the largest body, in bytes, that a handler should receive
+// completely before it passes it on.
+func (g *Gate) WholeBody() int64 {
+	if g == nil {
+		return _minWholeBody
+	}
+	return max(g.cfg.BodyBudget/_wholeBodies, _minWholeBody)
+}
+
 // _past ends a read at once.
 var _past = time.Unix(1, 0)
 
@@ -142,18 +154,3 @@
 	b.decoding = true
 	return b.endDecoding
 }
-
-// cutError returns the error of a body that was cut off, whose request has not run, or
-// nil for one that was not.
-func cutError(r intake.Reason) error {
-	switch r {
-	case intake.NoReason:
-		return nil
-	case intake.TooSlow:
-		return fault.New(fault.Overloaded, "the body did not arrive in time")
-	case intake.Stalled:
-		return fault.New(fault.Overloaded, "the body came to a halt while others waited")
-	default:
-		return fault.New(fault.Overloaded, "too many bodies are being received")
-	}
-}
--- a/internal/web/gate_test.go
+++ b/internal/web/gate_test.go
@@ -364,7 +364,7 @@
 		BodyTimeout: 50 * time.Millisecond, HeaderTimeout: time.Second, IdleTimeout: time.Second,
 	})
 	server, err := gate.Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		data, complete, err := ReadPrefix(w, r, 1000)
+		data, complete, err := ReadPrefix(w, r, 1000, time.Time{})
 		if err != nil || complete {
 			t.Errorf("got %d bytes, complete %v, %v", len(data), complete, err)
 		}
