inbound: bound what clients hold that read no answers

What callers saw: clients that send requests and read no answer kept their connections for ever, so that all others at the address got 503; a shutdown waited for them until drain_timeout. Meanwhile the kernel held 984 MB of answers for 256 connections of a controller.

Cause: an answer being written had no time limit, its connection counted as being handled and never gave way, and send buffers grew to the system's default.

Why this works: send buffers have the limit that receive buffers have. At the limit of connections, one whose client takes nothing for 2 s gives way, after all others; without pressure it ends after intake.idle_timeout. A client that reads slowly is kept: the time counts for each 64 KiB.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,12 +71,12 @@
 	return d, nil
 }
 
-// Bounds of the receive buffers of all connections together.
+// Bounds of the receive buffers of all connections together, and of their send buffers.
 const (
-	_memoryPerReceiveBuffers = 4 // memory_limit by their sum; the kernel takes up to twice as much
-	_minReceiveBuffer        = 16 << 10
-	_maxReceiveBuffer        = 256 << 10
-	_assumedDescriptors      = 1024 // if the limit is unknown
+	_memoryPerSocketBuffers = 4 // memory_limit by their sum; the kernel takes up to twice as much
+	_minSocketBuffer        = 16 << 10
+	_maxSocketBuffer        = 256 << 10
+	_assumedDescriptors     = 1024 // if the limit is unknown
 )
 
 // descriptorLimit returns how many files the process may open.
@@ -91,11 +91,11 @@
 // newGate returns the gate of the process's listeners for callers, operators and workers.
 func newGate(s *settings.Settings, log event.Log, registry metrics.Registry) *web.Gate {
 	l := s.Intake
-	buffer := int64(s.MemoryLimit) / _memoryPerReceiveBuffers / int64(l.Connections)
+	buffer := int64(s.MemoryLimit) / _memoryPerSocketBuffers / int64(l.Connections)
 	return web.NewGate(web.GateConfig{
 		BodyBudget:    int64(l.BodyBudget),
 		Connections:   l.Connections,
-		ReceiveBuffer: int(min(max(buffer, _minReceiveBuffer), _maxReceiveBuffer)),
+		Buffer:        int(min(max(buffer, _minSocketBuffer), _maxSocketBuffer)),
 		BodyTimeout:   time.Duration(l.BodyTimeout),
 		HeaderTimeout: time.Duration(l.HeaderTimeout),
 		IdleTimeout:   time.Duration(l.IdleTimeout),
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -13,7 +13,8 @@
 const (
 	_backlog       = 256                    // connections that wait to be accepted
 	_stall         = 300 * time.Millisecond // longer than the time between segments of a client that sends
-	_answerTimeout = 2 * time.Second        // for sending the rest of an answer to a client that reads it
+	_answerTimeout = 2 * time.Second        // for sending a part of an answer to a client that reads it
+	_maxWrite      = 64 << 10               // bytes of an answer that are sent within one time limit
 )
 
 // State is what a connection does.
@@ -40,6 +41,7 @@
 	state    atomic.Int32
 	since    atomic.Int64 // when the state began
 	unread   atomic.Bool  // the handler has not read the request's body
+	writing  atomic.Int64 // Unix time in ns at which the current write began; 0 between writes
 
 	mu      sync.Mutex
 	closed  bool
@@ -70,6 +72,24 @@
 // SetUnread records whether the request's body waits to be read by the handler.
 func (c *Conn) SetUnread(unread bool) { c.unread.Store(unread) }
 
+// Write implements net.Conn. It fails if the client reads nothing for the time that the
+// listener allows.
+func (c *Conn) Write(p []byte) (n int, err error) {
+	defer c.writing.Store(0)
+	for {
+		now := time.Now()
+		c.writing.Store(now.UnixNano())
+		if t := c.listener.limits.WriteTimeout; t > 0 {
+			_ = c.SetWriteDeadline(now.Add(t))
+		}
+		m, err := c.Conn.Write(p[n:min(n+_maxWrite, len(p))])
+		n += m
+		if err != nil || n == len(p) {
+			return n, err
+		}
+	}
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.mu.Lock()
@@ -97,14 +117,15 @@
 
 // Limits are the limits of a Listener.
 type Limits struct {
-	Connections   int
-	ReceiveBuffer int // bytes of a connection's receive buffer; 0 for the system's default
+	Connections  int
+	Buffer       int           // bytes of a connection's receive buffer, and of its send buffer; 0 for the system's default
+	WriteTimeout time.Duration // for a client to read a part of an answer; 0 for no limit
 }
 
 // Listener limits the connections of an address. At the limit it closes the
 // connection that has been without a complete request longest, then the one that
-// has been idle longest, then one whose rejected body is still awaited. A connection
-// whose request is being handled stays.
+// has been idle longest, then one whose rejected body is still awaited, then one whose
+// client doesn't read its answer. Other connections whose request is being handled stay.
 type Listener struct {
 	net.Listener
 	limits   Limits
@@ -119,18 +140,19 @@
 // Listen listens on an address. reject answers a connection beyond the limit before it
 // is closed; it may be nil.
 func Listen(address string, l Limits, budget *Budget, o *Observer, reject func(net.Conn)) (*Listener, error) {
-	// Receive buffers count as memory of the machine until they are read.
+	// What is in buffers counts as memory of the machine. Accepted connections inherit them.
 	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		if l.ReceiveBuffer == 0 {
+		if l.Buffer == 0 {
 			return nil
 		}
 		var err error
-		if controlErr := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, l.ReceiveBuffer)
-		}); controlErr != nil {
-			return controlErr
-		}
-		return err
+		controlErr := c.Control(func(fd uintptr) {
+			err = errors.Join(
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, l.Buffer),
+				syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, l.Buffer),
+			)
+		})
+		return errors.Join(controlErr, err)
 	}}
 	inner, err := cfg.Listen(context.Background(), "tcp", address)
 	if err != nil {
@@ -220,7 +242,9 @@
 	stalledBefore, sentBefore := now.Add(-_stall).UnixNano(), now.Add(-_answerTimeout).UnixNano()
 	for c := range l.conns {
 		state, since := State(c.state.Load()), c.since.Load()
-		if state == Handling && (!c.unread.Load() || since > stalledBefore) || state == Answered && since > sentBefore {
+		writing := c.writing.Load()
+		unread := c.unread.Load() && since <= stalledBefore || writing != 0 && writing <= sentBefore
+		if state == Handling && !unread || state == Answered && since > sentBefore {
 			continue
 		}
 		if victim == nil || state < victimState || state == victimState && since < victim.since.Load() {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -32,6 +32,7 @@
 	_messageRate    = 64 << 10 // bytes per second
 	_messageWait    = 2 * time.Second
 	_messageTimeout = 30 * time.Second
+	_writeTimeout   = 30 * time.Second      // for a client to read a part of an answer
 	_retireDelay    = time.Second           // from the end of a call to the end of a connection that is not kept
 	_acceptPause    = 50 * time.Millisecond // after an accept that failed for want of descriptors
 )
@@ -72,7 +73,7 @@
 		Stall: _messageStall, Grace: _messageGrace, MinRate: _messageRate, MaxWait: _messageWait, BodyTimeout: _messageTimeout,
 	}, observer)}
 	var err error
-	s.listener, err = inbound.Listen(address, inbound.Limits{Connections: cfg.Connections}, s.budget, observer, nil)
+	s.listener, err = inbound.Listen(address, inbound.Limits{Connections: cfg.Connections, WriteTimeout: _writeTimeout}, s.budget, observer, nil)
 	if err != nil {
 		return nil, fault.Wrap(fault.BadSettings, err, "listen on %s", address)
 	}
--- a/internal/web/gate.go
+++ b/internal/web/gate.go
@@ -17,7 +17,7 @@
 type GateConfig struct {
 	BodyBudget    int64         // bytes of bodies that are being read or processed
 	Connections   int           // of all listeners for callers, operators and workers
-	ReceiveBuffer int           // bytes of a connection's receive buffer
+	Buffer        int           // bytes of a connection's receive buffer, and of its send buffer
 	BodyTimeout   time.Duration // from the start of a body to its end
 	HeaderTimeout time.Duration // for reading a request's headers
 	IdleTimeout   time.Duration // between requests on one connection
@@ -90,7 +90,9 @@
 	if small {
 		limit = min(limit, _smallListener)
 	}
-	return inbound.Listen(address, inbound.Limits{Connections: limit, ReceiveBuffer: g.cfg.ReceiveBuffer}, g.budget, g.observer, reject)
+	return inbound.Listen(address, inbound.Limits{
+		Connections: limit, Buffer: g.cfg.Buffer, WriteTimeout: g.cfg.IdleTimeout,
+	}, g.budget, g.observer, reject)
 }
 
 type gateConnKey struct{}
--- a/internal/web/gate_test.go
+++ b/internal/web/gate_test.go
@@ -24,14 +24,14 @@
 	gate    *Gate
 	reached chan string   // one value for each body that was read
 	release chan struct{} // closed to answer the requests to /hold
-	ended   atomic.Int64  // requests to /hold whose context ended early
+	ended   atomic.Int64  // requests to /hold whose context ended early, and to /long whose answer was sent or failed
 }
 
 const _testLimit = 100_000
 
 func startGateServer(t *testing.T, change func(*GateConfig)) *gateServer {
 	cfg := GateConfig{
-		BodyBudget: 256 << 10, Connections: 8, ReceiveBuffer: 16 << 10,
+		BodyBudget: 256 << 10, Connections: 8, Buffer: 16 << 10,
 		BodyTimeout: 30 * time.Second, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second,
 	}
 	if change != nil {
@@ -55,6 +55,12 @@
 		WriteFault(w, fault.New(fault.NotFound, "path does not exist"))
 		return
 	}
+	if r.URL.Path == "/long" {
+		s.reached <- r.URL.Path
+		_, _ = w.Write(make([]byte, 64<<20))
+		s.ended.Add(1)
+		return
+	}
 	if r.URL.Path == "/unread" {
 		w.WriteHeader(http.StatusNotFound)
 		_ = http.NewResponseController(w).Flush() // as a long answer does before the handler returns
@@ -336,6 +342,48 @@
 	}
 }
 
+// TestUnreadAnswersGiveWay guards against clients that take all connections with answers
+// that they don't read.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	s := startGateServer(t, nil)
+	for range 8 {
+		s.dial("GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+		<-s.reached
+	}
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		if got, _, _, err := s.dial(post("/", 10, 0)).answer(); err == nil && got == 200 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("no ordinary request was answered")
+		}
+	}
+}
+
+// TestUnreadAnswersEnd guards against answers that wait for a client for ever, and with
+// them a shutdown, and against one that is cut off although the client reads it slowly.
+func TestUnreadAnswersEnd(t *testing.T) {
+	s := startGateServer(t, func(cfg *GateConfig) { cfg.IdleTimeout = 300 * time.Millisecond })
+	s.dial("GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+	for deadline := time.Now().Add(20 * time.Second); s.ended.Load() == 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the answer has not ended")
+		}
+	}
+	slow := s.dial("GET /long HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, err := http.ReadResponse(slow.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	for range 10 { // for longer than the idle timeout
+		time.Sleep(50 * time.Millisecond)
+		if _, err := io.CopyN(io.Discard, resp.Body, 1<<20); err != nil {
+			t.Fatalf("the answer was cut off: %v", err)
+		}
+	}
+}
+
 // TestShutdownFinishesRequests guards against a drain that cuts off a request whose
 // body is being received or that is in processing.
 func TestShutdownFinishesRequests(t *testing.T) {
@@ -360,7 +408,7 @@
 // held, and against its end by the time for a body while the receiver waits.
 func TestStreamedBodyIsNotHeld(t *testing.T) {
 	gate := NewGate(GateConfig{
-		BodyBudget: 256 << 10, Connections: 8, ReceiveBuffer: 16 << 10,
+		BodyBudget: 256 << 10, Connections: 8, Buffer: 16 << 10,
 		BodyTimeout: 50 * time.Millisecond, HeaderTimeout: time.Second, IdleTimeout: time.Second,
 	})
 	server, err := gate.Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -400,7 +448,7 @@
 		}
 	})
 	for name, gate := range map[string]*Gate{"without": nil, "with": NewGate(GateConfig{
-		BodyBudget: 12 << 20, Connections: 100, ReceiveBuffer: 24 << 10, BodyTimeout: time.Minute, HeaderTimeout: time.Minute, IdleTimeout: time.Minute,
+		BodyBudget: 12 << 20, Connections: 100, Buffer: 24 << 10, BodyTimeout: time.Minute, HeaderTimeout: time.Minute, IdleTimeout: time.Minute,
 	})} {
 		b.Run(name, func(b *testing.B) {
 			server, err := gate.Listen("127.0.0.1:0", handler)
