web: leave connections to ordinary requests beside watches

What callers saw: 256 watches of the catalogue by one client, and every other request at the operators' address got 503. The same holds for watches of targets and for calls that wait for a job's result.

Cause: a connection whose request is being handled never gives way, and a watch is handled for ever.

Why this works: answers that last have at most three quarters of an address's connections. A further one is rejected at once, with Retry-After; it has not run.

--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -54,6 +54,12 @@
 		web.WriteFault(w, fault.New(fault.Draining, "entry instance is draining"))
 		return
 	}
+	end, err := web.BeginLasting(r)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	defer end()
 	c := &call{entry: e, decl: decl, w: w, r: r, id: uuid.NewString(), idempotent: true, began: time.Now()}
 	c.path = "/" + web.PathValue(r, "path")
 	if r.URL.RawQuery != "" {
--- a/internal/inbound/listener.go
+++ b/internal/inbound/listener.go
@@ -90,6 +90,24 @@
 	}
 }
 
+// BeginLasting records that the answer to the current request lasts: a watch, or a wait
+// of many seconds. It returns false if such answers already have three quarters of
+// the listener's connections. The caller calls end when the answer has ended.
+func (c *Conn) BeginLasting() (end func(), ok bool) {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lasting >= max(l.limits.Connections/4*3, 1) {
+		return nil, false
+	}
+	l.lasting++
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.lasting--
+	}, true
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.mu.Lock()
@@ -133,8 +151,9 @@
 	observer *Observer
 	reject   func(net.Conn) // answers and closes a connection beyond the limit
 
-	mu    sync.Mutex
-	conns map[*Conn]struct{}
+	mu      sync.Mutex
+	conns   map[*Conn]struct{}
+	lasting int // connections with an answer that lasts
 }
 
 // Listen listens on an address. reject answers a connection beyond the limit before it
--- a/internal/jobsapi/jobs.go
+++ b/internal/jobsapi/jobs.go
@@ -209,6 +209,14 @@
 		}
 		wait = time.Duration(ms) * time.Millisecond
 	}
+	if wait > 0 {
+		end, err := web.BeginLasting(r)
+		if err != nil {
+			web.WriteFault(w, err)
+			return
+		}
+		defer end()
+	}
 	j, err := a.fetchJob(r, wait)
 	if err != nil {
 		web.WriteFault(w, err)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -200,6 +200,12 @@
 		web.WriteFault(w, fault.New(fault.RevisionGone, "changes after revision %d are no longer stored; list again", revision))
 		return
 	}
+	end, err := web.BeginLasting(r)
+	if err != nil {
+		web.WriteFault(w, err)
+		return
+	}
+	defer end()
 	w.Header().Set("Content-Type", "application/json-seq")
 	flusher := http.NewResponseController(w)
 	bookmark := time.NewTicker(time.Second)
--- a/internal/web/gate.go
+++ b/internal/web/gate.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/intake"
 	"github.com/gentianrail/gentianrail/internal/event"
 	"github.com/gentianrail/gentianrail/internal/inbound"
@@ -144,6 +145,21 @@
 	})
 }
 
+// BeginLasting admits a request whose answer lasts: a watch, or a wait of many seconds. It
+// returns an error if such answers already have three quarters of the listener's
+// connections. The caller calls end when the answer has ended.
+func BeginLasting(r *http.Request) (end func(), err error) {
+	c, ok := r.Context().Value(gateConnKey{}).(*inbound.Conn)
+	if !ok {
+		return func() {}, nil
+	}
+	end, ok = c.BeginLasting()
+	if !ok {
+		return nil, fault.New(fault.Overloaded, "too many watches are open")
+	}
+	return end, nil
+}
+
 // BeginDecoding waits until few other bodies are being decoded, since a decoded
 // body may take many times its size. The caller calls end after decoding; otherwise
 // decoding ends with the request.
--- a/internal/web/gate_test.go
+++ b/internal/web/gate_test.go
@@ -61,6 +61,17 @@
 		s.ended.Add(1)
 		return
 	}
+	if r.URL.Path == "/watch" {
+		end, err := BeginLasting(r)
+		if err != nil {
+			WriteFault(w, err)
+			return
+		}
+		defer end()
+		s.reached <- r.URL.Path
+		<-s.release
+		return
+	}
 	if r.URL.Path == "/unread" {
 		w.WriteHeader(http.StatusNotFound)
 		_ = http.NewResponseController(w).Flush() // as a long answer does before the handler returns
@@ -342,6 +353,27 @@
 	}
 }
 
+// TestWatchesLeaveConnections guards against watches that take all connections, and
+// against a limit of watches that is used up by those that have ended.
+func TestWatchesLeaveConnections(t *testing.T) {
+	s := startGateServer(t, nil)
+	const watches = 6 // of 8 connections
+	var open []*client
+	for range watches {
+		open = append(open, s.dial("GET /watch HTTP/1.1\r\nHost: h\r\n\r\n"))
+		<-s.reached
+	}
+	for range 3 {
+		s.expect(s.dial("GET /watch HTTP/1.1\r\nHost: h\r\n\r\n"), 503, "", true)
+		s.expect(s.dial(post("/", 10, 0)), 200, "10", true)
+	}
+	close(s.release)
+	for _, c := range open {
+		s.expect(c, 200, "", true)
+	}
+	s.expect(s.dial("GET /watch HTTP/1.1\r\nHost: h\r\n\r\n"), 200, "", true)
+}
+
 // TestUnreadAnswersGiveWay guards against clients that take all connections with answers
 // that they don't read.
 func TestUnreadAnswersGiveWay(t *testing.T) {
