gentianraild: let no reload hide a signal to stop

What operators saw: a controller went on after SIGTERM until it was killed.

Cause: one channel of size one took all signals. While it held a SIGHUP, a SIGTERM was dropped.

Why this works: signals to stop and to reload have a channel each, so only one of the same kind can be dropped, which has the same effect.

--- a/cmd/gentianraild/main.go
+++ b/cmd/gentianraild/main.go
@@ -60,34 +60,45 @@
 	sink := event.NewSink(os.Stdout)
 	defer sink.Close()
 	log := event.NewLog(sink, format, s.Level()).With("name", s.Name)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	d, err := start(func() (*daemon.Daemon, error) { return daemon.Start(&s, log) }, log, signals)
+	received := notifySignals()
+	d, err := start(func() (*daemon.Daemon, error) { return daemon.Start(&s, log) }, log, received)
 	if d == nil {
 		return err
 	}
-	if !watchSettings(d, cmd.String("config"), signals) {
+	if !watchSettings(d, cmd.String("config"), received) {
 		time.Sleep(_diskFailurePause)
 		return cli.Exit("gentianraild: disk failure in the data folder", _exitDisk)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
-		for s := <-signals; s == syscall.SIGHUP; s = <-signals {
-			continue // settings are not reloaded during shutdown
-		}
+		<-received.stop // settings are not reloaded during shutdown
 		log.Emit(event.SecondSignal, nil, "second signal; exiting without waiting for requests in flight")
 		cancel()
 	}()
 	return d.Stop(ctx)
 }
 
+// signals are the signals that the process receives. A signal is dropped while an earlier
+// one in its channel has not been taken, so those to reload must not hide one to stop.
+type signals struct {
+	stop   chan os.Signal // SIGTERM and SIGINT
+	reload chan os.Signal // SIGHUP
+}
+
+func notifySignals() signals {
+	out := signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(out.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(out.reload, syscall.SIGHUP)
+	return out
+}
+
 // _fullDiskRetryInterval is the time between attempts to start with a full disk.
 const _fullDiskRetryInterval = 500 * time.Millisecond
 
 // start calls startRoles, again and again while a full disk prevents the start. It returns
 // nil without an error on a signal to stop.
-func start(startRoles func() (*daemon.Daemon, error), log event.Log, signals <-chan os.Signal) (*daemon.Daemon, error) {
+func start(startRoles func() (*daemon.Daemon, error), log event.Log, received signals) (*daemon.Daemon, error) {
 	since := clock.Now()
 	for isFull := false; ; {
 		d, err := startRoles()
@@ -102,10 +113,9 @@
 			log.Emit(event.DiskFull, event.Fields{"error": err.Error()}, "disk full; starting when there is space")
 		}
 		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return nil, nil
-			}
+		case <-received.stop:
+			return nil, nil
+		case <-received.reload:
 		case <-time.After(_fullDiskRetryInterval):
 		}
 	}
@@ -121,17 +131,16 @@
 
 // watchSettings reloads the settings when the file changes or on SIGHUP. It
 // returns true on a signal to stop and false if the disk fails.
-func watchSettings(d *daemon.Daemon, file string, signals <-chan os.Signal) bool {
+func watchSettings(d *daemon.Daemon, file string, received signals) bool {
 	lastData, _ := os.ReadFile(file) // an unreadable file counts as changed once it is readable
 	t := time.NewTicker(_settingsPollInterval)
 	defer t.Stop()
 	for {
 		gotSIGHUP := false
 		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return true
-			}
+		case <-received.stop:
+			return true
+		case <-received.reload:
 			gotSIGHUP = true
 		case <-d.DiskFailed():
 			return false
