--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -129,9 +129,6 @@
 	}
 	a.requests.Add(1)
 	defer a.requests.Done()
-	// Closing discards unread body frames, so that the connection can carry
-	// the next request.
-	defer stream.Close()
 	r := &request{
 		agent:    a,
 		stream:   stream,
@@ -141,7 +138,9 @@
 		deadline: time.Now().Add(time.Duration(open.GetTimeout())),
 	}
 	defer func() {
-		_ = stream.Close() // ends the goroutine of an arriving body
+		// Closing discards unread body frames, so that the connection can carry the next
+		// request, and ends the goroutine of an arriving body.
+		_ = stream.Close()
 		r.body.wait()
 	}()
 	defer r.out.finish()
