link: give each message of a stream its own account

Cause: a read that brought the end of one large message and the beginning of the next left the account of the first one open. Small messages were then added to it, so that it had received more than it held, and the next large one was given a negative number of bytes to read.

Evidence: TestMessagesBackToBack, which panics on the parent.

Why this works: an account ends with its message, whatever follows in the same read.

The README's test command has a timeout since; e2e TestReadmeCommands expects it.

--- a/e2e/readme_test.go
+++ b/e2e/readme_test.go
@@ -156,7 +156,7 @@
 	blocks := readBlocks(t, filepath.Join(dir, "README.md"))
 	daemon := startProcessGroup(t, dir, strings.TrimSpace(blocks[0].commands), newProcessLog(t))
 	waitReady(t, "http://127.0.0.1:8600/readyz", "http://127.0.0.1:8601/readyz")
-	if want := "go test ./...\n"; blocks[1].commands != want {
+	if want := "go test -timeout 20m ./...\n"; blocks[1].commands != want {
 		t.Fatalf("the second command is %q, want %q", blocks[1].commands, want)
 	}
 	runBlocks(t, dir, blocks[2:])
--- a/internal/link/framescan.go
+++ b/internal/link/framescan.go
@@ -25,6 +25,7 @@
 	kind drpcwire.Kind // of the current message
 	size int64         // bytes of the current message, including the announced ones of its frame
 
+	ended       int  // messages that have ended, of all kinds
 	invocations int  // calls that have begun
 	messaged    bool // a message of the latest call has ended
 }
@@ -111,6 +112,7 @@
 		return
 	}
 	s.size, s.last = 0, false
+	s.ended++
 	switch s.kind {
 	case drpcwire.KindInvoke:
 		s.invocations++
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -180,13 +180,13 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	err := c.scanner.scan(p)
-	if err != nil {
+	ended := c.scanner.ended
+	if err := c.scanner.scan(p); err != nil {
 		return err
 	}
-	size := c.scanner.messageSize()
-	c.largest = max(c.largest, size)
-	if c.charged && size == 0 {
+	c.largest = max(c.largest, c.scanner.messageSize())
+	if c.charged && c.scanner.ended > ended {
+		// The next message, which may have begun, has an account of its own.
 		c.charged = false
 		if c.account.Complete() != intake.NoReason {
 			return errCutOff
--- a/internal/link/server_test.go
+++ b/internal/link/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -89,6 +90,14 @@
 
 func (h echoHandler) HandleRPC(stream drpc.Stream, rpc string) error {
 	var in []byte
+	if rpc == "/count" {
+		n := 0
+		for stream.MsgRecv(&in, bytesEncoding{}) == nil {
+			n++
+		}
+		out := make([]byte, n)
+		return stream.MsgSend(&out, bytesEncoding{})
+	}
 	if err := stream.MsgRecv(&in, bytesEncoding{}); err != nil {
 		return err
 	}
@@ -186,6 +195,42 @@
 	}
 }
 
+// TestMessagesBackToBack guards against an account that goes on with the next message of
+// a stream, part of which has arrived with the end of the one before.
+func TestMessagesBackToBack(t *testing.T) {
+	s := startServer(t, ServerConfig{Connections: 8, MessageBudget: 12 << 20})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	conn, err := Dial(ctx, s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := conn.NewStream(ctx, "/count", bytesEncoding{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const messages = 400
+	r := rand.New(rand.NewPCG(1, 1))
+	for range messages {
+		size := r.IntN(2 * _smallMessage)
+		if r.IntN(4) == 0 {
+			size = r.IntN(1 << 20)
+		}
+		message := make([]byte, size)
+		if err := stream.MsgSend(&message, bytesEncoding{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := stream.CloseSend(); err != nil {
+		t.Fatal(err)
+	}
+	var out []byte
+	if err := stream.MsgRecv(&out, bytesEncoding{}); err != nil || len(out) != messages {
+		t.Errorf("%d of %d messages arrived, %v", len(out), messages, err)
+	}
+}
+
 // TestConnectionsGiveWay guards against clients that take all connections: those without
 // a complete call are closed, those whose call is being handled stay.
 func TestConnectionsGiveWay(t *testing.T) {
