Show that crashes of workers let lasting submissions fail for good

Cause: the store takes a task for the cause of its workers' crashes after three or four crashes soon after its starts, and ends the submission as out of attempts. That holds for long-running steps, too, and for tasks that none of their runs has failed.

--- /dev/null
+++ b/review/stand-3/worker.go
@@ -0,0 +1,518 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// _heartbeat is the time between a worker's status reports.
+const _heartbeat = 1500 * time.Millisecond
+
+// _failAfter is how long after its start a run fails that the worker or its own fault lets fail.
+const _failAfter = 60 * time.Millisecond
+
+// run is a task that a worker works on.
+type run struct {
+	task       string
+	number     int
+	began      time.Time
+	work       time.Duration // in all
+	progressAt time.Time     // up to which work is counted
+	done       time.Duration // work that is done
+	percent    int           // pace
+	saved      time.Duration // work that the latest checkpoint holds
+	lasts      bool
+	saves      bool
+	fails      bool      // through the worker's fault or its own, _failAfter after its start
+	stopping   time.Time // when it stops; zero if it was not told to
+	gang       string    // key of the gang; "" for none
+}
+
+// ended is an end that was not taken note of yet.
+type ended struct {
+	n      int
+	task   string
+	number int
+	how    string
+	saved  string
+	at     time.Duration
+}
+
+// worker is one life of a worker on a side machine. It follows the platform's protocol.
+type worker struct {
+	world   *world
+	side    *machine
+	id      string
+	machine string
+	service string
+	labels  []string
+	cpu     int
+	memMB   int
+	born    time.Time
+	clock   time.Time // at which its steady clock was 0
+
+	mu       sync.Mutex
+	fence    uint64
+	expires  time.Time
+	lapsedAt time.Duration   // when the lease had lapsed last
+	runs     map[string]*run // by task
+	ended    []ended
+	last     int
+	highest  map[string]int // highest run that was stopped or has ended, by task
+	changed  chan struct{}
+	draining bool
+	sequence int
+	listener net.Listener
+	server   *http.Server
+	cancel   context.CancelFunc
+	alive    bool
+}
+
+// startWorker starts a life of a worker.
+func startWorker(w *world, side *machine, id, service string, labels []string, cpu, memMB int) (*worker, error) {
+	l, err := net.Listen("tcp", side.address(_appPort))
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	wk := &worker{
+		world: w, side: side, id: id, machine: "m-" + side.name, service: service, labels: labels, cpu: cpu, memMB: memMB,
+		born: time.Now(), clock: time.Now(), runs: make(map[string]*run), highest: make(map[string]int), changed: make(chan struct{}),
+		listener: l, cancel: cancel, alive: true,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /gentianrail/run-start", wk.handle(wk.start))
+	mux.HandleFunc("POST /gentianrail/run-stop", wk.handle(wk.stop))
+	mux.HandleFunc("POST /gentianrail/hold", wk.handle(wk.hold))
+	mux.HandleFunc("POST /gentianrail/pace", wk.handle(wk.pace))
+	wk.server = &http.Server{Handler: mux}
+	go func() { _ = wk.server.Serve(l) }()
+	go wk.heartbeats(ctx)
+	go wk.work(ctx)
+	w.rec.printf("worker %s starts on %s", id, side.name)
+	return wk, nil
+}
+
+// crash ends the life: its address refuses connections, and what it ran is gone.
+func (wk *worker) crash() {
+	wk.mu.Lock()
+	wk.alive = false
+	wk.cancel()
+	runs := make([]*run, 0, len(wk.runs))
+	for _, r := range wk.runs {
+		runs = append(runs, r)
+	}
+	wk.runs = make(map[string]*run)
+	wk.mu.Unlock()
+	_ = wk.server.Close()
+	for _, r := range runs {
+		wk.world.end(wk, r.task, r.number, "crashed")
+	}
+	wk.world.rec.printf("worker %s crashes with %d runs", wk.id, len(runs))
+}
+
+func (wk *worker) hasLabel(label string) bool { return slices.Contains(wk.labels, label) }
+
+func (wk *worker) now() int64 { return time.Since(wk.clock).Milliseconds() }
+
+// call is the body of a call to the worker.
+type call struct {
+	Task       string `json:"task"`
+	Run        int    `json:"run-id"`
+	Spec       string `json:"spec"`
+	Expires    int64  `json:"expires-at-ms"`
+	Fence      uint64 `json:"fencing-token"`
+	Checkpoint string `json:"checkpoint"`
+	Ticket     string `json:"ticket"`
+	LastSeen   int    `json:"last-seen"`
+	WaitMS     int64  `json:"wait-ms"`
+	Percent    int    `json:"percent"`
+}
+
+// answer is the body of a worker's response.
+type answer struct {
+	Timestamp int64   `json:"timestamp-ms"`
+	Born      int64   `json:"born"`
+	Reason    string  `json:"reason,omitempty"`
+	Active    [][]any `json:"active,omitempty"`
+	Finished  [][]any `json:"finished,omitempty"`
+}
+
+func (wk *worker) handle(f func(context.Context, call) (int, answer)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get("X-Expected-Instance"); id != "" && id != wk.id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		data, err := io.ReadAll(r.Body)
+		var c call
+		if err != nil || json.Unmarshal(data, &c) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		status, a := f(r.Context(), c)
+		a.Timestamp, a.Born = wk.now(), wk.born.UnixMilli()
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		_, _ = w.Write(mustJSON(a))
+	}
+}
+
+// isFenced notes the token of a call. wk.mu must be held.
+func (wk *worker) isFenced(c call) bool {
+	if c.Fence < wk.fence {
+		return true
+	}
+	wk.fence = c.Fence
+	return false
+}
+
+// extend extends the lease of all that runs. wk.mu must be held.
+func (wk *worker) extend(expiresMS int64) {
+	if expiresMS == 0 {
+		return
+	}
+	until := wk.clock.Add(time.Duration(expiresMS) * time.Millisecond)
+	if limit := time.Now().Add(_maxHold); until.After(limit) {
+		until = limit
+	}
+	if until.After(wk.expires) {
+		wk.expires = until
+	}
+}
+
+func (wk *worker) start(_ context.Context, c call) (int, answer) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	if !wk.alive {
+		return http.StatusServiceUnavailable, answer{}
+	}
+	if wk.isFenced(c) {
+		return http.StatusConflict, answer{Reason: "fence"}
+	}
+	if r := wk.runs[c.Task]; r != nil && r.number == c.Run {
+		wk.extend(c.Expires)
+		return http.StatusOK, answer{}
+	}
+	if c.Run <= wk.highest[c.Task] {
+		wk.extend(c.Expires)
+		return http.StatusConflict, answer{Reason: "old"}
+	}
+	if c.Expires <= wk.now() {
+		return http.StatusConflict, answer{Reason: "late"}
+	}
+	wk.extend(c.Expires)
+	j, work := wk.world.begin(wk, c.Task, c.Run, c.Spec)
+	t, _ := parseTask(c.Task)
+	r := &run{task: c.Task, number: c.Run, began: time.Now(), progressAt: time.Now(), work: work, percent: 100}
+	if t.step < len(j.Steps) {
+		s := j.Steps[t.step]
+		r.lasts, r.saves = s.LongRunning, s.Checkpointing
+		if s.Gang {
+			r.gang = fmt.Sprintf("%s.%d.%d/%d", t.submission, t.occurrence, t.step, c.Run)
+		}
+	}
+	if c.Checkpoint != "" {
+		var ms int64
+		if _, err := fmt.Sscanf(c.Checkpoint, "%016x", &ms); err == nil {
+			r.done = time.Duration(ms) * time.Millisecond
+			r.saved = r.done
+		}
+	}
+	wk.world.mu.Lock()
+	r.fails = wk.world.failTask != nil && wk.world.failTask(wk, c.Task, c.Run)
+	if r.gang != "" {
+		if wk.world.gangs[r.gang] == nil {
+			wk.world.gangs[r.gang] = make(map[string]*run)
+		}
+		wk.world.gangs[r.gang][r.task] = r
+	}
+	wk.world.mu.Unlock()
+	wk.runs[c.Task] = r
+	wk.world.rec.printf("start %s run %d on %s (%s)", c.Task, c.Run, wk.id, wk.side.name)
+	wk.checkCapacity(j, c.Task)
+	return http.StatusOK, answer{}
+}
+
+// checkCapacity checks that the worker holds what it runs. wk.mu must be held.
+func (wk *worker) checkCapacity(_ job, task string) {
+	cpu, mem := 0, 0
+	wk.world.mu.Lock()
+	defer wk.world.mu.Unlock()
+	for name := range wk.runs {
+		t, _ := parseTask(name)
+		j, ok := wk.world.jobs[t.submission]
+		if !ok || t.step >= len(j.Steps) {
+			continue
+		}
+		s := j.Steps[t.step]
+		if !s.Utilization {
+			cpu += s.CPU
+		}
+		mem += s.MemMB
+	}
+	if cpu > wk.cpu || mem > wk.memMB {
+		wk.world.breaks("LIMIT", "%s on %s: cpu %d of %d, memory %d of %d", task, wk.id, cpu, wk.cpu, mem, wk.memMB)
+	}
+	if t, ok := parseTask(task); ok {
+		s := wk.world.jobs[t.submission].Steps[t.step]
+		count := 0
+		for name := range wk.runs {
+			if o, _ := parseTask(name); o.submission == t.submission && o.occurrence == t.occurrence && o.step == t.step {
+				count++
+			}
+		}
+		if s.AntiAffinity > 0 && count > s.AntiAffinity {
+			wk.world.breaks("ROUTE", "%s on %s beyond anti-affinity %d", task, wk.id, s.AntiAffinity)
+		}
+	}
+}
+
+func (wk *worker) stop(_ context.Context, c call) (int, answer) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	if !wk.alive {
+		return http.StatusServiceUnavailable, answer{}
+	}
+	if wk.isFenced(c) {
+		return http.StatusConflict, answer{Reason: "fence"}
+	}
+	wk.highest[c.Task] = max(wk.highest[c.Task], c.Run)
+	if r := wk.runs[c.Task]; r != nil && r.number <= c.Run && r.stopping.IsZero() {
+		r.stopping = time.Now().Add(_stopTime)
+		wk.world.rec.printf("stop %s run %d on %s", c.Task, c.Run, wk.id)
+	}
+	return http.StatusOK, answer{}
+}
+
+func (wk *worker) pace(_ context.Context, c call) (int, answer) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	if wk.isFenced(c) {
+		return http.StatusConflict, answer{Reason: "fence"}
+	}
+	if r := wk.runs[c.Task]; r != nil && r.number == c.Run {
+		r.percent = c.Percent
+	}
+	return http.StatusOK, answer{}
+}
+
+func (wk *worker) hold(ctx context.Context, c call) (int, answer) {
+	wk.mu.Lock()
+	if wk.isFenced(c) {
+		wk.mu.Unlock()
+		return http.StatusConflict, answer{Reason: "fence"}
+	}
+	wk.extend(c.Expires)
+	for len(wk.ended) > 0 && wk.ended[0].n <= c.LastSeen {
+		e := wk.ended[0]
+		wk.ended = wk.ended[1:]
+		if wk.lapsedAt < e.at {
+			wk.world.noted(e.task, e.how, e.at)
+		}
+	}
+	if wait := time.Duration(min(c.WaitMS, 2000)) * time.Millisecond; len(wk.ended) == 0 && wait > 0 {
+		changed := wk.changed
+		wk.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+		wk.mu.Lock()
+	}
+	defer wk.mu.Unlock()
+	var a answer
+	for _, r := range wk.runs {
+		a.Active = append(a.Active, []any{r.task, r.number, r.checkpoint(), r.progress(), r.figure()})
+	}
+	for _, e := range wk.ended[:min(len(wk.ended), 500)] {
+		a.Finished = append(a.Finished, []any{e.n, e.task, e.number, e.how, e.saved})
+	}
+	return http.StatusOK, a
+}
+
+func (r *run) checkpoint() string {
+	if !r.saves || r.saved == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%016x", r.saved.Milliseconds())
+}
+
+func (r *run) progress() int {
+	if r.lasts {
+		if time.Since(r.began) < 400*time.Millisecond {
+			return 0
+		}
+		return 100
+	}
+	return int(min(99, 100*r.done/max(r.work, 1)))
+}
+
+func (r *run) figure() int {
+	if r.lasts {
+		return 20 // tail latency, below each target
+	}
+	return 100
+}
+
+// finish ends a run. wk.mu must be held.
+func (wk *worker) finish(r *run, how string) {
+	delete(wk.runs, r.task)
+	wk.highest[r.task] = max(wk.highest[r.task], r.number)
+	wk.last++
+	saved := ""
+	if how != "done" {
+		if how == "stopped" && r.saves {
+			r.saved = r.done
+		}
+		saved = r.checkpoint()
+	}
+	wk.ended = append(wk.ended, ended{n: wk.last, task: r.task, number: r.number, how: how, saved: saved, at: wk.world.rec.since()})
+	close(wk.changed)
+	wk.changed = make(chan struct{})
+	wk.world.end(wk, r.task, r.number, how)
+	wk.world.rec.printf("end %s run %d on %s: %s", r.task, r.number, wk.id, how)
+}
+
+// gangState returns whether all members of a run's gang are there, and whether one has ended.
+func (wk *worker) gangState(r *run) (complete, done, broken bool) {
+	wk.world.mu.Lock()
+	defer wk.world.mu.Unlock()
+	t, _ := parseTask(r.task)
+	members := wk.world.gangs[r.gang]
+	done = members["done"] != nil
+	broken = members["broken"] != nil
+	count := 0
+	for name := range members {
+		if name != "done" && name != "broken" {
+			count++
+		}
+	}
+	return count >= wk.world.jobs[t.submission].Steps[t.step].Count, done, broken
+}
+
+func (wk *worker) markGang(r *run, how string) {
+	wk.world.mu.Lock()
+	defer wk.world.mu.Unlock()
+	wk.world.gangs[r.gang][how] = r
+}
+
+// work lets the runs work until the worker ends.
+func (wk *worker) work(ctx context.Context) {
+	t := time.NewTicker(20 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		wk.mu.Lock()
+		if wk.alive {
+			now := time.Now()
+			lapsed := !now.Before(wk.expires)
+			if lapsed {
+				wk.lapsedAt = wk.world.rec.since()
+			}
+			for _, r := range wk.runs {
+				wk.advance(now, r, lapsed)
+			}
+		}
+		wk.mu.Unlock()
+	}
+}
+
+// advance lets one run work. wk.mu must be held.
+func (wk *worker) advance(now time.Time, r *run, lapsed bool) {
+	complete, gangDone, gangBroken := true, false, false
+	if r.gang != "" {
+		complete, gangDone, gangBroken = wk.gangState(r)
+	}
+	if complete {
+		r.done += now.Sub(r.progressAt) * time.Duration(r.percent) / 100
+	}
+	r.progressAt = now
+	if r.done-r.saved >= _saveEvery {
+		r.saved = r.done
+	}
+	how := ""
+	switch {
+	case lapsed:
+		how = "lapsed"
+	case !r.stopping.IsZero() && !now.Before(r.stopping):
+		how = "stopped"
+	case r.fails && now.Sub(r.began) >= _failAfter:
+		how = "failed"
+	case gangDone:
+		how = "done"
+	case gangBroken:
+		how = "broken"
+	case r.gang != "" && !complete && now.Sub(r.began) >= _gangTimeout:
+		how = "alone"
+	case !r.lasts && r.done >= r.work:
+		how = "done"
+	default:
+		return
+	}
+	if r.gang != "" && how == "done" {
+		wk.markGang(r, "done")
+	} else if r.gang != "" {
+		wk.markGang(r, "broken")
+	}
+	wk.finish(r, how)
+}
+
+// heartbeats reports the worker's state to the agent on its machine.
+func (wk *worker) heartbeats(ctx context.Context) {
+	client := &http.Client{Timeout: time.Second}
+	for {
+		wait := _heartbeat
+		if !wk.report(ctx, client) {
+			wait = 200 * time.Millisecond
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (wk *worker) report(ctx context.Context, client *http.Client) bool {
+	wk.mu.Lock()
+	wk.sequence++
+	state := "ready"
+	if wk.draining {
+		state = "draining"
+	}
+	body := map[string]any{
+		"service": wk.service, "address": wk.side.address(_appPort), "zone": wk.side.zone, "version": "v1", "slots": 8, "state": state,
+		"warmup-left-ms": 0, "capacity": map[string]int{"cpu": wk.cpu, "mem-mb": wk.memMB, "gpu": 0}, "labels": wk.labels,
+		"machine": wk.machine, "timestamp-ms": wk.now(), "sequence": wk.sequence, "born": wk.born.UnixMilli(),
+	}
+	if wk.draining {
+		body["remaining-ms"] = 2000
+	}
+	wk.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+wk.side.address(_controlPort)+"/gentianrail/Instances.Heartbeat/"+wk.id, bytes.NewReader(mustJSON(body)))
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK
+}
