Show a task that runs twice beside the longest lease of an earlier agent

Cause: an agent that starts assumes that its worker holds a lease of 2.5 s at most. A late call of the agent before it, carried out on the worker's next life, gives the worker 6 s. When the worker falls silent, the agent ends its runs too early, and they start elsewhere beside themselves.

--- a/review/stand-3/deploy.go
+++ b/review/stand-3/deploy.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 )
@@ -182,6 +183,48 @@
 	return nil
 }
 
+// kill kills a machine's process.
+func (d *deployment) kill(m *machine) {
+	m.mu.Lock()
+	m.stopped = true
+	d.rec.printf("the process of %s is killed", m.name)
+	_ = m.cmd.Process.Kill()
+	exited := m.exited
+	m.mu.Unlock()
+	<-exited
+}
+
+// leader returns the controller that logged last that it leads, or nil.
+func (d *deployment) leader() *machine {
+	var leader *machine
+	latest := ""
+	for _, m := range d.of("core") {
+		data, err := os.ReadFile(filepath.Join(m.folder, "log"))
+		if err != nil {
+			continue
+		}
+		for _, line := range strings.Split(string(data), "\n") {
+			if !strings.Contains(line, `"event_name":"role_changed"`) || !strings.Contains(line, `"to":"leader"`) {
+				continue
+			}
+			if at := field(line, "time"); at > latest {
+				leader, latest = m, at
+			}
+		}
+	}
+	return leader
+}
+
+// field returns a text field of a log line.
+func field(line, name string) string {
+	_, rest, ok := strings.Cut(line, `"`+name+`":"`)
+	if !ok {
+		return ""
+	}
+	value, _, _ := strings.Cut(rest, `"`)
+	return value
+}
+
 // stopAll ends all processes and removes the temporary folder.
 func (d *deployment) stopAll() {
 	for _, m := range d.machines {
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -32,6 +32,7 @@
 	trouble bool
 	workers map[string]*worker // by side machine
 	lives   int
+	others  int        // workers of the other kind, the first ones
 	mu      sync.Mutex // guards workers
 }
 
@@ -42,9 +43,15 @@
 	sides  int
 	length time.Duration
 	play   func(s *stage) error
+	others int // workers of the other kind
 }
 
+const _otherKind = "b"
+
 var _scenarios = map[string]scenario{
+	"former":  {rules: []string{"TWICE"}, sides: 11, length: 60 * time.Second, play: playFormer, others: 2},
+	"unheard": {rules: []string{"TWICE"}, sides: 11, length: 60 * time.Second, play: playUnheard, others: 2},
+	"kept":    {rules: []string{"LOST"}, sides: 11, length: 80 * time.Second, play: playKept},
 	"gang":    {rules: []string{"LOST"}, sides: 11, length: 60 * time.Second, play: playGang},
 	"crashes": {rules: []string{"LOST"}, sides: 11, length: 100 * time.Second, play: playCrashes},
 }
@@ -84,7 +91,7 @@
 	}
 	defer d.stopAll()
 	w := newWorld(rec)
-	s := &stage{ctx: ctx, rec: rec, d: d, w: w, c: newClient(rec, w, d), trouble: os.Getenv("TROUBLE") != "0", workers: make(map[string]*worker)}
+	s := &stage{ctx: ctx, rec: rec, d: d, w: w, c: newClient(rec, w, d), trouble: os.Getenv("TROUBLE") != "0", workers: make(map[string]*worker), others: sc.others}
 	rec.printf("%s, trouble %t", os.Args[1], s.trouble)
 	if err := s.begin(); err == nil {
 		err = sc.play(s)
@@ -137,13 +144,24 @@
 // newLife starts a worker on a side machine.
 func (s *stage) newLife(side *machine, i int) error {
 	s.lives++
-	id := fmt.Sprintf("i-%03d-%03d", i, s.lives)
-	wk, err := startWorker(s.w, side, id, "huvo11a", []string{"a", fmt.Sprintf("r-%d", i/3+1)}, 16000, 62500)
+	return s.newLifeAs(side, i, fmt.Sprintf("i-%03d-%03d", i, s.lives))
+}
+
+// newLifeAs starts a worker with the identifier on a side machine.
+func (s *stage) newLifeAs(side *machine, i int, id string) error {
+	kind := "a"
+	if i < s.others {
+		kind = _otherKind
+	}
+	wk, err := startWorker(s.w, side, id, "huvo11a", []string{kind, fmt.Sprintf("r-%d", i/3+1)}, 16000, 62500)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if old := s.workers[side.name]; old != nil {
+		old.next.Store(wk)
+	}
 	s.workers[side.name] = wk
 	return nil
 }
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -74,6 +75,8 @@
 	server   *http.Server
 	cancel   context.CancelFunc
 	alive    bool
+	cut      atomic.Bool            // calls get no answer and aren't carried out, reports don't arrive
+	next     atomic.Pointer[worker] // the next life on the machine
 }
 
 // startWorker starts a life of a worker.
@@ -158,7 +161,20 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if d := wk.world.lateness(wk, r.URL.Path, c); d > 0 {
+			go wk.carryOutLate(r.URL.Path, c, d)
+			<-r.Context().Done()
+			return
+		}
+		if wk.cut.Load() {
+			<-r.Context().Done()
+			return
+		}
 		status, a := f(r.Context(), c)
+		if wk.cut.Load() {
+			<-r.Context().Done()
+			return
+		}
 		a.Timestamp, a.Born = wk.now(), wk.born.UnixMilli()
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(status)
@@ -166,6 +182,19 @@
 	}
 }
 
+// carryOutLate carries out a start order that is left without an answer. If the worker has
+// started again under its identifier, the next life carries it out.
+func (wk *worker) carryOutLate(path string, c call, after time.Duration) {
+	wk.world.rec.printf("%s %s run %d on %s stays without an answer, and is carried out %s later", path, c.Task, c.Run, wk.id, after)
+	time.Sleep(after)
+	to := wk
+	if next := wk.next.Load(); next != nil && next.id == wk.id {
+		to = next
+	}
+	status, a := to.start(context.Background(), c)
+	wk.world.rec.printf("late %s %s run %d on %s: %d %s", path, c.Task, c.Run, to.id, status, a.Reason)
+}
+
 // isFenced notes the token of a call. wk.mu must be held.
 func (wk *worker) isFenced(c call) bool {
 	if c.Fence < wk.fence {
@@ -476,7 +505,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for {
 		wait := _heartbeat
-		if !wk.report(ctx, client) {
+		if wk.cut.Load() || !wk.report(ctx, client) {
 			wait = 200 * time.Millisecond
 		}
 		select {
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -56,10 +56,12 @@
 	mu        sync.Mutex
 	jobs      map[string]job
 	tasks     map[string]*taskHistory
-	broken    map[string][]string // by rule
-	failed    map[string]int      // ends as failed, by submission
-	attempts  map[string]int      // of the submission's queue
-	startedOn []string            // workers, one for each start
+	broken    map[string][]string                                 // by rule
+	failed    map[string]int                                      // ends as failed, by submission
+	attempts  map[string]int                                      // of the submission's queue
+	startedOn []string                                            // workers, one for each start
+	late      func(wk *worker, path string, c call) time.Duration // how long an order stays unanswered until it is carried out; 0 for none
+	startHook func(wk *worker, task string, run int)
 	failTask  func(wk *worker, task string, run int) bool
 	gangs     map[string]map[string]*run // by submission, occurrence, step and run; then by task
 }
@@ -166,9 +168,22 @@
 	if s.Requirements != "" && !wk.hasLabel(s.Requirements) {
 		w.breaks("ROUTE", "task %s starts on %s without label %s", name, wk.id, s.Requirements)
 	}
+	if w.startHook != nil {
+		w.startHook(wk, name, number)
+	}
 	return j, time.Duration(s.workMS) * time.Millisecond
 }
 
+// lateness returns how long an order stays unanswered until it is carried out; 0 for none.
+func (w *world) lateness(wk *worker, path string, c call) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.late == nil {
+		return 0
+	}
+	return w.late(wk, path, c)
+}
+
 // end records that a run has ended on a worker.
 func (w *world) end(wk *worker, name string, number int, how string) {
 	w.mu.Lock()
