--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -87,7 +87,7 @@
 func (c *client) putConfig(ctx context.Context, body []byte) error {
 	cores := c.d.of("core")
 	for i := 0; ctx.Err() == nil; i++ {
-		status, data := c.do(ctx, http.MethodPost, cores[i%len(cores)].address(_controlPort), "", "/gentianrail/Config.Replace", body, time.Second)
+		status, data := c.do(ctx, http.MethodPost, cores[i%len(cores)].address(_controlPort), "", _wire.ReplaceConfig, body, time.Second)
 		if status == http.StatusOK {
 			c.rec.printf("config acknowledged")
 			return nil
--- a/review/stand-3/former.go
+++ b/review/stand-3/former.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Times of playFormer.
@@ -28,7 +30,7 @@
 	seen := false
 	s.w.late = func(wk *worker, path string, c call) time.Duration {
 		t, _ := parseTask(c.Task)
-		if seen || t.submission != first || path != "/gentianrail/run-start" {
+		if seen || t.submission != first || path != _wire.Start {
 			return 0
 		}
 		seen = true
@@ -38,14 +40,7 @@
 		}
 		return _lateBy
 	}
-	s.w.startHook = func(wk *worker, task string, _ int) {
-		if t, _ := parseTask(task); t.submission == second {
-			select {
-			case started <- wk:
-			default:
-			}
-		}
-	}
+	s.w.startHook = notify(started, second)
 	if s.c.submit(s.ctx, _plan, first, otherKindJob("first", 1000, 1000), 8) != 200 {
 		return errors.New("a submission was not accepted")
 	}
@@ -55,11 +50,11 @@
 	case <-time.After(5 * time.Second):
 		return errors.New("no task was started")
 	}
-	began := time.Now()
+	began := clock.Now()
 	if s.c.submit(s.ctx, _plan, blocker, otherKindJob("blocker", 16000, 4000), 8) != 200 {
 		return errors.New("a submission was not accepted")
 	}
-	time.Sleep(time.Until(began.Add(_lossAfter)))
+	time.Sleep(until(began.Add(_lossAfter)))
 	// The second task is handed in while its machine is down.
 	down := make(chan error, 1)
 	if s.trouble {
@@ -77,12 +72,7 @@
 	select {
 	case wk := <-started:
 		if s.trouble && wk.side == lost.side {
-			time.Sleep(_cutAfter)
-			s.rec.printf("worker %s is cut off and runs on", wk.id)
-			wk.cut.Store(true)
-			time.Sleep(_cutFor)
-			s.rec.printf("worker %s is no longer cut off", wk.id)
-			wk.cut.Store(false)
+			s.cutOff(wk)
 		}
 	case <-time.After(15 * time.Second):
 		return errors.New("the second task was not started")
@@ -90,3 +80,26 @@
 	time.Sleep(10 * time.Second)
 	return nil
 }
+
+// cutOff cuts a worker off for a while. It runs on.
+func (s *stage) cutOff(wk *worker) {
+	time.Sleep(_cutAfter)
+	s.rec.printf("worker %s is cut off and runs on", wk.id)
+	wk.cut.Store(true)
+	time.Sleep(_cutFor)
+	s.rec.printf("worker %s is no longer cut off", wk.id)
+	wk.cut.Store(false)
+}
+
+// notify returns a hook that sends the worker on which a task of the submission starts.
+func notify(to chan<- *worker, submission string) func(*worker, string, int) {
+	return func(wk *worker, task string, _ int) {
+		if t, _ := parseTask(task); t.submission != submission {
+			return
+		}
+		select {
+		case to <- wk:
+		default:
+		}
+	}
+}
--- a/review/stand-3/kept.go
+++ b/review/stand-3/kept.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // Times of playKept.
@@ -32,25 +34,15 @@
 	case <-time.After(5 * time.Second):
 		return errors.New("the task was not started")
 	}
-	lostAt := time.Now()
+	lostAt := clock.Now()
 	if s.trouble {
 		time.Sleep(_machineLost)
 		s.d.kill(lost.side)
 		lost.crash()
 		s.rec.printf("%s is lost for good, with its worker", lost.side.name)
-		lostAt = time.Now()
-		for i := range _leaderKills {
-			time.Sleep(time.Until(lostAt.Add(_firstKill + time.Duration(i)*_killInterval)))
-			leader := s.d.leader()
-			if leader == nil {
-				return errors.New("no controller leads")
-			}
-			s.d.kill(leader)
-			time.Sleep(_leaderOut)
-			if err := s.d.start(leader, false); err != nil {
-				return err
-			}
-			s.rec.printf("%s starts again", leader.name)
+		lostAt = clock.Now()
+		if err := s.killLeaders(lostAt); err != nil {
+			return err
 		}
 	}
 	runs := false
@@ -62,7 +54,7 @@
 	state, _ := s.c.state(s.ctx, _plan, id)
 	s.w.mu.Lock()
 	defer s.w.mu.Unlock()
-	waited := time.Since(lostAt).Round(100 * time.Millisecond)
+	waited := since(lostAt).Round(100 * time.Millisecond)
 	s.rec.printf("submission %s is shown as %q", id, state)
 	if state != "completed" && !runs && s.trouble {
 		s.w.breaks("LOST", "submission %s is shown as %q, and nothing of it has run for %s; ten workers are idle", id, state, waited)
@@ -72,3 +64,21 @@
 	}
 	return nil
 }
+
+// killLeaders kills the leader several times, and starts it again each time.
+func (s *stage) killLeaders(from time.Time) error {
+	for i := range _leaderKills {
+		time.Sleep(until(from.Add(_firstKill + time.Duration(i)*_killInterval)))
+		leader := s.d.leader()
+		if leader == nil {
+			return errors.New("no controller leads")
+		}
+		s.d.kill(leader)
+		time.Sleep(_leaderOut)
+		if err := s.d.start(leader, false); err != nil {
+			return err
+		}
+		s.rec.printf("%s starts again", leader.name)
+	}
+	return nil
+}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -93,31 +93,33 @@
 	w := newWorld(rec)
 	s := &stage{ctx: ctx, rec: rec, d: d, w: w, c: newClient(rec, w, d), trouble: os.Getenv("TROUBLE") != "0", workers: make(map[string]*worker), others: sc.others}
 	rec.printf("%s, trouble %t", os.Args[1], s.trouble)
-	if err := s.begin(); err == nil {
+	err = s.begin()
+	if err == nil {
 		err = sc.play(s)
-		if err != nil {
-			rec.printf("not run: %v", err)
-			fmt.Fprintln(os.Stderr, err)
-			return _exitNotRun
-		}
-	} else {
+	}
+	if err != nil {
 		rec.printf("not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
 		return _exitNotRun
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	return s.judge(sc.rules)
+}
+
+// judge returns the exit code of a case that has run.
+func (s *stage) judge(rules []string) int {
+	s.w.mu.Lock()
+	defer s.w.mu.Unlock()
 	code := _exitHeld
-	for _, rule := range sc.rules {
-		if n := len(w.broken[rule]); n > 0 {
-			fmt.Printf("%s broken, %d times: %s\n", rule, n, w.broken[rule][0])
-			rec.printf("RESULT %s broken, %d times", rule, n)
+	for _, rule := range rules {
+		if n := len(s.w.broken[rule]); n > 0 {
+			fmt.Printf("%s broken, %d times: %s\n", rule, n, s.w.broken[rule][0])
+			s.rec.printf("RESULT %s broken, %d times", rule, n)
 			code = _exitBroken
 		}
 	}
 	if code == _exitHeld {
 		fmt.Println("held")
-		rec.printf("RESULT held")
+		s.rec.printf("RESULT held")
 	}
 	return code
 }
--- a/review/stand-3/record.go
+++ b/review/stand-3/record.go
@@ -5,6 +5,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // record writes what was sent, answered and run, each line with the seconds since the start.
@@ -19,11 +21,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{began: time.Now(), file: f}, nil
+	return &record{began: clock.Now(), file: f}, nil
 }
 
 // since returns the time since the start of the record.
-func (r *record) since() time.Duration { return time.Since(r.began) }
+func (r *record) since() time.Duration { return since(r.began) }
 
 func (r *record) printf(format string, args ...any) {
 	r.mu.Lock()
--- a/review/stand-3/scenarios.go
+++ b/review/stand-3/scenarios.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 func watchJob() job {
@@ -58,9 +60,9 @@
 		}
 	}
 	time.Sleep(3 * time.Second)
-	began := time.Now()
+	began := clock.Now()
 	for _, at := range _crashes {
-		time.Sleep(time.Until(began.Add(time.Duration(at * float64(time.Second)))))
+		time.Sleep(until(began.Add(time.Duration(at * float64(time.Second)))))
 		if !s.trouble {
 			continue
 		}
@@ -104,7 +106,7 @@
 
 // completes asks for a submission's state until it is completed. It returns false if it isn't in time.
 func (s *stage) completes(r route, id string, within time.Duration) bool {
-	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+	for end := clock.Now().Add(within); clock.Now().Before(end); time.Sleep(500 * time.Millisecond) {
 		if state, _ := s.c.state(s.ctx, r, id); state == "completed" {
 			return true
 		}
@@ -128,27 +130,9 @@
 		runs[t.submission][n] = true
 		return true
 	}
-	for range 3 {
-		first := newID()
-		if s.c.submit(s.ctx, _plan, first, gangJob(), 8) != 200 {
-			return errors.New("a gang was not accepted")
-		}
-		if !s.completes(_plan, first, 8*time.Second) {
-			return errors.New("a gang was not completed in calm times")
-		}
-	}
-	// The worker that has run most of the gangs turns grey.
-	var most *worker
-	count := make(map[string]int)
-	s.w.mu.Lock()
-	for _, id := range s.w.startedOn {
-		count[id]++
-	}
-	s.w.mu.Unlock()
-	for _, wk := range s.workers {
-		if most == nil || count[wk.id] > count[most.id] {
-			most = wk
-		}
+	most, err := s.runCalmGangs()
+	if err != nil {
+		return err
 	}
 	if s.trouble {
 		grey.Store(most)
@@ -167,16 +151,47 @@
 	s.rec.printf("no worker fails what it starts any more")
 	time.Sleep(6 * time.Second)
 	for _, id := range ids {
-		state, status := s.c.state(s.ctx, _plan, id)
-		s.w.mu.Lock()
-		s.rec.printf("gang %s: shown as %q; %d of its runs have failed, with %d ends as failed", id, state, len(runs[id]), s.w.failed[id])
-		switch {
-		case state == "failed" && len(runs[id]) < _plan.MaxAttempts:
-			s.w.breaks("LOST", "gang %s is shown as failed after %d failed runs, %d are its attempts", id, len(runs[id]), _plan.MaxAttempts)
-		case state == "":
-			s.w.breaks("LOST", "gang %s has no state (%d)", id, status)
-		}
-		s.w.mu.Unlock()
+		s.judgeGang(id, runs)
 	}
 	return nil
 }
+
+// judgeGang checks how a gang is shown. runs are its runs that have a failed member.
+func (s *stage) judgeGang(id string, runs map[string]map[int]bool) {
+	state, status := s.c.state(s.ctx, _plan, id)
+	s.w.mu.Lock()
+	defer s.w.mu.Unlock()
+	s.rec.printf("gang %s: shown as %q; %d of its runs have failed, with %d ends as failed", id, state, len(runs[id]), s.w.failed[id])
+	switch {
+	case state == "failed" && len(runs[id]) < _plan.MaxAttempts:
+		s.w.breaks("LOST", "gang %s is shown as failed after %d failed runs, %d are its attempts", id, len(runs[id]), _plan.MaxAttempts)
+	case state == "":
+		s.w.breaks("LOST", "gang %s has no state (%d)", id, status)
+	}
+}
+
+// runCalmGangs lets gangs run in calm times, and returns the worker that has run most of them.
+func (s *stage) runCalmGangs() (*worker, error) {
+	for range 3 {
+		id := newID()
+		if s.c.submit(s.ctx, _plan, id, gangJob(), 8) != 200 {
+			return nil, errors.New("a gang was not accepted")
+		}
+		if !s.completes(_plan, id, 8*time.Second) {
+			return nil, errors.New("a gang was not completed in calm times")
+		}
+	}
+	count := make(map[string]int)
+	s.w.mu.Lock()
+	for _, id := range s.w.startedOn {
+		count[id]++
+	}
+	s.w.mu.Unlock()
+	var most *worker
+	for _, wk := range s.workers {
+		if most == nil || count[wk.id] > count[most.id] {
+			most = wk
+		}
+	}
+	return most, nil
+}
--- a/review/stand-3/unheard.go
+++ b/review/stand-3/unheard.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // _resumedWork is the work of the task of playUnheard.
@@ -16,8 +18,8 @@
 	ordered := make(chan *worker, 1)
 	again := make(chan *worker, 8)
 	seen := false
-	s.w.late = func(wk *worker, path string, c call) time.Duration {
-		if seen || path != "/gentianrail/run-start" {
+	s.w.late = func(wk *worker, path string, _ call) time.Duration {
+		if seen || path != _wire.Start {
 			return 0
 		}
 		seen = true
@@ -47,7 +49,7 @@
 	case <-time.After(5 * time.Second):
 		return errors.New("no task was started")
 	}
-	began := time.Now()
+	began := clock.Now()
 	select {
 	case wk := <-again:
 		if wk == lost {
@@ -56,7 +58,7 @@
 	case <-time.After(5 * time.Second):
 		return errors.New("the task has not started again")
 	}
-	time.Sleep(time.Until(began.Add(_lossAfter)))
+	time.Sleep(until(began.Add(_lossAfter)))
 	if s.trouble {
 		if err := s.restartMachine(lost, began); err != nil {
 			return err
@@ -71,7 +73,7 @@
 func (s *stage) restartMachine(wk *worker, began time.Time) error {
 	s.d.kill(wk.side)
 	wk.crash()
-	time.Sleep(time.Until(began.Add(_lossAfter + _workerOut)))
+	time.Sleep(until(began.Add(_lossAfter + _workerOut)))
 	for i, side := range s.d.of("side") {
 		if side != wk.side {
 			continue
@@ -80,6 +82,6 @@
 			return err
 		}
 	}
-	time.Sleep(time.Until(began.Add(_lossAfter + _agentOut)))
+	time.Sleep(until(began.Add(_lossAfter + _agentOut)))
 	return s.d.start(wk.side, false)
 }
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/gentianrail/gentianrail/internal/clock"
 )
 
 // _heartbeat is the time between a worker's status reports.
@@ -88,14 +90,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	wk := &worker{
 		world: w, side: side, id: id, machine: "m-" + side.name, service: service, labels: labels, cpu: cpu, memMB: memMB,
-		born: time.Now(), clock: time.Now(), runs: make(map[string]*run), highest: make(map[string]int), changed: make(chan struct{}),
+		born: clock.Now(), clock: clock.Now(), runs: make(map[string]*run), highest: make(map[string]int), changed: make(chan struct{}),
 		listener: l, cancel: cancel, alive: true,
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /gentianrail/run-start", wk.handle(wk.start))
-	mux.HandleFunc("POST /gentianrail/run-stop", wk.handle(wk.stop))
-	mux.HandleFunc("POST /gentianrail/hold", wk.handle(wk.hold))
-	mux.HandleFunc("POST /gentianrail/pace", wk.handle(wk.pace))
+	mux.HandleFunc("POST "+_wire.Start, wk.handle(wk.start))
+	mux.HandleFunc("POST "+_wire.Stop, wk.handle(wk.stop))
+	mux.HandleFunc("POST "+_wire.List, wk.handle(wk.hold))
+	mux.HandleFunc("POST "+_wire.Pace, wk.handle(wk.pace))
 	wk.server = &http.Server{Handler: mux}
 	go func() { _ = wk.server.Serve(l) }()
 	go wk.heartbeats(ctx)
@@ -124,21 +126,7 @@
 
 func (wk *worker) hasLabel(label string) bool { return slices.Contains(wk.labels, label) }
 
-func (wk *worker) now() int64 { return time.Since(wk.clock).Milliseconds() }
-
-// call is the body of a call to the worker.
-type call struct {
-	Task       string `json:"task"`
-	Run        int    `json:"run-id"`
-	Spec       string `json:"spec"`
-	Expires    int64  `json:"expires-at-ms"`
-	Fence      uint64 `json:"fencing-token"`
-	Checkpoint string `json:"checkpoint"`
-	Ticket     string `json:"ticket"`
-	LastSeen   int    `json:"last-seen"`
-	WaitMS     int64  `json:"wait-ms"`
-	Percent    int    `json:"percent"`
-}
+func (wk *worker) now() int64 { return since(wk.clock).Milliseconds() }
 
 // answer is the body of a worker's response.
 type answer struct {
@@ -209,12 +197,12 @@
 	if expiresMS == 0 {
 		return
 	}
-	until := wk.clock.Add(time.Duration(expiresMS) * time.Millisecond)
-	if limit := time.Now().Add(_maxHold); until.After(limit) {
-		until = limit
+	end := wk.clock.Add(time.Duration(expiresMS) * time.Millisecond)
+	if limit := clock.Now().Add(_maxHold); end.After(limit) {
+		end = limit
 	}
-	if until.After(wk.expires) {
-		wk.expires = until
+	if end.After(wk.expires) {
+		wk.expires = end
 	}
 }
 
@@ -241,7 +229,7 @@
 	wk.extend(c.Expires)
 	j, work := wk.world.begin(wk, c.Task, c.Run, c.Spec)
 	t, _ := parseTask(c.Task)
-	r := &run{task: c.Task, number: c.Run, began: time.Now(), progressAt: time.Now(), work: work, percent: 100}
+	r := &run{task: c.Task, number: c.Run, began: clock.Now(), progressAt: clock.Now(), work: work, percent: 100}
 	if t.step < len(j.Steps) {
 		s := j.Steps[t.step]
 		r.lasts, r.saves = s.LongRunning, s.Checkpointing
@@ -316,7 +304,7 @@
 	}
 	wk.highest[c.Task] = max(wk.highest[c.Task], c.Run)
 	if r := wk.runs[c.Task]; r != nil && r.number <= c.Run && r.stopping.IsZero() {
-		r.stopping = time.Now().Add(_stopTime)
+		r.stopping = clock.Now().Add(_stopTime)
 		wk.world.rec.printf("stop %s run %d on %s", c.Task, c.Run, wk.id)
 	}
 	return http.StatusOK, answer{}
@@ -378,7 +366,7 @@
 
 func (r *run) progress() int {
 	if r.lasts {
-		if time.Since(r.began) < 400*time.Millisecond {
+		if since(r.began) < 400*time.Millisecond {
 			return 0
 		}
 		return 100
@@ -447,7 +435,7 @@
 		}
 		wk.mu.Lock()
 		if wk.alive {
-			now := time.Now()
+			now := clock.Now()
 			lapsed := !now.Before(wk.expires)
 			if lapsed {
 				wk.lapsedAt = wk.world.rec.since()
@@ -532,7 +520,7 @@
 		body["remaining-ms"] = 2000
 	}
 	wk.mu.Unlock()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+wk.side.address(_controlPort)+"/gentianrail/Instances.Heartbeat/"+wk.id, bytes.NewReader(mustJSON(body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+wk.side.address(_controlPort)+_wire.Heartbeat+wk.id, bytes.NewReader(mustJSON(body)))
 	if err != nil {
 		return false
 	}
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -161,7 +161,7 @@
 	}
 	if j.Repeat > 0 {
 		due := time.UnixMilli(j.StartAtMS + int64(t.occurrence)*j.IntervalMS)
-		if early := time.Until(due); early > _earlyTime {
+		if early := until(due); early > _earlyTime {
 			w.breaks("ORDER", "task %s starts %s early", name, early)
 		}
 	}
