controller: record for how long machines have been without a lease

Cause: a run that a late call may still start counts as ended 22.4 s after the last lease of its machine. Only the leader that granted it knows when that was, and each next leader took its own beginning for it.

Change: the log keeps for how long each machine with active runs has certainly been without a lease, in one entry a second for all of them and none in calm times. These are lengths of time; each replica adds what passes on its own steady clock, so no clocks are compared. The record is removed before the machine gets a lease again, which is why a leader can never overstate the time. Records hold for their term and the next one only, since a leader of an earlier version grants leases beside them; such a controller takes the command for one that ends no runs.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -197,6 +197,7 @@
 	}
 	c.machine = state.Restore(contents)
 	c.logClock.advance(now, c.machine.Now())
+	c.sessions.silent.reckoning.Restore(now, c.machine.Silence(), s.Term)
 	c.lastApplied = replica.Entry{Index: s.Index, Term: s.Term}
 	return nil
 }
@@ -435,6 +436,7 @@
 
 func (c *Core) applyEntry(e replica.Entry) {
 	c.lastApplied = e
+	c.sessions.silent.reckoning.RecordTerm(e.Term)
 	c.accepted.sinceSnapshot += int64(len(e.Data))
 	var r state.Result
 	if e.Kind == replica.KindMembers {
@@ -504,6 +506,7 @@
 	if role == replica.Leader {
 		c.sched.startLeading(clock.Now(), c.machine)
 		c.sessions.reset(clock.Now())
+		c.sessions.term = c.replica.Term()
 		c.zones.reset()
 	}
 	if c.role == replica.Leader {
--- a/internal/controller/leaderchanges_test.go
+++ b/internal/controller/leaderchanges_test.go
@@ -11,7 +11,6 @@
 // TestRunsOfLostMachineEndBesideLeaderChanges guards against tasks that wait for ever, since
 // each new leader waits for late calls of a machine that nobody has heard of for minutes.
 func TestRunsOfLostMachineEndBesideLeaderChanges(t *testing.T) {
-	skipKnownRed(t)
 	l := newDrivenLeader(t)
 	sess := l.attach(report("m1/w/1"))
 	l.startFirstRun(sess)
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -139,6 +139,9 @@
 			"version": q.Table.Version, "queues": len(q.Table.Queues), "services": len(q.Table.Services),
 		}, "table of queues took effect")
 	}
+	if change, ok := cmd.(state.RecordSilence); ok {
+		c.handleSilence(clock.Now(), term, change.Change)
+	}
 	zone, isOrder := zoneOfOrder(cmd)
 	if isOrder {
 		c.updateEvacuationMetric()
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -100,6 +100,7 @@
 // the leases that were renewed first, and at all workers with runs once a second:
 // some may have no lease from this leader.
 func (c *Core) endExpiredRuns(now time.Time) {
+	c.recordSilence(now)
 	for _, incarnation := range c.sessions.expiredLeases(now) {
 		c.endRunsWithoutLease(now, incarnation, true)
 	}
@@ -136,7 +137,9 @@
 		return true
 	})
 	if len(ends) > 0 || justExpired {
-		c.log.Emit(event.WorkerLost, event.Fields{"worker": incarnation, "runs": len(ends), "kept": kept},
+		c.log.Emit(event.WorkerLost, event.Fields{
+			"worker": incarnation, "runs": len(ends), "kept": kept, "lease_expired_ms": now.Sub(c.sessions.leaseExpiry(incarnation)).Milliseconds(),
+		},
 			"leases of the worker's runs expired; rescheduling the tasks, except of the kept runs, which a late call may still start")
 	}
 	if len(ends) > 0 {
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -76,6 +76,7 @@
 	leaving                bool
 	earliestDeparture      time.Time                 // of a worker that leaves
 	hasLists               bool                      // the agent has reported its complete lists
+	deferred               *pb.AgentReport           // to be answered with a lease; nil for none
 	attachment             uint64                    // number of the stream among those of the machine in this term, from 1
 	strays                 map[submission.RunID]bool // runs that the worker has and that are not recorded on its incarnation
 	settled                bool                      // it is known which runs of other incarnations on the machine this one has
@@ -102,6 +103,7 @@
 type sessions struct {
 	lease         time.Duration
 	leaderSince   time.Time
+	term          uint64 // in which this controller leads, or led last
 	byIncarnation map[string]*session
 	machines      map[string]*machineHistory
 	strayHolders  map[submission.RunID]string // worker incarnations that have a run which is not recorded on them
@@ -109,6 +111,7 @@
 	// listing: see renewLease.
 	leaseExpiries    map[string]time.Time
 	lateStarts       lateStarts
+	silent           silentMachines
 	settlements      settlements
 	leaseOrder       recency                   // worker incarnations by renewal of their lease
 	reportOrder      recency                   // worker incarnations that can receive tasks, by latest report
@@ -142,6 +145,7 @@
 	s.leaseExpiries = make(map[string]time.Time)
 	s.lateStarts.runs = nil
 	s.settlements.reset()
+	s.silent.reset()
 	s.expiring = make(map[string]time.Time)
 	s.endsProposed = make(map[submission.RunID]bool)
 	s.startsProposedAt = time.Time{}
@@ -154,12 +158,13 @@
 }
 
 // leaseExpiry returns when every lease of the worker incarnation's runs has
-// expired. A new leader counts from when it began to lead.
+// expired. A leader that has granted none counts from when the machine has certainly been
+// without one.
 func (s *sessions) leaseExpiry(incarnation string) time.Time {
 	if t, ok := s.leaseExpiries[incarnation]; ok {
 		return t
 	}
-	return s.leaderSince.Add(s.maxLease())
+	return s.withoutLeaseSince(machineOf(incarnation)).Add(s.maxLease())
 }
 
 // maxLease returns the duration after which a granted lease has expired for
@@ -230,15 +235,9 @@
 	if wall := in.GetWallClock(); wall != 0 {
 		c.sessions.wallClocks.Record(now, sess.worker.Incarnation, time.Unix(0, wall))
 	}
-	c.renewLease(now, sess, in, order)
 	c.updateRunStatuses(now, sess, in)
 	c.recordTailLatencies(now, sess, in)
-	if in.GetComplete() {
-		sess.hasLists = true
-		c.sessions.changed = true
-		c.reconcile(now, sess, in, order)
-		order.Controllers = c.memberAddresses()
-	}
+	c.answerLists(now, sess, in, order)
 	c.updateAvailability(now, sess)
 	order.Taken = sess.lastRecordedEnd(c.machine.Submissions())
 	order.Settled = sess.popRecordedInferredEnds(c.machine.Submissions())
@@ -246,6 +245,47 @@
 	sess.outbox.put(order)
 }
 
+// answerLists renews the lease, and adds to the order what follows from complete lists. Both wait
+// until the log does not say any more that the machine is without a lease: starts that are
+// ordered before a lease count as outdated when it arrives.
+func (c *Core) answerLists(now time.Time, sess *session, in *pb.AgentReport, order *pb.AgentOrder) {
+	if !isLeaseDue(sess.hasLists, in) {
+		return
+	}
+	lists := in
+	if sess.deferred.GetComplete() {
+		lists = sess.deferred
+	}
+	if !c.mayGrant(now, machineOf(sess.worker.Incarnation)) {
+		sess.deferred = lists
+		return
+	}
+	sess.deferred = nil
+	c.renewLease(now, sess, in, order)
+	if lists.GetComplete() {
+		sess.hasLists = true
+		c.sessions.changed = true
+		c.reconcile(now, sess, lists, order)
+		order.Controllers = c.memberAddresses()
+	}
+}
+
+// answerDeferredLists answers the reports of machines whose records that they are without a
+// lease have been removed.
+func (c *Core) answerDeferredLists(now time.Time) {
+	for _, sess := range c.sessions.byIncarnation {
+		if sess.deferred == nil {
+			continue
+		}
+		order := c.newOrder(sess)
+		c.answerLists(now, sess, sess.deferred, order)
+		if sess.deferred == nil {
+			c.updateAvailability(now, sess)
+			sess.outbox.put(order)
+		}
+	}
+}
+
 // updateRunStatuses records an agent's report on active runs.
 func (c *Core) updateRunStatuses(now time.Time, sess *session, in *pb.AgentReport) {
 	stalled := 0
@@ -325,18 +365,21 @@
 	}
 }
 
-// renewLease renews the lease of the worker's runs, unless their end is proposed. An agent
-// that has not reported its lists may not know of the recorded runs, and could never report
-// their ends. It gets a lease only with ends that it has not reported before: they show that
-// its worker lists, and that it takes several listings until all ends are recorded.
+// isLeaseDue reports whether an agent's report lets it have a lease. An agent that has not
+// reported its lists may not know of the recorded runs, and could never report their ends. It
+// gets a lease only with ends that it has not reported before: they show that its worker lists,
+// and that it takes several listings until all ends are recorded.
+func isLeaseDue(hasLists bool, in *pb.AgentReport) bool {
+	return !in.GetGone() && (hasLists || in.GetComplete() || len(in.GetEnds()) > 0)
+}
+
+// renewLease renews the lease of the worker's runs, unless their end is proposed.
 func (c *Core) renewLease(now time.Time, sess *session, in *pb.AgentReport, order *pb.AgentOrder) {
 	incarnation := sess.worker.Incarnation
-	if _, expiring := c.sessions.expiring[incarnation]; expiring || in.GetGone() || !c.holdsLease(now) {
-		return
-	}
-	if !sess.hasLists && !in.GetComplete() && len(in.GetEnds()) == 0 {
+	if _, expiring := c.sessions.expiring[incarnation]; expiring || !c.holdsLease(now) {
 		return
 	}
+	c.sessions.silent.recordGrant(now, machineOf(incarnation))
 	order.Sent = in.GetSent()
 	order.Lease = int64(c.sessions.lease)
 	if expiry := now.Add(c.sessions.maxLease()); expiry.After(c.sessions.leaseExpiries[incarnation]) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -63,6 +63,7 @@
 	EvacuationFinished Number = 235
 	DiskFull           Number = 241
 	DiskAvailable      Number = 242
+	SilenceTakenOver   Number = 243
 	AgentJoined        Number = 301
 	ControllerLost     Number = 302
 	TaskStarted        Number = 303
@@ -145,6 +146,7 @@
 	{EvacuationFinished, "evacuation_finished", logrus.InfoLevel},
 	{DiskFull, "disk_full", logrus.ErrorLevel},
 	{DiskAvailable, "disk_available", logrus.InfoLevel},
+	{SilenceTakenOver, "silence_taken_over", logrus.InfoLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -9,6 +9,7 @@
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
 	"github.com/gentianrail/gentianrail/job"
+	"github.com/gentianrail/gentianrail/silence"
 	"github.com/gentianrail/gentianrail/state"
 )
 
@@ -80,6 +81,8 @@
 		return &pb.Command{Kind: &pb.Command_EndRuns{EndRuns: encodeEndRuns(c.Ends)}}
 	case state.SettleRuns:
 		return &pb.Command{Kind: &pb.Command_EndRuns{EndRuns: encodeSettleRuns(c)}}
+	case state.RecordSilence: // controllers of earlier versions take it for a command that ends no runs
+		return &pb.Command{Kind: &pb.Command_EndRuns{EndRuns: &pb.EndRuns{Silence: encodeSilence(c.Change)}}}
 	case state.StartEvacuation:
 		return &pb.Command{Kind: &pb.Command_StartEvacuation{StartEvacuation: &pb.StartEvacuation{Zone: c.Zone}}}
 	case state.DropAnswers:
@@ -197,6 +200,9 @@
 	case *pb.Command_StartRuns:
 		return state.StartRuns{Starts: decodeStartRuns(k.StartRuns)}, nil
 	case *pb.Command_EndRuns:
+		if k.EndRuns.GetSilence() != nil {
+			return state.RecordSilence{Change: decodeSilence(k.EndRuns.GetSilence())}, nil
+		}
 		if len(k.EndRuns.GetSettled())+len(k.EndRuns.GetUnsettled()) > 0 {
 			return decodeSettleRuns(k.EndRuns)
 		}
@@ -246,6 +252,22 @@
 	return c, nil
 }
 
+func encodeSilence(c silence.Change) *pb.SilenceChange {
+	m := &pb.SilenceChange{Term: c.Term, Removed: c.Removed}
+	for _, s := range c.Silent {
+		m.Silent = append(m.Silent, &pb.SilentMachine{Name: s.Name, For: int64(s.For)})
+	}
+	return m
+}
+
+func decodeSilence(m *pb.SilenceChange) silence.Change {
+	c := silence.Change{Term: m.GetTerm(), Removed: m.GetRemoved()}
+	for _, s := range m.GetSilent() {
+		c.Silent = append(c.Silent, silence.Machine{Name: s.GetName(), For: decodeDuration(s.GetFor())})
+	}
+	return c
+}
+
 func decodeBurnCounts(ms []*pb.BurnCount) []burn.Count {
 	out := make([]burn.Count, 0, len(ms))
 	for _, m := range ms {
--- a/internal/wire/robustness_test.go
+++ b/internal/wire/robustness_test.go
@@ -13,6 +13,7 @@
 	"github.com/gentianrail/gentianrail/job"
 	"github.com/gentianrail/gentianrail/queue"
 	"github.com/gentianrail/gentianrail/replica"
+	"github.com/gentianrail/gentianrail/silence"
 	"github.com/gentianrail/gentianrail/state"
 	"github.com/gentianrail/gentianrail/submission"
 	"github.com/gentianrail/gentianrail/worker"
@@ -36,6 +37,7 @@
 		state.EndRuns{Ends: []submission.End{{Run: run, Worker: "w1/1", Reason: submission.Done, Checkpoint: "c"}}},
 		state.SettleRuns{Runs: []submission.RunID{run}, Settled: true},
 		state.SettleRuns{Runs: []submission.RunID{run}},
+		state.RecordSilence{Change: silence.Change{Term: 3, Silent: []silence.Machine{{Name: "m1", For: time.Second}}, Removed: []string{"m2"}}},
 		state.CancelSubmission{ID: "s1"},
 		state.StartEvacuation{Zone: "z"},
 		state.FinishEvacuation{Zone: "z"},
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -55,6 +55,9 @@
 			Name: z.Name, Evacuated: z.Evacuated, ChangedAt: encodeTime(z.ChangedAt), Revision: z.Revision,
 		})
 	}
+	if c.Silence.Term > 0 {
+		m.Silence = encodeSilence(c.Silence)
+	}
 	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
 }
 
@@ -107,5 +110,6 @@
 			Name: z.GetName(), Evacuated: z.GetEvacuated(), ChangedAt: decodeTime(z.GetChangedAt()), Revision: z.GetRevision(),
 		})
 	}
+	c.Silence = decodeSilence(m.GetSilence())
 	return c, nil
 }
--- a/state/command.go
+++ b/state/command.go
@@ -8,6 +8,7 @@
 	"github.com/gentianrail/gentianrail/claim"
 	"github.com/gentianrail/gentianrail/job"
 	"github.com/gentianrail/gentianrail/queue"
+	"github.com/gentianrail/gentianrail/silence"
 	"github.com/gentianrail/gentianrail/submission"
 	"github.com/gentianrail/gentianrail/worker"
 )
@@ -16,7 +17,7 @@
 // DeleteEntry, RegisterWorker, RetireWorker, DrainWorker, SubmitJob,
 // CancelJob, PlaceJob, EndAttempt, FailJob, BeginClaim, FinishClaim,
 // ReleaseClaim, RecordBurn, ReplaceQueues, Submit, CancelSubmission, StartRuns,
-// EndRuns, SettleRuns, StartEvacuation, FinishEvacuation and DropAnswers.
+// EndRuns, SettleRuns, RecordSilence, StartEvacuation, FinishEvacuation and DropAnswers.
 type Command interface{ command() }
 
 // PutEntry creates or replaces the declaration of a catalogue entry.
@@ -130,6 +131,9 @@
 	Settled bool
 }
 
+// RecordSilence records for how long machines have been without a lease.
+type RecordSilence struct{ Change silence.Change }
+
 // StartEvacuation evacuates an availability zone: nothing is started on its workers.
 type StartEvacuation struct{ Zone string }
 
@@ -154,6 +158,7 @@
 func (StartRuns) command()        {}
 func (EndRuns) command()          {}
 func (SettleRuns) command()       {}
+func (RecordSilence) command()    {}
 
 func (PutEntry) command()       {}
 func (DeleteEntry) command()    {}
@@ -191,6 +196,7 @@
 	_ Command = StartRuns{}
 	_ Command = EndRuns{}
 	_ Command = SettleRuns{}
+	_ Command = RecordSilence{}
 	_ Command = StartEvacuation{}
 	_ Command = FinishEvacuation{}
 	_ Command = DropAnswers{}
--- a/state/machine.go
+++ b/state/machine.go
@@ -1,7 +1,7 @@
 // Package state implements the state machine that the controllers replicate.
 //
 // A Machine holds the catalogue, the workers, the jobs, the claims, the burn
-// counts, the table of queues, the submissions and the evacuated zones. Apply is deterministic: its
+// counts, the table of queues, the submissions, the evacuated zones and the machines without a lease. Apply is deterministic: its
 // result depends only on the state, the command, the log index and the log
 // time, so that all replicas agree. The log time never decreases, even if a new
 // leader's clock is behind that of its predecessor.
@@ -19,6 +19,7 @@
 	"github.com/gentianrail/gentianrail/fault"
 	"github.com/gentianrail/gentianrail/job"
 	"github.com/gentianrail/gentianrail/queue"
+	"github.com/gentianrail/gentianrail/silence"
 	"github.com/gentianrail/gentianrail/submission"
 	"github.com/gentianrail/gentianrail/worker"
 )
@@ -78,6 +79,7 @@
 	queues       queue.Table
 	submissions  submission.Store
 	evacuations  evacuation.Set
+	silence      silence.Table
 	burnSources  map[string]BurnSource // last burn report of each entry instance, by name
 	burnPrunedAt time.Time             // log time of the last removal of old burn counts
 }
@@ -112,6 +114,9 @@
 // Evacuations returns the evacuated zones. Only Apply may change them.
 func (m *Machine) Evacuations() *evacuation.Set { return &m.evacuations }
 
+// Silence returns the records of machines that are without a lease. Only Apply may change them.
+func (m *Machine) Silence() *silence.Table { return &m.silence }
+
 // Apply applies the command at the given log index. The time at is that of the
 // leader that proposed the command.
 func (m *Machine) Apply(index uint64, at time.Time, c Command) Result {
@@ -175,6 +180,9 @@
 	case SettleRuns:
 		m.submissions.Settle(c.Runs, c.Settled)
 		return Result{}
+	case RecordSilence:
+		m.silence.Apply(c.Change)
+		return Result{}
 	case StartEvacuation:
 		return m.setEvacuated(c.Zone, m.evacuations.Start)
 	case FinishEvacuation:
@@ -452,6 +460,7 @@
 	Submissions []*submission.Submission // changed only by the machine that Restore returns
 
 	Evacuations []evacuation.Zone
+	Silence     silence.Change // that makes the records from none
 }
 
 // Contents returns the complete state.
@@ -473,6 +482,7 @@
 		Queues:      m.queues,
 		Submissions: m.submissions.Copies(),
 		Evacuations: m.evacuations.Zones(),
+		Silence:     silence.Change{Term: m.silence.Term(), Silent: m.silence.Machines()},
 	}
 }
 
@@ -511,5 +521,6 @@
 	for _, z := range c.Evacuations {
 		m.evacuations.Put(z)
 	}
+	m.silence.Apply(c.Silence)
 	return m
 }
