runner: assume the lease that a former agent's late call may have given

Cause: the worker and its agent had restarted, the worker under its identifier, when a start of the former agent was carried out there. Its lease end counted on the former clock, so the worker took the longest lease, 6 s. The next agent assumed 2.5 s. The trace: late call at 7.987 s, target_silent after the cut at 8.717, run_end_inferred and the second run_placed at 12.346, end of the first run on the worker at 13.987.

Change: an agent assumes the longest lease from the first listing under its own token on, if the incarnation is young enough for such a call to have reached it. From that listing on the worker refuses the calls of earlier agents, so one lease is enough, and it need not be assumed for max_call_delay longer. Starts and polls carry leases alike; neither is told apart. What the agent reports to the leader as settled follows, as it rests on the same value. An agent that is replaced beside a worker that goes on assumes nothing.

--- a/internal/runner/formercall_test.go
+++ b/internal/runner/formercall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -37,7 +38,6 @@
 // TestRunBesideFormerCallIsReportedAsUnsettled guards against a leader that ends a run with the
 // grant: a late call of an earlier agent, for the former incarnation, prolongs its lease.
 func TestRunBesideFormerCallIsReportedAsUnsettled(t *testing.T) {
-	skipKnownRed(t)
 	r, l, held := startBesideFormerCall(t)
 	report, _ := r.nextReport(&l.s)
 	a := activeRun(report, testRun(2))
@@ -49,7 +49,6 @@
 // TestRunBesideFormerCallOutlivesLease guards against the end of such a run while polls have no
 // answer.
 func TestRunBesideFormerCallOutlivesLease(t *testing.T) {
-	skipKnownRed(t)
 	r, _, _ := startBesideFormerCall(t)
 	late := clock.Now().Add(_maxWorkerLease + 100*time.Millisecond)
 	r.failPolls(late, context.DeadlineExceeded, context.DeadlineExceeded, context.DeadlineExceeded)
@@ -57,3 +56,38 @@
 		t.Errorf("the run is %s after %s; its worker has given it %s", end.Reason, _maxWorkerLease, r.maxLease)
 	}
 }
+
+// TestFormerCallsAreAssumedOnYoungWorkersOnly guards against both sides: a lease that an earlier
+// agent's late call may have given and that is not waited for, and tasks that wait for it on each
+// agent that is replaced while its worker goes on.
+func TestFormerCallsAreAssumedOnYoungWorkersOnly(t *testing.T) {
+	const callDelay, maxLease = 12 * time.Second, 6 * time.Second
+	for _, tc := range []struct {
+		agent, worker time.Duration // ages
+		clockOrigin   time.Duration // that of the worker's clock at its start
+		held          time.Duration // after the listing; 0 for none
+	}{
+		{agent: time.Second, worker: time.Second, held: maxLease},
+		{agent: time.Second, worker: time.Second, clockOrigin: time.Hour, held: maxLease},
+		{agent: time.Second, worker: 11 * time.Second, held: maxLease},
+		{agent: 11 * time.Second, worker: time.Second, held: maxLease},
+		{agent: 14 * time.Second, worker: time.Second, held: 4 * time.Second},
+		{agent: 20 * time.Second, worker: time.Second},
+		{agent: time.Second, worker: 24 * time.Second, held: 4 * time.Second},
+		{agent: time.Second, worker: time.Minute},
+	} {
+		t.Run(fmt.Sprintf("agent of %s, worker of %s", tc.agent, tc.worker), func(t *testing.T) {
+			r := newRunner(t, &fakeWorker{})
+			now := clock.Now()
+			r.reset()
+			r.maxLease, r.callDelay, r.began = maxLease, callDelay, now.Add(-tc.agent)
+			r.incarnation = Incarnation{ID: "w", StartTimeMS: now.Add(-tc.worker).UnixMilli()}
+			r.token = token{term: 1, attachment: 2}
+			r.polledToken = r.token
+			r.recordListing(now, now, Listing{Clock: tc.clockOrigin + tc.worker})
+			if held := max(r.lease.heldUntil.Sub(now), 0).Round(10 * time.Millisecond); held != tc.held {
+				t.Errorf("a lease of %s is assumed, want %s", held, tc.held)
+			}
+		})
+	}
+}
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -31,6 +31,11 @@
 // stood still. A poll takes up to 450 ms.
 const _minStandstill = 1500 * time.Millisecond
 
+// _maxOutdatedCalls is the time from the start of an incarnation for which an agent may make
+// calls that were meant for the former one. An agent that polls learns of the change within
+// 1.5 s; one that was frozen makes its next call late.
+const _maxOutdatedCalls = 10 * time.Second
+
 // stallTimeout returns how long the run's progress may stay unchanged.
 func (tr *trackedRun) stallTimeout() time.Duration {
 	if tr.estimate <= 0 || tr.share <= 0 {
@@ -168,9 +173,32 @@
 	if !wasSettled && r.formerToken != (token{}) {
 		r.lease.assumeHeld(now, r.maxLease) // by an order for an earlier incarnation
 	}
+	if !wasSettled && r.isSettled() {
+		r.assumeFormerCalls(now, list)
+	}
 	wake(r.wakeReport)
 }
 
+// assumeFormerCalls assumes the lease that a late call of an earlier agent may have given the
+// incarnation, which has listed its runs under the token of this agent's stream and so refuses
+// such calls from now on. A call for a former incarnation counts on another clock, so the worker
+// may have cut its lease to the longest one. That the incarnation has run for longer than such a
+// call is late excludes it. r.mu must be held.
+func (r *Runner) assumeFormerCalls(now time.Time, list Listing) {
+	// The wall clock may have stepped, and only a restart is known to start the worker's clock
+	// anew, so the later start of the two counts.
+	bornAt := now.Add(-min(list.Clock, now.Sub(time.UnixMilli(r.incarnation.StartTimeMS))))
+	latest := r.began // call of an earlier agent for a former incarnation
+	if end := bornAt.Add(_maxOutdatedCalls); end.Before(latest) {
+		latest = end
+	}
+	reached := latest.Add(r.callDelay)
+	if now.Before(reached) {
+		reached = now
+	}
+	r.lease.assumeHeld(reached, r.maxLease)
+}
+
 // handleSuperseded handles a listing by the next incarnation, which has not announced
 // itself yet. It may have carried out starts that were meant for the current one. r.mu
 // must be held.
