controller: let a task rest while a late call may start its ended run

Cause: the first start of the run had no answer and its repetition had one. The end as failed, told by the worker, was recorded at once. That worker's incarnation refuses the late start, and its next one, which has seen no token, accepts it while the agent is away. The trace: start_answered with unsure at 6.015 s, failed at 6.090, run 2 at 6.105, agent_detached at 6.466, run 1 again at 7.966, agent_attached and stray_run at 8.27.

Change: an agent reports with each end for how long a call to start the run may be late, and the log keeps such runs with their tasks. The next run starts without any wait, since an agent that is there refuses the late start within tens of milliseconds. When the agent's stream breaks or is silent for a second, the leader stops the next run, which keeps its checkpoint, and starts none until the agent is back or no late call can hold a lease. A wait for the 12 s of a late call before each next run would cost every such failure 12 s and gain nothing while the agent is there. That covers all ends but done, gangs, lists of restarted agents and changes of the leader; not stopped are runs whose step bears no further unavailable task.

--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -153,11 +153,12 @@
 	return s.reportsStray(incarnation, run) || !s.lateStarts.hasEnded(now, s.leaseExpiry(incarnation), run)
 }
 
-// withoutStrays returns the starts of tasks of which no worker may have a stray run. Such a
+// withoutStrays returns the starts of tasks of which no worker may have a stray run, or an ended
+// run that goes on. A stray
 // run is being stopped, or ends with the lease of its worker, and is forgotten then. The
 // members of a gang start together or not at all.
 func (c *Core) withoutStrays(now time.Time, starts []submission.Start) []submission.Start {
-	if len(c.sessions.strayHolders) == 0 {
+	if len(c.sessions.strayHolders)+len(c.machine.Submissions().LateRuns()) == 0 {
 		return starts
 	}
 	store := c.machine.Submissions()
@@ -178,6 +179,7 @@
 			gangs[dispatch.StepID{Submission: s.ID, Occurrence: run.Task.Occurrence, Step: run.Task.Step}] = true
 		}
 	}
+	c.addLateRuns(now, tasks, gangs)
 	return slices.DeleteFunc(starts, func(st submission.Start) bool {
 		t := st.Run.Task
 		return tasks[t] || gangs[dispatch.StepID{Submission: t.Submission, Occurrence: t.Occurrence, Step: t.Step}]
@@ -187,7 +189,7 @@
 // rejectBesideStrays returns the recorded starts that may be ordered. It proposes the ends of
 // the others: an agent has reported a stray run of the task since they were proposed.
 func (c *Core) rejectBesideStrays(now time.Time, starts []submission.Start) []submission.Start {
-	if len(c.sessions.strayHolders) == 0 {
+	if len(c.sessions.strayHolders)+len(c.machine.Submissions().LateRuns()) == 0 {
 		return starts
 	}
 	allowed := c.withoutStrays(now, slices.Clone(starts))
@@ -227,7 +229,11 @@
 		}
 	}
 	for _, other := range others {
-		c.proposeEnds(now, c.endsOfActiveRuns(other, submission.Lost, func(run submission.RunID) bool { return sess.strays[run] }))
+		ends := c.endsOfActiveRuns(other, submission.Lost, func(run submission.RunID) bool { return sess.strays[run] })
+		for i := range ends {
+			ends[i].LateFor = c.lateForUnknown(now, ends[i].Run) // a further incarnation has seen no token
+		}
+		c.proposeEnds(now, ends)
 	}
 	maps.DeleteFunc(c.sessions.strayHolders, func(run submission.RunID, on string) bool {
 		return on != incarnation && machineOf(on) == machineOf(incarnation) && !sess.strays[run]
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -312,6 +312,9 @@
 		fields["ran_ms"] = e.Ran.Milliseconds()
 		c.crashedRuns.Inc(1)
 	}
+	if e.LateFor > 0 {
+		fields["late_for_ms"] = e.LateFor.Milliseconds()
+	}
 	c.log.Emit(event.RunEnded, fields, "run ended")
 }
 
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -12,6 +12,7 @@
 // dispatchTasks ends the runs whose leases have expired and starts waiting tasks.
 func (c *Core) dispatchTasks(now time.Time) {
 	c.sessions.dropSilentWorkers(now)
+	c.updateLateRuns(now)
 	if now.Sub(c.sessions.lastLeaseCheck) >= _runLeaseCheckInterval {
 		c.sessions.lastLeaseCheck = now
 		c.endExpiredRuns(now)
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -124,6 +124,7 @@
 	missedTargets    int            // samples since the latest pool state in which a service task missed its target
 	wallClocks       clock.Majority // of the attached workers' machines and this one
 	lastStopCheck    time.Time
+	lateRunsUntil    map[submission.RunID]time.Time // until when a call may start an ended run, and its agent report that
 	startOrderedAt   map[submission.RunID]time.Time // when this leader ordered the starts of active runs
 	started          map[string]bool                // unended submissions of which a worker has had a run, by ID
 	lastLeaseCheck   time.Time
@@ -152,6 +153,7 @@
 	s.scheduler.Reset()
 	s.leaseOrder, s.reportOrder = recency{}, recency{}
 	s.wallClocks.Reset()
+	s.lateRunsUntil = make(map[submission.RunID]time.Time)
 	s.startOrderedAt = make(map[submission.RunID]time.Time)
 	s.started = make(map[string]bool)
 	s.changed = true
@@ -412,7 +414,9 @@
 			continue
 		}
 		sess.unrecordedEnds[e.GetNumber()] = recordedRun{run: run, worker: worker}
-		ends = append(ends, submission.End{Run: run, Worker: worker, Reason: submission.EndReason(e.GetHow()), Checkpoint: e.GetSaved()})
+		end := submission.End{Run: run, Worker: worker, Reason: submission.EndReason(e.GetHow()), Checkpoint: e.GetSaved()}
+		end.LateFor = min(time.Duration(e.GetLateFor()), c.lateForUnknown(now, run))
+		ends = append(ends, end)
 	}
 	for _, e := range in.GetRefused() {
 		end := wire.DecodeRunEnd(e)
@@ -427,7 +431,7 @@
 		if worker == "" {
 			continue
 		}
-		end.Worker = worker
+		end.Worker, end.LateFor = worker, min(end.LateFor, c.lateForUnknown(now, end.Run))
 		ends = append(ends, end)
 	}
 	c.proposeEnds(now, ends)
--- a/internal/controller/silence.go
+++ b/internal/controller/silence.go
@@ -50,7 +50,7 @@
 // isLogApplied reports whether this leader has applied all entries of earlier terms.
 func (c *Core) isLogApplied() bool { return c.lastApplied.Term == c.replica.Term() }
 
-// recordSilence proposes to record for how long the machines with active runs have been
+// recordSilence proposes to record for how long the machines whose runs may go on have been
 // without a lease, so that a change of the leader does not begin the wait for the end of the
 // runs anew.
 func (c *Core) recordSilence(now time.Time) {
@@ -65,7 +65,11 @@
 	s.lastRecord = now
 	since, withRuns := make(map[string]time.Time), make(map[string]bool)
 	longest := c.sessions.maxLease() + c.sessions.lateStarts.window + 2*_leaseSweepInterval // after which all runs have ended
-	for _, incarnation := range c.machine.Submissions().Incarnations() {
+	incarnations := c.machine.Submissions().Incarnations()
+	for _, late := range c.machine.Submissions().LateRuns() {
+		incarnations = append(incarnations, late.Worker)
+	}
+	for _, incarnation := range incarnations {
 		machine := machineOf(incarnation)
 		withRuns[machine] = true
 		at, ok := s.lastGrants[machine]
--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -102,7 +102,9 @@
 	inferredEnds := r.inferredEnds // repeated until the leader has recorded them
 	for _, e := range r.ends {
 		inferredEnds[e.Run] = inferredEnd{
-			End: submission.End{Run: e.Run, Worker: r.incarnationName(former), Reason: e.Reason, Checkpoint: e.Checkpoint},
+			End:        submission.End{Run: e.Run, Worker: r.incarnationName(former), Reason: e.Reason, Checkpoint: e.Checkpoint},
+			callsUntil: e.callsUntil,
+			isListed:   true,
 		}
 	}
 	r.reset()
@@ -136,7 +138,7 @@
 	if !r.isOfEarlierIncarnation(e.End) || !strings.HasPrefix(e.Worker, r.machine+"/"+r.incarnation.ID+"/") {
 		return true
 	}
-	return r.isSettled() && !r.listingSentAt.Before(e.lateUntil)
+	return r.isSettled() && (e.isListed || !r.listingSentAt.Before(e.callsUntil))
 }
 
 // hasLateStarts reports whether a start without an answer may still be carried out whose run
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -329,9 +329,13 @@
 			continue
 		}
 		r.lastListedEnd = e.Number
+		e.callsUntil = r.callsUntil(r.runs[e.Run])
 		r.removeRun(e.Run)
-		if end, ok := r.inferredEnds[e.Run]; ok && r.isOfEarlierIncarnation(end.End) {
-			delete(r.inferredEnds, e.Run) // the run has ended here
+		if end, ok := r.inferredEnds[e.Run]; ok {
+			e.callsUntil = end.callsUntil
+			if r.isOfEarlierIncarnation(end.End) {
+				delete(r.inferredEnds, e.Run) // the run has ended here
+			}
 		}
 		r.ends = append(r.ends, e)
 		wake(r.wakeReport)
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -245,7 +245,7 @@
 		}
 		s.lastSentEnd = e.Number
 		report.Ends = append(report.Ends, &pb.ListedEnd{
-			Number: e.Number, Run: wire.EncodeRun(e.Run), How: uint32(e.Reason), Saved: e.Checkpoint,
+			Number: e.Number, Run: wire.EncodeRun(e.Run), How: uint32(e.Reason), Saved: e.Checkpoint, LateFor: lateFor(clock.Now(), e.callsUntil),
 		})
 	}
 	r.addInferredEnds(s, report)
@@ -258,7 +258,9 @@
 		if !(e.reported && s.inferredEnds[run]) && r.isCertain(e) {
 			e.reported, s.inferredEnds[run] = true, true
 			r.inferredEnds[run] = e
-			report.Refused = append(report.Refused, wire.EncodeRunEnd(e.End))
+			end := e.End
+			end.LateFor = time.Duration(lateFor(clock.Now(), e.callsUntil))
+			report.Refused = append(report.Refused, wire.EncodeRunEnd(end))
 		}
 	}
 	for run := range s.inferredEnds {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -85,8 +85,9 @@
 // inferredEnd is the end of a run that the worker has not listed.
 type inferredEnd struct {
 	submission.End
-	reported  bool      // to a leader, perhaps not the present one
-	lateUntil time.Time // until when a call that starts the run and has no answer may be carried out; zero for none
+	reported   bool      // to a leader, perhaps not the present one
+	callsUntil time.Time // until when a call that starts the run and has no answer may be carried out; zero for none
+	isListed   bool      // the former incarnation has listed the end, so that it is certain
 }
 
 // Runner is the agent of one worker.
@@ -394,9 +395,7 @@
 	end := inferredEnd{
 		End: submission.End{Run: tr.run, Worker: r.incarnationName(r.incarnation), Reason: reason, Checkpoint: r.checkpoints[tr.run]},
 	}
-	if !tr.unansweredAt.IsZero() {
-		end.lateUntil = tr.unansweredAt.Add(r.callDelay)
-	}
+	end.callsUntil = r.callsUntil(tr)
 	r.inferredEnds[tr.run] = end
 	fields := event.Fields{
 		"worker": r.incarnationName(r.incarnation), "task": tr.run.Task.String(), "run": tr.run.Number, "how": reason.String(),
@@ -409,6 +408,29 @@
 	wake(r.wakeReport)
 }
 
+// callsUntil returns until when a call that starts the run and has no answer may be carried out;
+// the zero time if there is none. Of a run that the agent doesn't know, earlier agents may have
+// made such calls. r.mu must be held.
+func (r *Runner) callsUntil(tr *trackedRun) time.Time {
+	switch {
+	case tr == nil:
+		return r.began.Add(r.callDelay)
+	case tr.unansweredAt.IsZero():
+		return time.Time{}
+	default:
+		return tr.unansweredAt.Add(r.callDelay)
+	}
+}
+
+// lateFor returns for how long, from now on, a call may be carried out that can be until the given
+// time.
+func lateFor(now, callsUntil time.Time) int64 {
+	if callsUntil.IsZero() {
+		return 0
+	}
+	return int64(max(callsUntil.Sub(now), 0))
+}
+
 // startRun repeats a start until the worker answers or the order is no longer valid.
 // That is checked before each call, since a worker may leave calls unanswered for
 // seconds.
--- a/internal/runner/unanswered_test.go
+++ b/internal/runner/unanswered_test.go
@@ -320,3 +320,62 @@
 		})
 	}
 }
+
+// TestEndSaysWhetherLateCallMayStartRunAgain guards against a second run of a task beside one that
+// has ended on the worker's word: a leader must know that a call for it may still be carried out.
+func TestEndSaysWhetherLateCallMayStartRunAgain(t *testing.T) {
+	const callDelay = 10 * time.Second
+	for _, tc := range []struct {
+		name    string
+		lost    bool // the first call gets no answer, the second one does
+		restart bool // the agent restarts before the end is listed
+		stop    bool // the run is stopped before it has started
+		late    bool
+	}{
+		{name: "every call answered"},
+		{name: "first call without an answer", lost: true, late: true},
+		{name: "call of an earlier agent", restart: true, late: true},
+		{name: "stopped before an answer", lost: true, stop: true, late: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, w, l := newReturningRunner(t)
+			r.callDelay, r.began = callDelay, clock.Now()
+			if tc.lost {
+				holdStart(t, w, l)
+				if tc.stop {
+					r.deliverOrder(&pb.AgentOrder{Term: 1, Attachment: l.last, Stops: []*pb.Run{wire.EncodeRun(testRun(1))}})
+				}
+				w.set(func() { w.hold = false })
+			} else {
+				l.exchange(1)
+			}
+			if !tc.stop {
+				eventually(t, "the run is active", func() bool { return w.runs(testRun(1)) })
+				r.waitForAnswer(t, testRun(1))
+				w.set(func() { w.end(testRun(1), submission.Failed) })
+			}
+			if tc.restart {
+				r = newRunnerBeside(t, w)
+				r.callDelay, r.began = callDelay, clock.Now()
+				l.r = r
+				r.announceIncarnation(w.incarnation)
+			}
+			var lateFor time.Duration
+			eventually(t, "the end is reported", func() bool {
+				l.poll()
+				report := l.completeReport()
+				for _, e := range report.GetEnds() {
+					lateFor = time.Duration(e.GetLateFor())
+				}
+				for _, e := range report.GetRefused() {
+					lateFor = time.Duration(e.GetLateFor())
+				}
+				l.r.deliverOrder(&pb.AgentOrder{Term: 1, Attachment: l.last})
+				return len(report.GetEnds())+len(report.GetRefused()) > 0
+			})
+			if (lateFor > callDelay-2*time.Second) != tc.late || lateFor > callDelay {
+				t.Errorf("the end says that a call may be carried out for %s, want late: %t", lateFor, tc.late)
+			}
+		})
+	}
+}
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -82,6 +82,8 @@
 	Run        submission.RunID
 	Reason     submission.EndReason
 	Checkpoint string
+
+	callsUntil time.Time // until when a call that starts the run and has no answer may be carried out; zero for none
 }
 
 // Listing is a worker's answer to a PollRequest.
--- a/internal/wire/robustness_test.go
+++ b/internal/wire/robustness_test.go
@@ -35,6 +35,7 @@
 		state.Submit{Submission: submission.Submission{Spec: spec}},
 		state.StartRuns{Starts: []submission.Start{{Run: run, Worker: "w1/1"}}},
 		state.EndRuns{Ends: []submission.End{{Run: run, Worker: "w1/1", Reason: submission.Done, Checkpoint: "c"}}},
+		state.EndRuns{Ends: []submission.End{{Run: run, Worker: "w1/1", Reason: submission.Failed, LateFor: time.Second}}},
 		state.SettleRuns{Runs: []submission.RunID{run}, Settled: true},
 		state.SettleRuns{Runs: []submission.RunID{run}},
 		state.RecordSilence{Change: silence.Change{Term: 3, Silent: []silence.Machine{{Name: "m1", For: time.Second}}, Removed: []string{"m2"}}},
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -136,6 +136,9 @@
 		for _, c := range t.Crashes {
 			r.Crashes = append(r.Crashes, &pb.Crash{Ran: int64(c.Ran), Alone: c.Alone})
 		}
+		for _, l := range t.LateRuns {
+			r.LateRuns = append(r.LateRuns, &pb.LateRun{Number: l.Number, Worker: l.Worker, For: int64(l.For)})
+		}
 		m.Tasks = append(m.Tasks, r)
 	}
 	return m
@@ -185,6 +188,9 @@
 		for _, c := range r.GetCrashes() {
 			t.Crashes = append(t.Crashes, submission.Crash{Ran: decodeDuration(c.GetRan()), Alone: c.GetAlone()})
 		}
+		for _, l := range r.GetLateRuns() {
+			t.LateRuns = append(t.LateRuns, submission.LateRun{Number: l.GetNumber(), Worker: l.GetWorker(), For: decodeDuration(l.GetFor())})
+		}
 		if t.Done {
 			rec.DoneTasks++
 		}
@@ -213,14 +219,14 @@
 
 // EncodeRunEnd returns the message of a run's end.
 func EncodeRunEnd(e submission.End) *pb.RunEnd {
-	return &pb.RunEnd{Run: EncodeRun(e.Run), Worker: e.Worker, How: uint32(e.Reason), Saved: e.Checkpoint, Ran: int64(e.Ran)}
+	return &pb.RunEnd{Run: EncodeRun(e.Run), Worker: e.Worker, How: uint32(e.Reason), Saved: e.Checkpoint, Ran: int64(e.Ran), LateFor: int64(e.LateFor)}
 }
 
 // DecodeRunEnd returns the run's end of a message.
 func DecodeRunEnd(m *pb.RunEnd) submission.End {
 	return submission.End{
 		Run: DecodeRun(m.GetRun()), Worker: m.GetWorker(), Reason: submission.EndReason(m.GetHow()), Checkpoint: m.GetSaved(),
-		Ran: decodeDuration(m.GetRan()),
+		Ran: decodeDuration(m.GetRan()), LateFor: decodeDuration(m.GetLateFor()),
 	}
 }
 
--- a/submission/store.go
+++ b/submission/store.go
@@ -18,8 +18,9 @@
 	LastRun    uint32 // number of the latest run
 	FailedRuns int    // runs that ended as failed; for a gang, counted at index 0
 	Done       bool
-	Checkpoint string  // latest checkpoint, from the end of a run
-	Crashes    []Crash // of workers under its runs, the latest last; never changed in place
+	Checkpoint string    // latest checkpoint, from the end of a run
+	Crashes    []Crash   // of workers under its runs, the latest last; never changed in place
+	LateRuns   []LateRun // ended runs that may go on, the latest last; never changed in place
 }
 
 // Run is one active run.
@@ -110,8 +111,9 @@
 	waiting      map[string]*Submission // not ended, with waiting tasks
 	usage        map[string]*Usage      // by worker incarnation
 	lastSequence uint64
-	unendedBytes int64            // about what the unended submissions take in memory
-	serviceCPU   map[string]int64 // that the service tasks of unended submissions request, by service; thousandths of a core
+	unendedBytes int64             // about what the unended submissions take in memory
+	lateRuns     map[RunID]LateRun // of tasks that are not done
+	serviceCPU   map[string]int64  // that the service tasks of unended submissions request, by service; thousandths of a core
 }
 
 // ServiceCPU returns the CPU that all service tasks of a service's unended
@@ -272,6 +274,7 @@
 		store.waiting = make(map[string]*Submission)
 		store.usage = make(map[string]*Usage)
 		store.serviceCPU = make(map[string]int64)
+		store.lateRuns = make(map[RunID]LateRun)
 	}
 	store.all[s.ID] = s
 	store.lastSequence = max(store.lastSequence, s.Sequence)
@@ -304,6 +307,11 @@
 	for _, r := range t.Runs {
 		store.addUsage(s, id, r)
 	}
+	if !t.Done && !s.State.Ended() {
+		for _, l := range t.LateRuns {
+			store.lateRuns[RunID{Task: id, Number: l.Number}] = l
+		}
+	}
 }
 
 // addWaiting changes the number of waiting tasks of a task's step.
@@ -392,6 +400,7 @@
 	store.unendedBytes -= s.Bytes()
 	store.addServiceCPU(s, -1)
 	store.updateWaiting(s)
+	store.dropLateRuns(s)
 }
 
 // Start records starts and returns the starts that it recorded. It checks each
@@ -474,6 +483,9 @@
 		store.updateWaiting(s)
 		return true
 	}
+	if e.Reason != Done {
+		store.addLateRun(s, e)
+	}
 	if e.Checkpoint != "" {
 		s.saveCheckpoint(e)
 	}
@@ -547,6 +559,7 @@
 		rec.Tasks[i].Done = true
 		rec.DoneTasks++
 	}
+	store.dropLateRuns(s)
 	if !s.State.Ended() && s.allTasksDone() {
 		store.endSubmission(s, Completed, now)
 	}
@@ -652,8 +665,8 @@
 		run.Number > 0 && run.Number <= t.LastRun && s.ActiveOn(run) == ""
 }
 
-// Settle records of active runs whether a call to start them may still be carried out; if
-// settled, none may.
+// Settle records whether a call to start runs may still be carried out; if settled, none may.
+// A run that has ended and is settled does not go on.
 func (store *Store) Settle(runs []RunID, settled bool) {
 	for _, run := range runs {
 		s, ok := store.all[run.Task.Submission]
@@ -661,6 +674,9 @@
 			continue
 		}
 		t, i := s.activeRun(run)
+		if i < 0 && settled {
+			store.removeLateRun(s, run)
+		}
 		if i < 0 || t.Runs[i].Settled == settled {
 			continue
 		}
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -325,6 +325,9 @@
 	// Ran is the time from the start order of a crashed run to the crash; zero if
 	// unknown.
 	Ran time.Duration
+	// LateFor is the time for which a call to start the run may still be carried out, by the next
+	// incarnation of the worker; 0 if every call has an answer.
+	LateFor time.Duration
 }
 
 // State is the state of a submission.
