controller: count a gang's common run once

Cause: failures of members are counted in one place, in the belief that one member fails and the others end as broken. A worker that fails all it starts ends each of them as failed, and each end counted.

Change: the leader proposes the first failed end of a common run as failed and the others as broken, with the reason that was told beside it, which health and the log go by. The record keeps the numbers of the latest runs that are counted, for the next leader.

The count of the record is unchanged, so an entry has the same effect on each copy, whoever wrote it; an entry of a former leader counts as before.

--- a/internal/controller/evacuations.go
+++ b/internal/controller/evacuations.go
@@ -146,7 +146,7 @@
 	}
 	rejected, gangs := make(map[submission.RunID]bool), make(map[dispatch.StepID]bool)
 	stepOf := func(t submission.TaskID) dispatch.StepID {
-		return dispatch.StepID{Submission: t.Submission, Occurrence: t.Occurrence, Step: t.Step}
+		return stepOf(t)
 	}
 	for _, st := range starts {
 		if !c.isEvacuated(c.sessions.byIncarnation[st.Worker]) {
--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -176,13 +176,13 @@
 		}
 		tasks[run.Task] = true
 		if s.Steps[run.Task.Step].Gang {
-			gangs[dispatch.StepID{Submission: s.ID, Occurrence: run.Task.Occurrence, Step: run.Task.Step}] = true
+			gangs[stepOf(run.Task)] = true
 		}
 	}
 	c.addLateRuns(now, tasks, gangs)
 	return slices.DeleteFunc(starts, func(st submission.Start) bool {
 		t := st.Run.Task
-		return tasks[t] || gangs[dispatch.StepID{Submission: t.Submission, Occurrence: t.Occurrence, Step: t.Step}]
+		return tasks[t] || gangs[stepOf(t)]
 	})
 }
 
--- a/internal/controller/lateruns.go
+++ b/internal/controller/lateruns.go
@@ -139,7 +139,7 @@
 		if s, ok := store.Submission(run.Task.Submission); ok && c.sessions.mayGoOn(now, late) {
 			tasks[run.Task] = true
 			if s.Steps[run.Task.Step].Gang {
-				gangs[dispatch.StepID{Submission: s.ID, Occurrence: run.Task.Occurrence, Step: run.Task.Step}] = true
+				gangs[stepOf(run.Task)] = true
 			}
 		}
 	}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -73,7 +73,7 @@
 
 func (c *Core) startOrder(now time.Time, s *submission.Submission, run submission.RunID, incarnation string) *pb.StartOrder {
 	step := &s.Steps[run.Task.Step]
-	id := dispatch.StepID{Submission: s.ID, Occurrence: run.Task.Occurrence, Step: run.Task.Step}
+	id := stepOf(run.Task)
 	ticket, _ := c.sessions.scheduler.Ticket(now, id, incarnation)
 	return &pb.StartOrder{
 		Run:        wire.EncodeRun(run),
@@ -253,20 +253,13 @@
 	now := clock.Now()
 	ended := make(map[string]bool)
 	touched := make(map[*session]bool)
-	for _, e := range ends {
-		delete(c.sessions.endsProposed, e.Run)
-	}
+	c.sessions.forgetProposedEnds(ends)
 	for _, e := range ends {
 		if _, expiring := c.sessions.expiring[e.Worker]; expiring && !c.hasProposedEnds(e.Worker) {
 			delete(c.sessions.expiring, e.Worker)
 		}
 		s, ok := store.Submission(e.Run.Task.Submission)
-		took := _unknownDuration
-		if orderedAt, known := c.sessions.startOrderedAt[e.Run]; known {
-			took = now.Sub(orderedAt)
-		}
-		c.sessions.scheduler.RecordEnd(now, store, e, took)
-		delete(c.sessions.startOrderedAt, e.Run)
+		c.scheduleAfterEnd(now, e)
 		c.sessions.lateStarts.remove(e.Run)
 		if ok {
 			c.stopSurplusRuns(s, surplusRuns(s, e))
@@ -303,10 +296,34 @@
 	}
 }
 
+// scheduleAfterEnd lets the scheduler learn from the recorded end of a run.
+func (c *Core) scheduleAfterEnd(now time.Time, e submission.End) {
+	took := _unknownDuration
+	if orderedAt, known := c.sessions.startOrderedAt[e.Run]; known {
+		took = now.Sub(orderedAt)
+	}
+	delete(c.sessions.startOrderedAt, e.Run)
+	e.Reason = e.ToldReason()
+	c.sessions.scheduler.RecordEnd(now, c.machine.Submissions(), e, took)
+}
+
+// forgetProposedEnds forgets that ends were proposed, which are recorded now.
+func (s *sessions) forgetProposedEnds(ends []submission.End) {
+	for _, e := range ends {
+		delete(s.endsProposed, e.Run)
+		if e.Reason == submission.Failed {
+			delete(s.gangFailures, gangRun{step: stepOf(e.Run.Task), number: e.Run.Number})
+		}
+	}
+}
+
 // logRunEnded logs and counts the end of a run.
 func (c *Core) logRunEnded(e submission.End) {
 	fields := event.Fields{
-		"submission": e.Run.Task.Submission, "task": e.Run.Task.String(), "run": e.Run.Number, "worker": e.Worker, "how": e.Reason.String(),
+		"submission": e.Run.Task.Submission, "task": e.Run.Task.String(), "run": e.Run.Number, "worker": e.Worker, "how": e.ToldReason().String(),
+	}
+	if e.Told != 0 {
+		fields["counted"] = false
 	}
 	if e.Reason == submission.Crashed {
 		fields["ran_ms"] = e.Ran.Milliseconds()
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -117,6 +117,7 @@
 	reportOrder      recency                   // worker incarnations that can receive tasks, by latest report
 	expiring         map[string]time.Time      // when the end of a worker incarnation's expired runs was proposed
 	endsProposed     map[submission.RunID]bool // runs whose end is proposed and not recorded yet
+	gangFailures     map[gangRun]bool          // common runs whose end as failed is proposed and not recorded yet
 	startsProposedAt time.Time                 // when the pending StartRuns was proposed; zero if there is none
 	changed          bool                      // the state has changed since the last scheduling round
 	nextRound        time.Time                 // when a scheduling round is due without a change
@@ -149,6 +150,7 @@
 	s.silent.reset()
 	s.expiring = make(map[string]time.Time)
 	s.endsProposed = make(map[submission.RunID]bool)
+	s.gangFailures = make(map[gangRun]bool)
 	s.startsProposedAt = time.Time{}
 	s.scheduler.Reset()
 	s.leaseOrder, s.reportOrder = recency{}, recency{}
@@ -460,10 +462,15 @@
 func (c *Core) proposeEnds(now time.Time, ends []submission.End) {
 	for len(ends) > 0 {
 		n := min(len(ends), _maxRunEnds)
+		counted := c.countGangRunsOnce(ends[:n])
 		if c.proposeOwn(now, state.EndRuns{Ends: ends[:n]}) {
 			for _, e := range ends[:n] {
 				c.sessions.endsProposed[e.Run] = true
 			}
+		} else {
+			for _, run := range counted {
+				delete(c.sessions.gangFailures, run)
+			}
 		}
 		ends = ends[n:]
 	}
--- a/internal/wire/submission.go
+++ b/internal/wire/submission.go
@@ -129,7 +129,7 @@
 func encodeStepRecord(rec *submission.StepRecord) *pb.StepRecord {
 	m := &pb.StepRecord{}
 	for _, t := range rec.Tasks {
-		r := &pb.TaskRecord{Last: t.LastRun, Failed: int32(t.FailedRuns), Done: t.Done, Saved: t.Checkpoint}
+		r := &pb.TaskRecord{Last: t.LastRun, Failed: int32(t.FailedRuns), Done: t.Done, Saved: t.Checkpoint, Counted: t.CountedRuns}
 		for _, run := range t.Runs {
 			r.Runs = append(r.Runs, &pb.ActiveRun{Number: run.Number, Worker: run.Worker, Started: encodeTime(run.Started), Settled: run.Settled})
 		}
@@ -179,7 +179,7 @@
 		return rec, fault.New(fault.DataDamaged, "submission %q has an unexpected number of task records: %d in step %d", s.ID, len(m.GetTasks()), step)
 	}
 	for _, r := range m.GetTasks() {
-		t := submission.Task{LastRun: r.GetLast(), FailedRuns: int(r.GetFailed()), Done: r.GetDone(), Checkpoint: r.GetSaved()}
+		t := submission.Task{LastRun: r.GetLast(), FailedRuns: int(r.GetFailed()), Done: r.GetDone(), Checkpoint: r.GetSaved(), CountedRuns: r.GetCounted()}
 		for _, run := range r.GetRuns() {
 			t.Runs = append(t.Runs, submission.Run{
 				Number: run.GetNumber(), Worker: run.GetWorker(), Started: decodeTime(run.GetStarted()), Settled: run.GetSettled(),
@@ -219,14 +219,14 @@
 
 // EncodeRunEnd returns the message of a run's end.
 func EncodeRunEnd(e submission.End) *pb.RunEnd {
-	return &pb.RunEnd{Run: EncodeRun(e.Run), Worker: e.Worker, How: uint32(e.Reason), Saved: e.Checkpoint, Ran: int64(e.Ran), LateFor: int64(e.LateFor)}
+	return &pb.RunEnd{Run: EncodeRun(e.Run), Worker: e.Worker, How: uint32(e.Reason), Saved: e.Checkpoint, Ran: int64(e.Ran), LateFor: int64(e.LateFor), Told: uint32(e.Told)}
 }
 
 // DecodeRunEnd returns the run's end of a message.
 func DecodeRunEnd(m *pb.RunEnd) submission.End {
 	return submission.End{
 		Run: DecodeRun(m.GetRun()), Worker: m.GetWorker(), Reason: submission.EndReason(m.GetHow()), Checkpoint: m.GetSaved(),
-		Ran: decodeDuration(m.GetRan()), LateFor: decodeDuration(m.GetLateFor()),
+		Ran: decodeDuration(m.GetRan()), LateFor: decodeDuration(m.GetLateFor()), Told: submission.EndReason(m.GetTold()),
 	}
 }
 
--- a/submission/store.go
+++ b/submission/store.go
@@ -14,13 +14,14 @@
 
 // Task is the record of one task.
 type Task struct {
-	Runs       []Run  // active runs; more than one only in a speculative step
-	LastRun    uint32 // number of the latest run
-	FailedRuns int    // runs that ended as failed; for a gang, counted at index 0
-	Done       bool
-	Checkpoint string    // latest checkpoint, from the end of a run
-	Crashes    []Crash   // of workers under its runs, the latest last; never changed in place
-	LateRuns   []LateRun // ended runs that may go on, the latest last; never changed in place
+	Runs        []Run    // active runs; more than one only in a speculative step
+	LastRun     uint32   // number of the latest run
+	FailedRuns  int      // ends as failed; for a gang, counted at index 0
+	CountedRuns []uint32 // numbers of the latest runs whose end as failed is counted, at index 0 of a gang; never changed in place
+	Done        bool
+	Checkpoint  string    // latest checkpoint, from the end of a run
+	Crashes     []Crash   // of workers under its runs, the latest last; never changed in place
+	LateRuns    []LateRun // ended runs that may go on, the latest last; never changed in place
 }
 
 // Run is one active run.
@@ -576,13 +577,19 @@
 	return true
 }
 
-// countFailure counts a failed run. Failures of a gang are counted at index 0: the
-// other members end for another reason, so that each common run counts once.
+// _maxCountedRuns bounds the common runs that are remembered: the members of a gang have few
+// active runs at a time.
+const _maxCountedRuns = 8
+
+// countFailure counts a failed run. Failures of a gang are counted at index 0. Each end as failed
+// counts; a leader proposes one for each common run: see IsFailureCounted.
 func (s *Submission) countFailure(e End) {
 	step := &s.Steps[e.Run.Task.Step]
 	t := s.task(e.Run.Task)
 	if step.Gang {
 		t = &s.StepRecords[e.Run.Task.Occurrence][e.Run.Task.Step].Tasks[0]
+		kept := t.CountedRuns[max(0, len(t.CountedRuns)+1-_maxCountedRuns):]
+		t.CountedRuns = append(slices.Clone(kept), e.Run.Number)
 	}
 	t.FailedRuns++
 	if t.FailedRuns == RepeatedFailures && !t.Done && !step.LongRunning {
@@ -590,6 +597,12 @@
 	}
 }
 
+// IsFailureCounted reports whether the end of another member's run as failed is counted for a
+// common run of a gang.
+func (s *Submission) IsFailureCounted(run RunID) bool {
+	return slices.Contains(s.StepRecords[run.Task.Occurrence][run.Task.Step].Tasks[0].CountedRuns, run.Number)
+}
+
 // failIfOutOfAttempts ends the submission if the task or its gang has used up its
 // attempts.
 func (store *Store) failIfOutOfAttempts(s *Submission, e End, now time.Time) {
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -10,6 +10,7 @@
 package submission
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"strconv"
@@ -325,11 +326,17 @@
 	// Ran is the time from the start order of a crashed run to the crash; zero if
 	// unknown.
 	Ran time.Duration
+	// Told is the reason that the worker or its agent has told, if it must not count; 0 if it is
+	// Reason.
+	Told EndReason
 	// LateFor is the time for which a call to start the run may still be carried out, by the next
 	// incarnation of the worker; 0 if every call has an answer.
 	LateFor time.Duration
 }
 
+// ToldReason returns the reason that the worker or its agent has told.
+func (e *End) ToldReason() EndReason { return cmp.Or(e.Told, e.Reason) }
+
 // State is the state of a submission.
 type State uint8
 
