controller: acquit tasks of crashes with a common cause

Cause: a task counts as the cause of its workers' crashes after three of them within 500 ms of its start, two of these alone. Suspected tasks start when a worker has been up for 2 s, and all workers went down 2.4 s after each return, so every suspect had just started, alone. That idle workers crashed at the same moment was not looked at. Watches have no attempts, and must be restarted however they end.

Change: a crash counts for nothing if another worker of the service went down within a second of it and had started nothing, or if half of them, three at least, did. A crash that would have a long-running task given up counts for nothing either. The leader decides that as it proposes the ends, from what the agents report, so the record stays the same for controllers of the former version. The event task_acquitted tells the reason.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -325,7 +325,7 @@
 	if e.Told != 0 {
 		fields["counted"] = false
 	}
-	if e.Reason == submission.Crashed {
+	if e.ToldReason() == submission.Crashed {
 		fields["ran_ms"] = e.Ran.Milliseconds()
 		c.crashedRuns.Inc(1)
 	}
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -74,6 +74,7 @@
 type session struct {
 	worker                 dispatch.Worker
 	leaving                bool
+	silent                 bool                      // the worker does not answer its agent
 	earliestDeparture      time.Time                 // of a worker that leaves
 	hasLists               bool                      // the agent has reported its complete lists
 	deferred               *pb.AgentReport           // to be answered with a lease; nil for none
@@ -117,10 +118,11 @@
 	reportOrder      recency                   // worker incarnations that can receive tasks, by latest report
 	expiring         map[string]time.Time      // when the end of a worker incarnation's expired runs was proposed
 	endsProposed     map[submission.RunID]bool // runs whose end is proposed and not recorded yet
-	gangFailures     map[gangRun]bool          // common runs whose end as failed is proposed and not recorded yet
-	startsProposedAt time.Time                 // when the pending StartRuns was proposed; zero if there is none
-	changed          bool                      // the state has changed since the last scheduling round
-	nextRound        time.Time                 // when a scheduling round is due without a change
+	outages          workerOutages
+	gangFailures     map[gangRun]bool // common runs whose end as failed is proposed and not recorded yet
+	startsProposedAt time.Time        // when the pending StartRuns was proposed; zero if there is none
+	changed          bool             // the state has changed since the last scheduling round
+	nextRound        time.Time        // when a scheduling round is due without a change
 	scheduler        dispatch.Scheduler
 	missedTargets    int            // samples since the latest pool state in which a service task missed its target
 	wallClocks       clock.Majority // of the attached workers' machines and this one
@@ -151,6 +153,7 @@
 	s.expiring = make(map[string]time.Time)
 	s.endsProposed = make(map[submission.RunID]bool)
 	s.gangFailures = make(map[gangRun]bool)
+	s.outages = make(workerOutages)
 	s.startsProposedAt = time.Time{}
 	s.scheduler.Reset()
 	s.leaseOrder, s.reportOrder = recency{}, recency{}
@@ -220,7 +223,11 @@
 // handleReport handles an agent's report and sends orders.
 func (c *Core) handleReport(now time.Time, sess *session, in *pb.AgentReport) {
 	if w := in.GetWorker(); w != nil {
+		wasSilent := sess.silent
 		sess.updateWorker(now, w)
+		if sess.silent && !wasSilent && sess.hasLists { // it has answered before
+			c.recordOutage(now, sess.worker)
+		}
 		c.zones.report(w.GetZone())
 		c.updateDeparture(sess)
 		c.sessions.changed = true
@@ -231,6 +238,9 @@
 	sess.lastReport = now
 	if in.GetGone() {
 		sess.lastReport = time.Time{}
+		if !sess.silent && !sess.leaving {
+			c.recordOutage(now, sess.worker)
+		}
 	}
 	c.proposeReportedEnds(now, sess, in)
 	order := c.newOrder(sess)
@@ -347,7 +357,7 @@
 	if w.GetLeaving() && !s.leaving {
 		s.earliestDeparture = now.Add(time.Duration(w.GetRemaining()))
 	}
-	s.leaving = w.GetLeaving()
+	s.leaving, s.silent = w.GetLeaving(), w.GetSilent()
 	var warmAt time.Time
 	if left := time.Duration(w.GetWarmUpLeft()); left > 0 {
 		warmAt = now.Add(left)
@@ -462,6 +472,7 @@
 func (c *Core) proposeEnds(now time.Time, ends []submission.End) {
 	for len(ends) > 0 {
 		n := min(len(ends), _maxRunEnds)
+		c.acquitTasks(ends[:n])
 		counted := c.countGangRunsOnce(ends[:n])
 		if c.proposeOwn(now, state.EndRuns{Ends: ends[:n]}) {
 			for _, e := range ends[:n] {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -64,6 +64,7 @@
 	DiskFull           Number = 241
 	DiskAvailable      Number = 242
 	SilenceTakenOver   Number = 243
+	TaskAcquitted      Number = 244
 	AgentJoined        Number = 301
 	ControllerLost     Number = 302
 	TaskStarted        Number = 303
@@ -147,6 +148,7 @@
 	{DiskFull, "disk_full", logrus.ErrorLevel},
 	{DiskAvailable, "disk_available", logrus.InfoLevel},
 	{SilenceTakenOver, "silence_taken_over", logrus.InfoLevel},
+	{TaskAcquitted, "task_acquitted", logrus.InfoLevel},
 	{AgentJoined, "agent_joined", logrus.InfoLevel},
 	{ControllerLost, "controller_lost", logrus.WarnLevel},
 	{TaskStarted, "task_started", logrus.DebugLevel},
