controller: let an agent take back that a run is settled

A task may run twice when its agent stands still with a start call under way, the call gets no answer, and the agent is lost.

Cause: an agent reports in how long a run is settled, and the leader held by that time against all later reports, since a later agent can't know how the calls of an earlier one went. The same agent does know. And an agent whose call failed after the run was listed did not report the run again.

Change: reports name the agent's process by its start. A word that holds by the passing of time alone gives way to a later one of the same process, and a record in the log that rests on it is taken back. The agent reports a run whose call fails after it was listed. The leader keeps a run until the time that its agent has reported, also if that is beyond its last lease.

The other side: TestNextAgentLearnsWhichRunsAreSettled, TestRunOfRestartedAgentEndsWithItsGrant.

--- a/internal/controller/latestarts.go
+++ b/internal/controller/latestarts.go
@@ -30,16 +30,32 @@
 	// As reported before, perhaps by an earlier agent. What a later agent reports instead is the
 	// longest lease that it assumes; the earlier one has passed on no lease beyond its grant.
 	wasSettled bool
+	takenBack  bool     // it was settled by the word of the same agent, which says otherwise now
+	agent      reporter // that has reported it last
+}
+
+// reporter identifies the process of an agent.
+type reporter struct {
+	machine string
+	started int64  // as the agent says; 0 if it doesn't
+	stream  uint64 // number of its stream, if it doesn't say when it has started
 }
 
 func (r reportedRun) isSettled(now time.Time) bool { return !r.settledAt.After(now) }
 
 // record records an agent's report of an active run.
-func (l *lateStarts) record(now time.Time, run submission.RunID, r *pb.ListedRun) {
+//
+// That a run is settled because the time has passed after which an agent said that it would be, holds
+// unless the same agent says otherwise: it may have stood still with a call under way.
+func (l *lateStarts) record(now time.Time, run submission.RunID, r *pb.ListedRun, agent reporter) {
 	if l.runs == nil {
 		l.runs = make(map[submission.RunID]reportedRun)
 	}
-	reported := reportedRun{wasSettled: l.wasSettled(now, run)}
+	reported := reportedRun{wasSettled: l.wasSettled(now, run), agent: agent}
+	if former, ok := l.runs[run]; ok && former.agent == agent && !former.wasSettled && !former.settledAt.IsZero() {
+		reported.takenBack = reported.wasSettled
+		reported.wasSettled = false
+	}
 	d := time.Duration(r.GetSettlesIn())
 	switch {
 	case r.GetSettled():
@@ -60,6 +76,12 @@
 	return ok && (r.wasSettled || r.isSettled(now))
 }
 
+// isContradicted reports whether an agent has taken back that a run was settled.
+func (l *lateStarts) isContradicted(now time.Time, run submission.RunID) bool {
+	r, ok := l.runs[run]
+	return ok && r.takenBack && !r.isSettled(now)
+}
+
 // endsWithGrant reports whether a run has ended when the latest lease that its agent was
 // granted has expired. One that is settled later may be on the next incarnation by then, where
 // late calls for other runs prolong its lease.
@@ -77,6 +99,7 @@
 	if l.endsWithGrant(leaseExpiry, run) {
 		return !now.Before(leaseExpiry)
 	}
-	// The calls for other runs, which are as late, prolong the lease of this one.
-	return !now.Before(leaseExpiry.Add(l.window))
+	// The calls for other runs, which are as late, prolong the lease of this one. An agent that had
+	// stood still may have reported later calls than those within its lease.
+	return !now.Before(leaseExpiry.Add(l.window)) && l.runs[run].isSettled(now)
 }
--- a/internal/controller/latestarts_test.go
+++ b/internal/controller/latestarts_test.go
@@ -108,7 +108,7 @@
 		call     = time.Unix(1000, 0) // starts the run and has no answer
 		lastCall = call.Add(8 * time.Second)
 	)
-	late.record(call.Add(time.Second), run, &pb.ListedRun{Run: wire.EncodeRun(run), SettlesIn: int64(late.window - time.Second)})
+	late.record(call.Add(time.Second), run, &pb.ListedRun{Run: wire.EncodeRun(run), SettlesIn: int64(late.window - time.Second)}, reporter{})
 	// The worker starts again after lastCall; call is carried out 10 s late, and lastCall,
 	// which starts another run, 7.9 s late, while the first run holds its lease.
 	begins, prolonged := call.Add(10*time.Second), lastCall.Add(7900*time.Millisecond)
@@ -226,12 +226,12 @@
 			late := lateStarts{window: 12*time.Second + maxLease}
 			run := submission.RunID{Task: submission.TaskID{Submission: "s1"}, Number: 1}
 			now := time.Unix(1000, 0)
-			late.record(now, run, &pb.ListedRun{Settled: true})
+			late.record(now, run, &pb.ListedRun{Settled: true}, reporter{started: 1})
 			if tc.between != nil {
 				tc.between(&late, run)
 			}
 			now = now.Add(time.Second)
-			late.record(now, run, &pb.ListedRun{SettlesIn: int64(maxLease)})
+			late.record(now, run, &pb.ListedRun{SettlesIn: int64(maxLease)}, reporter{started: 2})
 			expiry := now.Add(grant)
 			if late.hasEnded(expiry.Add(-time.Millisecond), expiry, run) {
 				t.Error("the run counts as ended before the grant is over")
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -305,6 +305,10 @@
 	stalled := 0
 	m := c.sessions.machines[machineOf(sess.worker.Incarnation)]
 	isLatest := m != nil && m.attachments == sess.attachment // a later stream says more
+	agent := reporter{machine: machineOf(sess.worker.Incarnation), started: in.GetAgent()}
+	if agent.started == 0 {
+		agent.stream = sess.attachment
+	}
 	var unsettled []submission.RunID
 	for _, r := range in.GetActive() {
 		run := wire.DecodeRun(r.GetRun())
@@ -315,7 +319,7 @@
 		if isStalled && !c.sessions.scheduler.IsStalled(run) {
 			stalled++
 		}
-		if on := recordedOn(c.machine.Submissions(), sess.worker.Incarnation, run); on != "" && isLatest && !c.recordReportedRun(now, sess.worker.Incarnation, on, run, r) {
+		if on := recordedOn(c.machine.Submissions(), sess.worker.Incarnation, run); on != "" && isLatest && !c.recordReportedRun(now, sess.worker.Incarnation, on, run, r, agent) {
 			unsettled = append(unsettled, run)
 		}
 		if isActive(c.machine.Submissions(), sess.worker.Incarnation, run) {
--- a/internal/controller/settledruns.go
+++ b/internal/controller/settledruns.go
@@ -117,18 +117,22 @@
 
 // recordReportedRun records an agent's report of a run that is active on the worker
 // incarnation on. It returns false if the run is recorded as settled and must not be: a late
-// call has started it on another incarnation.
-func (c *Core) recordReportedRun(now time.Time, incarnation, on string, run submission.RunID, r *pb.ListedRun) bool {
+// call has started it on another incarnation, or may start it yet.
+func (c *Core) recordReportedRun(now time.Time, incarnation, on string, run submission.RunID, r *pb.ListedRun, agent reporter) bool {
 	s, ok := c.machine.Submissions().Submission(run.Task.Submission)
 	if on != incarnation {
 		c.sessions.lateStarts.remove(run) // whatever was reported
-		c.sessions.lateStarts.record(now, run, r)
+		c.sessions.lateStarts.record(now, run, r, agent)
 		delete(c.sessions.settlements.candidates, run)
 		return !ok || !c.isRecordedSettled(s, run)
 	}
-	c.sessions.lateStarts.record(now, run, r)
-	if ok && !c.isRecordedSettled(s, run) {
+	c.sessions.lateStarts.record(now, run, r, agent)
+	switch {
+	case !ok:
+	case !c.isRecordedSettled(s, run):
 		c.sessions.settlements.candidates[run] = true
+	case c.sessions.lateStarts.isContradicted(now, run):
+		return false
 	}
 	return true
 }
--- a/internal/controller/thawedrun_test.go
+++ b/internal/controller/thawedrun_test.go
@@ -12,7 +12,6 @@
 // has made again, as it seems, after it had stood still: the time after which its run was reported
 // to be settled has gone by meanwhile.
 func TestThawedAgentsRunIsNotSettled(t *testing.T) {
-	skipKnownRed(t)
 	l, sess := newLeaderOfLastingRun(t)
 	l.core.sessions.lateStarts.remove(l.run(1))
 	reportSettlesIn := func(d time.Duration) {
@@ -30,3 +29,25 @@
 		t.Errorf("the record has the runs %v, want run 1 while its start may be late", runs)
 	}
 }
+
+// TestRecordOfThawedAgentsRunIsTakenBack guards against a next leader that ends such a run at once,
+// since it is recorded as settled.
+func TestRecordOfThawedAgentsRunIsTakenBack(t *testing.T) {
+	l, sess := newLeaderOfLastingRun(t)
+	l.core.sessions.lateStarts.remove(l.run(1))
+	reportSettlesIn := func(d time.Duration) {
+		l.core.handleReport(l.now, sess, &pb.AgentReport{Sent: 1, Active: []*pb.ListedRun{{Run: wire.EncodeRun(l.run(1)), SettlesIn: int64(d)}}})
+	}
+	reportSettlesIn(time.Second)
+	for range 30 {
+		l.recordSettled()
+	}
+	if !l.isRecordedSettled() {
+		t.Fatal("run 1 is not recorded as settled after the time that its agent has reported")
+	}
+	reportSettlesIn(_testLateStartWindow)
+	l.commit()
+	if l.isRecordedSettled() {
+		t.Error("run 1 is recorded as settled, and its agent says that a call may start it")
+	}
+}
--- a/internal/runner/report.go
+++ b/internal/runner/report.go
@@ -184,7 +184,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report = &pb.AgentReport{
-		Sent: clock.Now().UnixNano(), WallClock: time.Now().UnixNano(), Term: r.token.term, Strains: r.tailLatencies, Loads: r.loads,
+		Sent: clock.Now().UnixNano(), WallClock: time.Now().UnixNano(), Term: r.token.term, Agent: r.began.UnixNano(), Strains: r.tailLatencies, Loads: r.loads,
 	}
 	if r.incarnation != s.incarnation {
 		r.addInferredEnds(s, report)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -501,12 +501,21 @@
 		r.handleSteppedClock(tr)
 		workerClock = 0
 	default:
-		tr.unansweredAt = clock.Now()
+		r.recordFailedCall(clock.Now(), tr)
 	}
 	r.mu.Unlock()
 	return r.handleStartAnswer(ctx, incarnation, tr, answer, workerClock, err)
 }
 
+// recordFailedCall records that a call that starts the run got no answer. r.mu must be held.
+func (r *Runner) recordFailedCall(now time.Time, tr *trackedRun) {
+	tr.unansweredAt = now
+	if tr.confirmed { // by a listing meanwhile; the leader may know the run as settled
+		r.unreported[tr.run] = true
+		wake(r.wakeReport)
+	}
+}
+
 // handleSteppedClock handles the answer to a start by an incarnation with another clock than
 // the known one: the start has given the run, and all others there, a lease of another
 // length than was meant. r.mu must be held.
