controller: record which workers have runs that have ended

A task may start elsewhere beside a run that a worker has after its end was recorded, when the leader that has heard of it is lost.

Cause: stray runs were in the leader's memory only. The next leader learns of them when the agent attaches, and starts tasks before that.

Change: the log keeps a stray run of a task that may run again as a late run, so the task rests until the agent has listed, or no late call can hold a lease.

--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -106,8 +106,9 @@
 // stopStrayRuns orders the stop of runs that a worker has and that are not recorded on
 // its incarnation, or whose end is proposed. A run that is recorded on an earlier one
 // counts as active until its end is reported.
-func (c *Core) stopStrayRuns(sess *session, in *pb.AgentReport, order *pb.AgentOrder) {
+func (c *Core) stopStrayRuns(now time.Time, sess *session, in *pb.AgentReport, order *pb.AgentOrder) {
 	store := c.machine.Submissions()
+	var late []submission.End
 	for _, r := range in.GetActive() {
 		run := wire.DecodeRun(r.GetRun())
 		if isActive(store, sess.worker.Incarnation, run) && !c.sessions.endsProposed[run] {
@@ -115,6 +116,9 @@
 		}
 		sess.strays[run] = true
 		recorded := recordedOn(store, sess.worker.Incarnation, run)
+		if recorded == "" && !c.isRecordedLate(run, sess.worker.Incarnation) {
+			late = append(late, submission.End{Run: run, Worker: sess.worker.Incarnation, Reason: submission.Lost, LateFor: c.sessions.lateStarts.window + _lateRunMargin})
+		}
 		c.sessions.strayHolders[run] = sess.worker.Incarnation
 		if sess.orderedStops[run] {
 			continue
@@ -126,6 +130,7 @@
 		sess.orderedStops[run] = true
 		order.Stops = append(order.Stops, wire.EncodeRun(run))
 	}
+	c.recordLateRuns(now, late)
 	if in.GetComplete() {
 		maps.DeleteFunc(c.sessions.strayHolders, func(run submission.RunID, on string) bool {
 			return on == sess.worker.Incarnation && !sess.strays[run]
--- a/internal/controller/lateruns.go
+++ b/internal/controller/lateruns.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentianrail/gentianrail/dispatch"
 	"github.com/gentianrail/gentianrail/internal/event"
+	"github.com/gentianrail/gentianrail/state"
 	"github.com/gentianrail/gentianrail/submission"
 )
 
@@ -59,6 +60,24 @@
 	return c.sessions.lateStarts.window
 }
 
+// isRecordedLate reports whether the log says of an ended run that a worker has it, or need not: its
+// task has no further run.
+func (c *Core) isRecordedLate(run submission.RunID, incarnation string) bool {
+	s, ok := c.machine.Submissions().Submission(run.Task.Submission)
+	if !ok || s.State.Ended() || s.Task(run.Task) == nil || s.Task(run.Task).Done || s.Steps[run.Task.Step].Speculative {
+		return true
+	}
+	late, ok := c.machine.Submissions().LateRuns()[run]
+	return ok && late.Worker == incarnation
+}
+
+// recordLateRuns proposes to record which ended runs workers have.
+func (c *Core) recordLateRuns(now time.Time, runs []submission.End) {
+	if len(runs) > 0 {
+		c.proposeOwn(now, state.RecordLateRuns{Runs: runs})
+	}
+}
+
 // updateLateRuns stops runs beside which an ended run of their task may go on, and proposes to
 // forget the ended runs that don't.
 func (c *Core) updateLateRuns(now time.Time) {
@@ -71,7 +90,8 @@
 		}
 		isOver := !now.Before(c.sessions.lastCallsEnd(late.Worker))
 		if c.sessions.isInTouch(now, machineOf(late.Worker)) {
-			isOver = !now.Before(until)
+			_, isStray := c.sessions.strayHolders[run]
+			isOver = !now.Before(until) && !isStray
 		}
 		switch {
 		case !isOver:
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -244,7 +244,7 @@
 	}
 	c.proposeReportedEnds(now, sess, in)
 	order := c.newOrder(sess)
-	c.stopStrayRuns(sess, in, order)
+	c.stopStrayRuns(now, sess, in, order)
 	c.endOtherIncarnations(now, sess, in) // after the reported ends, which say more than that a run was lost
 	if wall := in.GetWallClock(); wall != 0 {
 		c.sessions.wallClocks.Record(now, sess.worker.Incarnation, time.Unix(0, wall))
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -81,6 +81,8 @@
 		return &pb.Command{Kind: &pb.Command_EndRuns{EndRuns: encodeEndRuns(c.Ends)}}
 	case state.SettleRuns:
 		return &pb.Command{Kind: &pb.Command_EndRuns{EndRuns: encodeSettleRuns(c)}}
+	case state.RecordLateRuns: // as the next one
+		return &pb.Command{Kind: &pb.Command_EndRuns{EndRuns: &pb.EndRuns{Late: encodeEndRuns(c.Runs).GetEnds()}}}
 	case state.RecordSilence: // controllers of earlier versions take it for a command that ends no runs
 		return &pb.Command{Kind: &pb.Command_EndRuns{EndRuns: &pb.EndRuns{Silence: encodeSilence(c.Change)}}}
 	case state.StartEvacuation:
@@ -200,6 +202,9 @@
 	case *pb.Command_StartRuns:
 		return state.StartRuns{Starts: decodeStartRuns(k.StartRuns)}, nil
 	case *pb.Command_EndRuns:
+		if len(k.EndRuns.GetLate()) > 0 {
+			return state.RecordLateRuns{Runs: decodeEndRuns(&pb.EndRuns{Ends: k.EndRuns.GetLate()})}, nil
+		}
 		if k.EndRuns.GetSilence() != nil {
 			return state.RecordSilence{Change: decodeSilence(k.EndRuns.GetSilence())}, nil
 		}
--- a/internal/wire/robustness_test.go
+++ b/internal/wire/robustness_test.go
@@ -38,6 +38,7 @@
 		state.EndRuns{Ends: []submission.End{{Run: run, Worker: "w1/1", Reason: submission.Failed, LateFor: time.Second}}},
 		state.SettleRuns{Runs: []submission.RunID{run}, Settled: true},
 		state.SettleRuns{Runs: []submission.RunID{run}},
+		state.RecordLateRuns{Runs: []submission.End{{Run: run, Worker: "w1/1", Reason: submission.Lost, LateFor: time.Second}}},
 		state.RecordSilence{Change: silence.Change{Term: 3, Silent: []silence.Machine{{Name: "m1", For: time.Second}}, Removed: []string{"m2"}}},
 		state.CancelSubmission{ID: "s1"},
 		state.StartEvacuation{Zone: "z"},
--- a/state/command.go
+++ b/state/command.go
@@ -17,7 +17,7 @@
 // DeleteEntry, RegisterWorker, RetireWorker, DrainWorker, SubmitJob,
 // CancelJob, PlaceJob, EndAttempt, FailJob, BeginClaim, FinishClaim,
 // ReleaseClaim, RecordBurn, ReplaceQueues, Submit, CancelSubmission, StartRuns,
-// EndRuns, SettleRuns, RecordSilence, StartEvacuation, FinishEvacuation and DropAnswers.
+// EndRuns, SettleRuns, RecordSilence, RecordLateRuns, StartEvacuation, FinishEvacuation and DropAnswers.
 type Command interface{ command() }
 
 // PutEntry creates or replaces the declaration of a catalogue entry.
@@ -134,6 +134,9 @@
 // RecordSilence records for how long machines have been without a lease.
 type RecordSilence struct{ Change silence.Change }
 
+// RecordLateRuns records that workers have runs whose end was recorded before.
+type RecordLateRuns struct{ Runs []submission.End }
+
 // StartEvacuation evacuates an availability zone: nothing is started on its workers.
 type StartEvacuation struct{ Zone string }
 
@@ -159,6 +162,7 @@
 func (EndRuns) command()          {}
 func (SettleRuns) command()       {}
 func (RecordSilence) command()    {}
+func (RecordLateRuns) command()   {}
 
 func (PutEntry) command()       {}
 func (DeleteEntry) command()    {}
@@ -197,6 +201,7 @@
 	_ Command = EndRuns{}
 	_ Command = SettleRuns{}
 	_ Command = RecordSilence{}
+	_ Command = RecordLateRuns{}
 	_ Command = StartEvacuation{}
 	_ Command = FinishEvacuation{}
 	_ Command = DropAnswers{}
--- a/state/machine.go
+++ b/state/machine.go
@@ -180,6 +180,9 @@
 	case SettleRuns:
 		m.submissions.Settle(c.Runs, c.Settled)
 		return Result{}
+	case RecordLateRuns:
+		m.submissions.RecordLateRuns(c.Runs)
+		return Result{}
 	case RecordSilence:
 		m.silence.Apply(c.Change)
 		return Result{}
--- a/submission/laterun.go
+++ b/submission/laterun.go
@@ -21,6 +21,20 @@
 // LateRuns returns the late runs of the tasks that are not done. The caller must not change them.
 func (store *Store) LateRuns() map[RunID]LateRun { return store.lateRuns }
 
+// RecordLateRuns records that workers have runs that have ended. An active run, or one that was
+// never started, is no such run.
+func (store *Store) RecordLateRuns(runs []End) {
+	for _, e := range runs {
+		s, ok := store.all[e.Run.Task.Submission]
+		if !ok {
+			continue
+		}
+		if t := s.Task(e.Run.Task); t != nil && e.Run.Number <= t.LastRun && s.ActiveOn(e.Run) == "" {
+			store.addLateRun(s, e)
+		}
+	}
+}
+
 // addLateRun records that an ended run may go on.
 func (store *Store) addLateRun(s *Submission, e End) {
 	t := s.task(e.Run.Task)
