runner: count the longest lease on a slow clock

Nobody has reported it; found by reading. A task could run twice for 0.12 s beside a worker that is cut off, holds the longest lease, and has a clock that is 2% slow.

Cause: the worker measures the lease on its own clock. What the agent sends takes its drift into account, and what it assumes of the longest lease did not.

Change: the longest lease is assumed to last 1/49 longer.

--- a/internal/runner/candidate.go
+++ b/internal/runner/candidate.go
@@ -111,7 +111,7 @@
 	r.identifiers.record(former.ID, r.token)
 	r.formerToken = r.identifiers.token(incarnation.ID)
 	if former.ID == incarnation.ID || r.formerToken != (token{}) {
-		r.lease.assumeHeld(clock.Now(), r.maxLease)
+		r.lease.assumeHeld(clock.Now(), r.longestLease())
 	}
 	r.inferredEnds = inferredEnds
 	r.candidate = nil
--- a/internal/runner/lease.go
+++ b/internal/runner/lease.go
@@ -5,6 +5,7 @@
 // Bounds of leases.
 const (
 	_clockDriftDivisor = 50                      // a worker's clock may run slow by 1/50
+	_slowClockDivisor  = _clockDriftDivisor - 1  // what such a clock shows lasts longer by 1/49
 	_maxWorkerLease    = 2500 * time.Millisecond // a worker's loss must be noticed well before the agent's lease ends
 )
 
@@ -19,6 +20,10 @@
 	heldUntil   time.Time     // latest end of a lease that others may have sent, or that counts on another clock, on this machine's clock
 }
 
+// longestLease returns how long the longest lease that the worker accepts may last on this
+// machine's clock.
+func (r *Runner) longestLease() time.Duration { return r.maxLease + r.maxLease/_slowClockDivisor }
+
 // assumeHeld assumes that the worker has been given a lease of that length by now.
 func (l *lease) assumeHeld(now time.Time, length time.Duration) {
 	if end := now.Add(length); end.After(l.heldUntil) {
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -171,7 +171,7 @@
 	wasSettled := r.isSettled()
 	r.listedAll, r.listedToken = true, r.polledToken
 	if !wasSettled && r.formerToken != (token{}) {
-		r.lease.assumeHeld(now, r.maxLease) // by an order for an earlier incarnation
+		r.lease.assumeHeld(now, r.longestLease()) // by an order for an earlier incarnation
 	}
 	if !wasSettled && r.isSettled() {
 		r.assumeFormerCalls(now, list)
@@ -196,7 +196,7 @@
 	if now.Before(reached) {
 		reached = now
 	}
-	r.lease.assumeHeld(reached, r.maxLease)
+	r.lease.assumeHeld(reached, r.longestLease())
 }
 
 // handleSuperseded handles a listing by the next incarnation, which has not announced
@@ -207,7 +207,7 @@
 		r.supersededBy = list.StartTimeMS
 		r.raiseToken() // it has seen the token of the starts that were meant for the current one
 		wake(r.wakePoll)
-		r.lease.assumeHeld(now, r.maxLease)
+		r.lease.assumeHeld(now, r.longestLease())
 		r.reportAll()
 		r.log.Emit(event.WorkerSuperseded, event.Fields{
 			"worker": r.incarnationName(r.incarnation), "started_ms": list.StartTimeMS, "runs": len(list.Active),
@@ -215,7 +215,7 @@
 	}
 	for _, a := range list.Active {
 		if tr := r.runs[a.Run]; tr != nil {
-			tr.heldUntil = now.Add(r.maxLease)
+			tr.heldUntil = now.Add(r.longestLease())
 		}
 	}
 	r.superseded = true
@@ -278,7 +278,7 @@
 	if tr.unansweredAt.IsZero() {
 		return
 	}
-	if end := tr.unansweredAt.Add(r.callDelay + r.maxLease); end.After(tr.heldUntil) {
+	if end := tr.unansweredAt.Add(r.callDelay + r.longestLease()); end.After(tr.heldUntil) {
 		tr.heldUntil = end
 	}
 }
@@ -349,7 +349,7 @@
 // the agent has inferred its end, the run must not go on: the order to start it was
 // carried out by a later incarnation, or after its end was inferred. r.mu must be held.
 func (r *Runner) trackFoundRun(ctx context.Context, now time.Time, run submission.RunID) *trackedRun {
-	tr := &trackedRun{run: run, confirmedAt: now, share: _unknownShare, heldUntil: now.Add(r.maxLease), unansweredAt: r.began}
+	tr := &trackedRun{run: run, confirmedAt: now, share: _unknownShare, heldUntil: now.Add(r.longestLease()), unansweredAt: r.began}
 	r.track(tr)
 	r.unreported[run] = true
 	wake(r.wakeReport)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -521,8 +521,8 @@
 // length than was meant. r.mu must be held.
 func (r *Runner) handleSteppedClock(tr *trackedRun) {
 	now := clock.Now()
-	tr.heldUntil = now.Add(r.maxLease)
-	r.lease.assumeHeld(now, r.maxLease)
+	tr.heldUntil = now.Add(r.longestLease())
+	r.lease.assumeHeld(now, r.longestLease())
 	if !r.disconnected {
 		r.disconnected = true
 		r.raiseToken()
