--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -186,6 +186,7 @@
 
 func (c *Core) loadSnapshot(now time.Time, s replica.Snapshot) error {
 	c.machine = &state.Machine{}
+	c.sessions.silent.reckoning.Restore(now, c.machine.Silence(), s.Term)
 	c.snapshotIndex = s.Index
 	c.members = s.Members
 	if s.Index == 0 {
--- a/internal/controller/rounds.go
+++ b/internal/controller/rounds.go
@@ -12,10 +12,10 @@
 // dispatchTasks ends the runs whose leases have expired and starts waiting tasks.
 func (c *Core) dispatchTasks(now time.Time) {
 	c.sessions.dropSilentWorkers(now)
-	c.updateLateRuns(now)
 	if now.Sub(c.sessions.lastLeaseCheck) >= _runLeaseCheckInterval {
 		c.sessions.lastLeaseCheck = now
 		c.endExpiredRuns(now)
+		c.updateLateRuns(now)
 		c.recordSettledRuns(now)
 	}
 	if !c.sessions.startsProposedAt.IsZero() && now.Sub(c.sessions.startsProposedAt) < _proposalRetryDelay || !c.holdsLease(now) {
