controller: take agents for away sooner after an election; crashes within 0.1 s

Cause: a new leader waited for a second until it stopped a run beside which a late call may start an earlier one. And the crash of three to five of eleven workers at the same moment counted against the tasks that had just started on all of them.

Change: a new leader waits for 0.5 s. Three workers that go down within 0.1 s have a cause in common, whatever had started there.

--- a/internal/controller/crashcauses.go
+++ b/internal/controller/crashcauses.go
@@ -16,9 +16,11 @@
 	// _commonCauseWindow is the greatest difference between the times at which agents notice that
 	// their workers went down together.
 	_commonCauseWindow = time.Second
-	// _minCommonOutages is the number of workers that go down together, however many there are,
-	// from which what had just started there doesn't matter.
+	// _minCommonOutages is the number of workers that must go down together for a common cause if
+	// something had just started on each of them: within _simultaneity, or half of the workers within
+	// _commonCauseWindow. Several tasks that crash workers seldom do so at the same moment.
 	_minCommonOutages = 3
+	_simultaneity     = 100 * time.Millisecond
 )
 
 // workerOutage is the latest time at which a worker stopped answering, as its agent has noticed.
@@ -63,16 +65,20 @@
 	if !ok {
 		return false
 	}
-	together := 0
+	together, simultaneous := 0, 0
 	for machine, other := range o {
-		if other.service != own.service || other.at.Sub(own.at).Abs() > _commonCauseWindow {
+		apart := other.at.Sub(own.at).Abs()
+		if other.service != own.service || apart > _commonCauseWindow {
 			continue
 		}
-		if together++; machine != machineOf(incarnation) && !other.hadStarted {
+		if together++; apart <= _simultaneity {
+			simultaneous++
+		}
+		if machine != machineOf(incarnation) && !other.hadStarted {
 			return true
 		}
 	}
-	return together >= max(_minCommonOutages, (workers+1)/2)
+	return simultaneous >= _minCommonOutages || together >= max(_minCommonOutages, (workers+1)/2)
 }
 
 // acquitTasks changes the ends that are to be proposed, so that crashes that a task has not caused,
--- a/internal/controller/lateruns.go
+++ b/internal/controller/lateruns.go
@@ -20,6 +20,10 @@
 // started.
 const _lateRunMargin = time.Second
 
+// _lateRunGrace is the time from its beginning until a new leader takes an agent to be away that has
+// not attached. Agents attach within 0.3 s of an election.
+const _lateRunGrace = 500 * time.Millisecond
+
 // _minTimeAtWork is the time from its start until a long-running task counts as available.
 const _minTimeAtWork = 2 * time.Second
 
@@ -113,7 +117,7 @@
 // stopBesideLateRun orders the stop of a task's runs on other machines while an ended run of it
 // may go on. A new leader waits until the agents have had time to report.
 func (c *Core) stopBesideLateRun(now time.Time, run submission.RunID, late submission.LateRun) {
-	if now.Sub(c.sessions.leaderSince) < _maxReportAge || !c.sessions.mayGoOn(now, late) {
+	if now.Sub(c.sessions.leaderSince) < _lateRunGrace || !c.sessions.mayGoOn(now, late) {
 		return
 	}
 	s, ok := c.machine.Submissions().Submission(run.Task.Submission)
