controller: let an agent that stays vouch for its worker's next incarnation

Cause: while an agent takes up the next incarnation of its worker, its stream has no lists yet for some 50 ms, and the next run of a task with a late run would be stopped for nothing: that agent has called the incarnation under a raised token before it takes it up. And of a run that was settled by the passing of time alone, a call that fails later was not believed if the run had ended meanwhile.

Change: an agent process that has reported lists in the term counts as being in touch on its next stream, too. The word of the agent on which a run was settled goes first for ends as for active runs.

Result: TestNextRunIsNotStopped has the case of an agent that stays; the package's tests pass.

--- a/internal/controller/crashcauses.go
+++ b/internal/controller/crashcauses.go
@@ -21,6 +21,9 @@
 	// _commonCauseWindow. Several tasks that crash workers seldom do so at the same moment.
 	_minCommonOutages = 3
 	_simultaneity     = 100 * time.Millisecond
+
+	_maxNoticeDelay = time.Second      // from a crash until its agent has reported that the worker doesn't answer
+	_outageTTL      = 30 * time.Second // after which all crashes of an outage have been reported
 )
 
 // workerOutage is the latest time at which a worker stopped answering, as its agent has noticed.
@@ -40,8 +43,7 @@
 	hadStarted := false
 	if u := c.machine.Submissions().Usage(w.Incarnation); u != nil {
 		latest := u.LatestStarts()
-		// The agent notices a crash after some failed polls.
-		hadStarted = c.logClock.time(now).Sub(latest.ExceptOf("")) < submission.StartWindow+_commonCauseWindow
+		hadStarted = c.logClock.time(now).Sub(latest.ExceptOf("")) < submission.StartWindow+_maxNoticeDelay
 	}
 	c.sessions.outages[machineOf(w.Incarnation)] = workerOutage{service: w.Service, at: now, hadStarted: hadStarted}
 }
@@ -55,9 +57,6 @@
 	}
 }
 
-// _outageTTL is the time after which all crashes of an outage have been reported.
-const _outageTTL = 30 * time.Second
-
 // hasCommonCause reports whether a worker went down together with others for a cause that no task
 // explains. workers is the number of workers of its service.
 func (o workerOutages) hasCommonCause(incarnation string, workers int) bool {
--- a/internal/controller/incarnations.go
+++ b/internal/controller/incarnations.go
@@ -21,6 +21,7 @@
 	incarnation string    // of the latest stream
 	since       time.Time // first stream of that incarnation
 	former      []string  // other incarnations of earlier streams that may have runs
+	listedBy    reporter  // agent that has reported the lists of any incarnation last
 }
 
 // machineOf returns the machine of a worker incarnation.
@@ -158,10 +159,9 @@
 	return s.reportsStray(incarnation, run) || !s.lateStarts.hasEnded(now, s.leaseExpiry(incarnation), run)
 }
 
-// withoutStrays returns the starts of tasks of which no worker may have a stray run, or an ended
-// run that goes on. A stray
-// run is being stopped, or ends with the lease of its worker, and is forgotten then. The
-// members of a gang start together or not at all.
+// withoutStrays returns the starts of tasks of which no worker may have a stray run, or a late
+// one. A stray run is being stopped, or ends with the lease of its worker, and is forgotten
+// then. The members of a gang start together or not at all.
 func (c *Core) withoutStrays(now time.Time, starts []submission.Start) []submission.Start {
 	if len(c.sessions.strayHolders)+len(c.machine.Submissions().LateRuns()) == 0 {
 		return starts
@@ -236,7 +236,7 @@
 	for _, other := range others {
 		ends := c.endsOfActiveRuns(other, submission.Lost, func(run submission.RunID) bool { return sess.strays[run] })
 		for i := range ends {
-			ends[i].LateFor = c.lateForUnknown(now, ends[i].Run) // a further incarnation has seen no token
+			ends[i].LateFor = c.lateFor(now, ends[i].Run, c.sessions.lateStarts.window, sess.agent) // a further incarnation has seen no token
 		}
 		c.proposeEnds(now, ends)
 	}
--- a/internal/controller/lateruns.go
+++ b/internal/controller/lateruns.go
@@ -27,14 +27,15 @@
 // _minTimeAtWork is the time from its start until a long-running task counts as available.
 const _minTimeAtWork = 2 * time.Second
 
-// isInTouch reports whether a machine's agent reports what its worker runs.
+// isInTouch reports whether a machine's agent is there and has called the present incarnation of its
+// worker, so that this refuses late calls. The same agent has when it takes up a next one.
 func (s *sessions) isInTouch(now time.Time, machine string) bool {
 	m := s.machines[machine]
 	if m == nil {
 		return false
 	}
 	sess := s.byIncarnation[m.incarnation]
-	return sess != nil && sess.hasLists && now.Sub(sess.lastReport) < _maxReportAge
+	return sess != nil && (sess.hasLists || sess.agent == m.listedBy) && now.Sub(sess.lastReport) < _maxReportAge
 }
 
 // lastCallsEnd returns until when the calls of a machine's agents may be carried out and hold a
@@ -55,13 +56,15 @@
 	return !s.isInTouch(now, machineOf(late.Worker)) && now.Before(s.lastCallsEnd(late.Worker))
 }
 
-// lateForUnknown returns for how long a run whose calls the present agent doesn't know may be
-// started: not at all if they had answers.
-func (c *Core) lateForUnknown(now time.Time, run submission.RunID) time.Duration {
-	if c.isSettled(run) || c.sessions.lateStarts.wasSettled(now, run) {
+// lateFor returns for how long a call may start a run that has ended, which its agent says, or
+// doesn't know: not at all if the run was settled. The word of the agent on which that rests goes
+// first.
+func (c *Core) lateFor(now time.Time, run submission.RunID, told time.Duration, agent reporter) time.Duration {
+	late := &c.sessions.lateStarts
+	if !late.isOwnWord(run, agent) && (c.isSettled(run) || late.wasSettled(now, run)) {
 		return 0
 	}
-	return c.sessions.lateStarts.window
+	return told
 }
 
 // isRecordedLate reports whether the log says of an ended run that a worker has it, or need not: its
--- a/internal/controller/lateruns_test.go
+++ b/internal/controller/lateruns_test.go
@@ -137,6 +137,14 @@
 	}{
 		{name: "every call answered", play: (*unansweredRun).loseFirst},
 		{name: "the agent stays", lateFor: callDelay, play: func(*unansweredRun) {}},
+		{name: "the worker starts again, and its agent stays", lateFor: callDelay, play: func(u *unansweredRun) {
+			u.core.handleReport(u.now, u.first, &pb.AgentReport{Sent: 1, Agent: 7, Complete: true})
+			u.core.detach(u.first)
+			u.first = u.attach(&pb.AgentReport{Worker: report("m1/w/2").GetWorker(), Agent: 7})
+			u.pass(100 * time.Millisecond)
+			u.core.dispatchTasks(u.now)
+			u.first = u.attach(report("m1/w/2"))
+		}},
 		{name: "the calls are over", lateFor: callDelay, play: func(u *unansweredRun) {
 			u.play(callDelay + 2*time.Second)
 			u.loseFirst()
--- a/internal/controller/latestarts.go
+++ b/internal/controller/latestarts.go
@@ -43,6 +43,14 @@
 
 func (r reportedRun) isSettled(now time.Time) bool { return !r.settledAt.After(now) }
 
+func reporterOf(sess *session, in *pb.AgentReport) reporter {
+	r := reporter{machine: machineOf(sess.worker.Incarnation), started: in.GetAgent()}
+	if r.started == 0 {
+		r.stream = sess.attachment
+	}
+	return r
+}
+
 // record records an agent's report of an active run.
 //
 // That a run is settled because the time has passed after which an agent said that it would be, holds
@@ -52,7 +60,7 @@
 		l.runs = make(map[submission.RunID]reportedRun)
 	}
 	reported := reportedRun{wasSettled: l.wasSettled(now, run), agent: agent}
-	if former, ok := l.runs[run]; ok && former.agent == agent && !former.wasSettled && !former.settledAt.IsZero() {
+	if l.isOwnWord(run, agent) {
 		reported.takenBack = reported.wasSettled
 		reported.wasSettled = false
 	}
@@ -76,6 +84,13 @@
 	return ok && (r.wasSettled || r.isSettled(now))
 }
 
+// isOwnWord reports whether a run is settled at most by the passing of the time that the agent
+// itself has reported.
+func (l *lateStarts) isOwnWord(run submission.RunID, agent reporter) bool {
+	r, ok := l.runs[run]
+	return ok && r.agent == agent && !r.wasSettled && !r.settledAt.IsZero()
+}
+
 // isContradicted reports whether an agent has taken back that a run was settled.
 func (l *lateStarts) isContradicted(now time.Time, run submission.RunID) bool {
 	r, ok := l.runs[run]
--- a/internal/controller/sessions.go
+++ b/internal/controller/sessions.go
@@ -77,6 +77,7 @@
 	silent                 bool                      // the worker does not answer its agent
 	earliestDeparture      time.Time                 // of a worker that leaves
 	hasLists               bool                      // the agent has reported its complete lists
+	agent                  reporter                  // as of the latest report
 	deferred               *pb.AgentReport           // to be answered with a lease; nil for none
 	attachment             uint64                    // number of the stream among those of the machine in this term, from 1
 	strays                 map[submission.RunID]bool // runs that the worker has and that are not recorded on its incarnation
@@ -235,7 +236,7 @@
 	if c.sessions.byIncarnation[sess.worker.Incarnation] != sess {
 		return // replaced by a newer stream
 	}
-	sess.lastReport = now
+	sess.lastReport, sess.agent = now, reporterOf(sess, in)
 	if in.GetGone() {
 		sess.lastReport = time.Time{}
 		if !sess.silent && !sess.leaving {
@@ -278,6 +279,7 @@
 	c.renewLease(now, sess, in, order)
 	if lists.GetComplete() {
 		sess.hasLists = true
+		c.sessions.machines[machineOf(sess.worker.Incarnation)].listedBy = sess.agent
 		c.sessions.changed = true
 		c.reconcile(now, sess, lists, order)
 		order.Controllers = c.memberAddresses()
@@ -305,10 +307,6 @@
 	stalled := 0
 	m := c.sessions.machines[machineOf(sess.worker.Incarnation)]
 	isLatest := m != nil && m.attachments == sess.attachment // a later stream says more
-	agent := reporter{machine: machineOf(sess.worker.Incarnation), started: in.GetAgent()}
-	if agent.started == 0 {
-		agent.stream = sess.attachment
-	}
 	var unsettled []submission.RunID
 	for _, r := range in.GetActive() {
 		run := wire.DecodeRun(r.GetRun())
@@ -319,7 +317,7 @@
 		if isStalled && !c.sessions.scheduler.IsStalled(run) {
 			stalled++
 		}
-		if on := recordedOn(c.machine.Submissions(), sess.worker.Incarnation, run); on != "" && isLatest && !c.recordReportedRun(now, sess.worker.Incarnation, on, run, r, agent) {
+		if on := recordedOn(c.machine.Submissions(), sess.worker.Incarnation, run); on != "" && isLatest && !c.recordReportedRun(now, sess.worker.Incarnation, on, run, r, sess.agent) {
 			unsettled = append(unsettled, run)
 		}
 		if isActive(c.machine.Submissions(), sess.worker.Incarnation, run) {
@@ -431,7 +429,7 @@
 		}
 		sess.unrecordedEnds[e.GetNumber()] = recordedRun{run: run, worker: worker}
 		end := submission.End{Run: run, Worker: worker, Reason: submission.EndReason(e.GetHow()), Checkpoint: e.GetSaved()}
-		end.LateFor = min(time.Duration(e.GetLateFor()), c.lateForUnknown(now, run))
+		end.LateFor = c.lateFor(now, run, time.Duration(e.GetLateFor()), sess.agent)
 		ends = append(ends, end)
 	}
 	for _, e := range in.GetRefused() {
@@ -447,7 +445,7 @@
 		if worker == "" {
 			continue
 		}
-		end.Worker, end.LateFor = worker, min(end.LateFor, c.lateForUnknown(now, end.Run))
+		end.Worker, end.LateFor = worker, c.lateFor(now, end.Run, end.LateFor, sess.agent)
 		ends = append(ends, end)
 	}
 	c.proposeEnds(now, ends)
