controller: narrow what counts as a common cause of crashes

Cause: a crash counted for nothing if one other worker went down within a second and had started nothing.

Change: workers go down together if their agents notice it within 50 ms, and it takes three of them and 1/15 of the service's workers, or two if one had started nothing.

TestSimultaneousOutagesHaveCommonCause has the large site's cases, and TestCrashesWithCommonCauseFailNoTask two workers at the same moment and one after the other.

--- a/internal/controller/crashcauses.go
+++ b/internal/controller/crashcauses.go
@@ -9,18 +9,20 @@
 )
 
 // A crash is evidence against the tasks that had just started on the worker, unless something
-// else explains it: workers that go down at the same moment have a cause in common, and no task
-// is that cause if one of them had started nothing.
+// else explains it: workers that go down at the same moment have a cause in common. Tasks that
+// crash workers do so at different moments, each some milliseconds after its start; but the more
+// workers there are, the more of them go down at any moment.
 
 const (
-	// _commonCauseWindow is the greatest difference between the times at which agents notice that
-	// their workers went down together.
+	// _simultaneity is the greatest difference between the times at which agents notice that their
+	// workers have gone down at the same moment.
+	_simultaneity = 50 * time.Millisecond
+	// _commonCauseWindow is the time within which the loss of half of the workers has a cause in
+	// common, although agents notice it at different times.
 	_commonCauseWindow = time.Second
-	// _minCommonOutages is the number of workers that must go down together for a common cause if
-	// something had just started on each of them: within _simultaneity, or half of the workers within
-	// _commonCauseWindow. Several tasks that crash workers seldom do so at the same moment.
-	_minCommonOutages = 3
-	_simultaneity     = 100 * time.Millisecond
+
+	_minCommonOutages   = 3  // workers that must go down together; 2 if nothing had just started on one of them
+	_commonOutagesShare = 15 // and at least 1/15 of the service's workers
 
 	_maxNoticeDelay = time.Second      // from a crash until its agent has reported that the worker doesn't answer
 	_outageTTL      = 30 * time.Second // after which all crashes of an outage have been reported
@@ -64,20 +66,22 @@
 	if !ok {
 		return false
 	}
-	together, simultaneous := 0, 0
-	for machine, other := range o {
+	together, simultaneous, needed := 0, 0, _minCommonOutages
+	for _, other := range o {
 		apart := other.at.Sub(own.at).Abs()
 		if other.service != own.service || apart > _commonCauseWindow {
 			continue
 		}
-		if together++; apart <= _simultaneity {
-			simultaneous++
+		together++
+		if apart > _simultaneity {
+			continue
 		}
-		if machine != machineOf(incarnation) && !other.hadStarted {
-			return true
+		simultaneous++
+		if !other.hadStarted {
+			needed = _minCommonOutages - 1
 		}
 	}
-	return simultaneous >= _minCommonOutages || together >= max(_minCommonOutages, (workers+1)/2)
+	return simultaneous >= max(needed, workers/_commonOutagesShare) || together >= max(_minCommonOutages, (workers+1)/2)
 }
 
 // acquitTasks changes the ends that are to be proposed, so that crashes that a task has not caused,
--- a/internal/controller/crashcauses_test.go
+++ b/internal/controller/crashcauses_test.go
@@ -52,8 +52,8 @@
 	}{
 		{name: "worker after worker", workers: 1, failed: true},
 		{name: "worker after worker, a long-running task", workers: 1, lasting: true},
-		{name: "two at a time", workers: 2, apart: 300 * time.Millisecond},
-		{name: "two, one long after the other", workers: 2, apart: 1500 * time.Millisecond, failed: true},
+		{name: "two at a time", workers: 2, apart: 20 * time.Millisecond},
+		{name: "two, one after the other", workers: 2, apart: 300 * time.Millisecond, failed: true},
 		{name: "all at a time", workers: 11},
 		{name: "all at a time, a long-running task", workers: 11, lasting: true},
 	} {
@@ -73,27 +73,33 @@
 	}
 }
 
-// TestFreshStartsOnAllWorkersAreNoCause guards against tasks that count as the cause of a loss of
-// several workers at the same moment, or of half of them, since each had just started something.
-func TestFreshStartsOnAllWorkersAreNoCause(t *testing.T) {
+// TestSimultaneousOutagesHaveCommonCause guards against tasks that count as the cause of a loss of
+// several workers at the same moment, or of half of them, and against tasks that crash workers and
+// are not given up on a large site, where other workers go down at about any moment.
+func TestSimultaneousOutagesHaveCommonCause(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, tc := range []struct {
 		down, workers int
 		apart         time.Duration // between outages
+		idle          bool          // nothing had just started on one of them
 		want          bool
 	}{
+		{down: 2, workers: 11, idle: true, want: true},
+		{down: 2, workers: 11, apart: 300 * time.Millisecond, idle: true},
+		{down: 7, workers: 160, idle: true},
+		{down: 10, workers: 160, want: true},
 		{down: 1, workers: 11},
 		{down: 2, workers: 3},
 		{down: 2, workers: 11},
 		{down: 3, workers: 11, apart: 300 * time.Millisecond},
-		{down: 3, workers: 11, apart: 30 * time.Millisecond, want: true},
+		{down: 3, workers: 11, apart: 20 * time.Millisecond, want: true},
 		{down: 6, workers: 11, apart: 150 * time.Millisecond, want: true},
 		{down: 11, workers: 11, want: true},
 		{down: 3, workers: 3, apart: 300 * time.Millisecond, want: true},
 	} {
 		outages := make(workerOutages)
 		for i := range tc.down {
-			outages[fmt.Sprint("m", i)] = workerOutage{service: "s", at: now.Add(time.Duration(i) * tc.apart), hadStarted: true}
+			outages[fmt.Sprint("m", i)] = workerOutage{service: "s", at: now.Add(time.Duration(i) * tc.apart), hadStarted: !tc.idle || i != 1}
 		}
 		outages["other"] = workerOutage{service: "t", at: now}
 		if got := outages.hasCommonCause("m0/w/1", tc.workers); got != tc.want {
