controller: test three changes that had no red test

Cause: changed what an agent's word and its stay mean for ended runs, and how soon a new leader stops a run, without tests that fail without them for two of the three.

Change: TestEndOfThawedAgentsRunIsLate and TestNewLeaderStopsNextRunSoon.

--- a/internal/controller/lateruns_test.go
+++ b/internal/controller/lateruns_test.go
@@ -197,3 +197,17 @@
 		t.Errorf("the record has the late runs %v; all calls had answers", late)
 	}
 }
+
+// TestNewLeaderStopsNextRunSoon guards against a second run of a task that a late call starts soon after
+// an election: the leader and the first worker's machine were lost together.
+func TestNewLeaderStopsNextRunSoon(t *testing.T) {
+	u := newUnansweredRun(t, submission.Step{}, submission.Failed, 12*time.Second)
+	u.loseFirst()
+	u.core.detach(u.second)
+	u.changeLeader()
+	u.second = u.attach(report("m2/w/1", u.run(2)))
+	u.play(700 * time.Millisecond)
+	if _, stops := orderedRuns(u.second); len(stops) != 1 {
+		t.Errorf("the stops %v were ordered within 0.7 s of the election, want run 2", stops)
+	}
+}
--- a/internal/controller/thawedrun_test.go
+++ b/internal/controller/thawedrun_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/gentianrail/gentianrail/internal/wire"
 	"github.com/gentianrail/gentianrail/internal/wire/pb"
+	"github.com/gentianrail/gentianrail/submission"
 )
 
 // TestThawedAgentsRunIsNotSettled guards against a second run of a task whose start call an agent
@@ -51,3 +52,18 @@
 		t.Error("run 1 is recorded as settled, and its agent says that a call may start it")
 	}
 }
+
+// TestEndOfThawedAgentsRunIsLate guards against a second run of a task beside one that has ended: the
+// time after which its agent said that it would be settled has passed, and a call for it has failed since.
+func TestEndOfThawedAgentsRunIsLate(t *testing.T) {
+	l, sess := newLeaderOfLastingRun(t)
+	l.core.sessions.lateStarts.remove(l.run(1))
+	l.core.handleReport(l.now, sess, &pb.AgentReport{Sent: 1, Active: []*pb.ListedRun{{Run: wire.EncodeRun(l.run(1)), SettlesIn: int64(time.Second)}}})
+	l.pass(2 * time.Second)
+	end := &pb.ListedEnd{Number: 1, Run: wire.EncodeRun(l.run(1)), How: uint32(submission.Failed), LateFor: int64(12 * time.Second)}
+	l.core.handleReport(l.now, sess, &pb.AgentReport{Ends: []*pb.ListedEnd{end}})
+	l.commit()
+	if late := l.core.machine.Submissions().LateRuns(); len(late) != 1 {
+		t.Errorf("the record has the late runs %v, want run 1, which a call may start again", late)
+	}
+}
